Foundation: errors, ids, settings, kernel, HTTP, peer bus, virtual time

Cause: every part of the system needs one list of errors, typed ids, checked settings, a micro-kernel, HTTP and typed peer messages, and a way to run the core in virtual time. Conclusion: the ground on which the parts can be built side by side.

--- /dev/null
+++ b/kernel/log.cpp
@@ -0,0 +1,99 @@
+// Boost.Log with one synchronous stderr sink: the platform's VMs collect stderr, and a line must be out before a process dies. Values are quoted only
+// where needed so that lines can be read and also split by tools.
+
+#include "kernel/log.h"
+
+#include <array>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <iostream>
+
+namespace reedtrail {
+namespace {
+
+namespace logging = boost::log;
+
+constexpr std::array<std::string_view, 4> levelNames{ "debug", "info", "warning", "error" };
+
+std::string &nodeName()
+{
+    static std::string name;
+    return name;
+}
+
+logging::sources::severity_logger_mt<log_level> &logger()
+{
+    static logging::sources::severity_logger_mt<log_level> instance;
+    return instance;
+}
+
+void appendField(std::string &line, std::string_view key, std::string_view value)
+{
+    line.append(" ").append(key).append("=");
+    if (!value.empty() && value.find_first_of(" \"=\n\t\\") == std::string_view::npos) {
+        line.append(value);
+        return;
+    }
+    line += '"';
+    for (const char letter : value) {
+        if (letter == '\n') {
+            line += "\\n";
+            continue;
+        }
+        if (letter == '"' || letter == '\\') {
+            line += '\\';
+        }
+        line += letter;
+    }
+    line += '"';
+}
+
+} // namespace
+
+std::ostream &operator<<(std::ostream &out, log_level level)
+{
+    return out << levelNames[static_cast<std::size_t>(level)];
+}
+
+void startLogging(log_level level, std::string node)
+{
+    namespace expr = logging::expressions;
+    nodeName() = std::move(node);
+    logging::core::get()->remove_all_sinks();
+    logging::add_common_attributes();
+    logging::add_console_log(std::clog,
+                             logging::keywords::auto_flush = true,
+                             logging::keywords::format = (expr::stream << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                                                       << ' ' << expr::attr<log_level>("Severity") << ' ' << expr::smessage));
+    logging::core::get()->set_filter(expr::attr<log_level>("Severity") >= level);
+}
+
+void logLine(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string line(event);
+    if (!nodeName().empty()) {
+        appendField(line, "node", nodeName());
+    }
+    for (const log_field &field : fields) {
+        appendField(line, field.key, field.value);
+    }
+    BOOST_LOG_SEV(logger(), level) << line;
+}
+
+std::optional<log_level> logLevelNamed(std::string_view name)
+{
+    for (std::size_t i = 0; i < levelNames.size(); ++i) {
+        if (levelNames[i] == name) {
+            return static_cast<log_level>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,331 @@
+// A call takes a kept connection that still looks alive (a peek sees its end or stray bytes), or makes a new one. Once a byte was written the call is
+// "handed over" and is never tried again here: whether to repeat is decided above, where it is known what may be repeated. A connection whose answer was
+// not read to its end is closed, never kept, so that a late answer cannot be taken for the next request's.
+// Silence and deadline are timers of the call, not of TCP: a connection whose state was lost on the way stays open and silent for good.
+
+#include "net/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <deque>
+#include <map>
+
+namespace reedtrail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using clock_type = std::chrono::steady_clock;
+
+struct idle_connection
+{
+    std::unique_ptr<tcp::socket> socket;
+    clock_type::time_point since;
+};
+
+struct connection_pool
+{
+    http_client_options options;
+    std::map<endpoint, std::deque<idle_connection>> idle;
+};
+
+/** Tells whether a kept connection shows neither its end nor bytes that nobody asked for. */
+bool looksAlive(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+class client_call : public http_call, public std::enable_shared_from_this<client_call>
+{
+public:
+    client_call(asio::io_context &io, std::weak_ptr<connection_pool> pool, endpoint where, http_call_options options, http_call_handlers handlers)
+        : m_pool(std::move(pool))
+        , m_where(std::move(where))
+        , m_options(options)
+        , m_handlers(std::move(handlers))
+        , m_silenceTimer(io)
+        , m_deadlineTimer(io)
+        , m_socket(std::make_unique<tcp::socket>(io))
+    {
+    }
+
+    void begin(http_request request)
+    {
+        prepare(std::move(request));
+        m_deadlineTimer.expires_after(m_options.deadline);
+        m_deadlineTimer.async_wait([self = shared_from_this()](const beast::error_code &error) {
+            if (!error) {
+                self->end(self->m_isHandedOver ? error_kind::DeadlineExceeded : error_kind::NoServer, "deadline passed");
+            }
+        });
+        asio::post(m_socket->get_executor(), [self = shared_from_this()] {
+            self->findConnection();
+        });
+    }
+
+    void cancel() override
+    {
+        end(error_kind::Cancelled, "cancelled");
+    }
+
+private:
+    void prepare(http_request request)
+    {
+        m_message.method_string(request.method);
+        m_message.target(request.target);
+        m_message.version(11);
+        for (const http_field &field : request.fields.all()) {
+            m_message.set(field.name, field.value);
+        }
+        m_message.set(http::field::host, m_where.text());
+        m_message.body() = std::move(request.body);
+        m_message.prepare_payload();
+        m_isHeadRequest = request.method == "HEAD";
+    }
+
+    void findConnection()
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        if (takeIdle()) {
+            sendRequest();
+            return;
+        }
+        watchSilence(m_options.connectTimeout, error_kind::NoServer, "no connection within the timeout");
+        beast::error_code addressError;
+        const tcp::endpoint address(asio::ip::make_address(m_where.ip, addressError), m_where.port);
+        if (addressError) {
+            end(error_kind::NoServer, m_where.ip + " is no IP number");
+            return;
+        }
+        m_socket->async_connect(address, [self = shared_from_this()](const beast::error_code &error) {
+            if (error) {
+                self->end(error_kind::NoServer, "connection refused: " + error.message());
+                return;
+            }
+            beast::error_code ignored;
+            self->m_socket->set_option(tcp::no_delay(true), ignored);
+            self->sendRequest();
+        });
+    }
+
+    bool takeIdle()
+    {
+        const auto pool = m_pool.lock();
+        if (!pool) {
+            return false;
+        }
+        std::deque<idle_connection> &kept = pool->idle[m_where];
+        while (!kept.empty()) {
+            idle_connection candidate = std::move(kept.back());
+            kept.pop_back();
+            if (clock_type::now() - candidate.since < pool->options.idleTimeout && looksAlive(*candidate.socket)) {
+                m_socket = std::move(candidate.socket);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void sendRequest()
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        m_isHandedOver = true;
+        watchSilence(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
+        http::async_write(*m_socket, m_message, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+            if (error) {
+                self->end(error_kind::ServerFailed, "write failed: " + error.message());
+            } else {
+                self->readHead();
+            }
+        });
+    }
+
+    void readHead()
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        m_parser.emplace();
+        const auto pool = m_pool.lock();
+        m_parser->body_limit(pool ? pool->options.maximumBodyBytes : 0);
+        m_parser->skip(m_isHeadRequest);
+        watchSilence(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
+        http::async_read_header(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+            self->gotHead(error);
+        });
+    }
+
+    void gotHead(const beast::error_code &error)
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        if (error) {
+            end(error_kind::ServerFailed, "no response: " + error.message());
+            return;
+        }
+        m_hasHead = true;
+        http_response head;
+        head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
+        for (const auto &field : m_parser->get()) {
+            head.fields.set(std::string_view(field.name_string().data(), field.name_string().size()), std::string(field.value()));
+        }
+        if (m_handlers.onHead) {
+            m_handlers.onHead(head);
+        }
+        readBody();
+    }
+
+    void readBody()
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        if (m_parser->is_done()) {
+            keepConnection();
+            end(error_kind::None, "");
+            return;
+        }
+        m_parser->get().body().data = m_part.data();
+        m_parser->get().body().size = m_part.size();
+        watchSilence(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
+        http::async_read_some(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            self->gotBody(error);
+        });
+    }
+
+    void gotBody(beast::error_code error)
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        const std::size_t count = m_part.size() - m_parser->get().body().size;
+        if (count > 0 && m_handlers.onBody) {
+            m_handlers.onBody(std::string_view(m_part.data(), count));
+        }
+        if (error) {
+            end(error_kind::ServerFailed, "response broken off: " + error.message());
+            return;
+        }
+        readBody();
+    }
+
+    void keepConnection()
+    {
+        const auto pool = m_pool.lock();
+        if (!pool || !m_parser->keep_alive() || m_buffer.size() > 0) {
+            return;
+        }
+        std::deque<idle_connection> &kept = pool->idle[m_where];
+        if (kept.size() < pool->options.maximumIdlePerEndpoint) {
+            kept.push_back({ std::move(m_socket), clock_type::now() });
+        }
+    }
+
+    void watchSilence(duration limit, error_kind kind, const char *detail)
+    {
+        m_silenceTimer.expires_after(limit);
+        m_silenceTimer.async_wait([self = shared_from_this(), kind, detail](const beast::error_code &error) {
+            if (!error) {
+                self->end(kind, detail);
+            }
+        });
+    }
+
+    void end(error_kind kind, std::string detail)
+    {
+        if (m_hasEnded) {
+            return;
+        }
+        m_hasEnded = true;
+        m_silenceTimer.cancel();
+        m_deadlineTimer.cancel();
+        if (m_socket) {
+            beast::error_code ignored;
+            m_socket->close(ignored);
+        }
+        const http_call_handlers handlers = std::exchange(m_handlers, {});
+        if (handlers.onEnd) {
+            handlers.onEnd({ kind, m_isHandedOver, m_hasHead, std::move(detail) });
+        }
+    }
+
+    static constexpr std::size_t partBytes = 16U << 10U;
+
+    std::weak_ptr<connection_pool> m_pool;
+    endpoint m_where;
+    http_call_options m_options;
+    http_call_handlers m_handlers;
+    asio::steady_timer m_silenceTimer;
+    asio::steady_timer m_deadlineTimer;
+    std::unique_ptr<tcp::socket> m_socket;
+    http::request<http::string_body> m_message;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::array<char, partBytes> m_part{};
+    bool m_isHeadRequest = false;
+    bool m_isHandedOver = false;
+    bool m_hasHead = false;
+    bool m_hasEnded = false;
+};
+
+} // namespace
+
+struct http_client::implementation
+{
+    asio::io_context &io;
+    std::shared_ptr<connection_pool> pool = std::make_shared<connection_pool>();
+};
+
+http_client::http_client(asio::io_context &io, http_client_options options)
+    : m_implementation(std::make_shared<implementation>(implementation{ io }))
+{
+    m_implementation->pool->options = options;
+}
+
+http_client::~http_client() = default;
+
+std::shared_ptr<http_call> http_client::start(const endpoint &where, http_request request, http_call_options options, http_call_handlers handlers)
+{
+    const auto call = std::make_shared<client_call>(m_implementation->io, m_implementation->pool, where, options, std::move(handlers));
+    call->begin(std::move(request));
+    return call;
+}
+
+std::shared_ptr<http_call> http_client::call(const endpoint &where, http_request request, http_call_options options, whole_handler onResponse)
+{
+    const auto response = std::make_shared<http_response>();
+    http_call_handlers handlers;
+    handlers.onHead = [response](const http_response &head) {
+        *response = head;
+    };
+    handlers.onBody = [response](std::string_view part) {
+        response->body.append(part);
+    };
+    handlers.onEnd = [response, onResponse = std::move(onResponse)](const http_call_end &end) {
+        onResponse(end, *response);
+    };
+    return start(where, std::move(request), options, std::move(handlers));
+}
+
+std::size_t http_client::idleConnections() const
+{
+    std::size_t count = 0;
+    for (const auto &[where, kept] : m_implementation->pool->idle) {
+        count += kept.size();
+    }
+    return count;
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/net/http_message.cpp
@@ -0,0 +1,100 @@
+// Fields are few, so a list searched without case is faster than a map and keeps the order, which pass-through needs.
+
+#include "net/http_message.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace reedtrail {
+namespace {
+
+bool sameName(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
+        return std::tolower(a) == std::tolower(b);
+    });
+}
+
+int hexDigit(char letter)
+{
+    const int lower = std::tolower(static_cast<unsigned char>(letter));
+    if (lower >= '0' && lower <= '9') {
+        return lower - '0';
+    }
+    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
+        if (isEscape) {
+            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
+            i += 2;
+        } else {
+            decoded += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return decoded;
+}
+
+} // namespace
+
+std::string_view http_fields::get(std::string_view name) const
+{
+    for (const http_field &field : m_fields) {
+        if (sameName(field.name, name)) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+void http_fields::set(std::string_view name, std::string value)
+{
+    remove(name);
+    m_fields.push_back({ std::string(name), std::move(value) });
+}
+
+void http_fields::remove(std::string_view name)
+{
+    std::erase_if(m_fields, [&](const http_field &field) {
+        return sameName(field.name, name);
+    });
+}
+
+std::string_view http_request::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+std::optional<std::string> http_request::query(std::string_view key) const
+{
+    const std::size_t start = target.find('?');
+    if (start == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string_view rest = std::string_view(target).substr(start + 1);
+    while (!rest.empty()) {
+        const std::string_view item = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+        const std::size_t equals = item.find('=');
+        if (item.substr(0, equals) == key) {
+            return equals == std::string_view::npos ? "" : percentDecoded(item.substr(equals + 1));
+        }
+    }
+    return std::nullopt;
+}
+
+http_response jsonResponse(std::uint16_t status, std::string body)
+{
+    return { status, { { "Content-Type", "application/json" } }, std::move(body) };
+}
+
+http_response textResponse(std::uint16_t status, std::string body)
+{
+    return { status, { { "Content-Type", "text/plain; charset=utf-8" } }, std::move(body) };
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/net/http_server.cpp
@@ -0,0 +1,482 @@
+// One session object a connection, which reads a request, hands it out as an exchange, writes the answer, and reads the next. While an answer is
+// pending it watches the socket: a caller that hangs up is noticed at once and its request can be cancelled. Each exchange knows its session weakly
+// and carries its number on it, so an answer that comes late can never reach the connection's next request.
+// Bounds: header, body, connections, bytes queued to a caller, and time for each write.
+
+#include "net/http_server.h"
+
+#include "base/check.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <deque>
+#include <set>
+
+namespace reedtrail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+class http_session;
+
+/** What the sessions share with their server. */
+struct server_state
+{
+    http_server_options options;
+    http_server::handler handle;
+    std::set<std::shared_ptr<http_session>> sessions;
+    std::size_t inFlight = 0;
+    bool isStopping = false;
+};
+
+class session_exchange : public http_exchange
+{
+public:
+    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number, http_request request)
+        : m_session(std::move(session))
+        , m_number(number)
+        , m_request(std::move(request))
+    {
+    }
+    ~session_exchange() override;
+
+    const http_request &request() const override
+    {
+        return m_request;
+    }
+    void respond(http_response response) override;
+    void startStream(http_response head) override;
+    void write(std::string data) override;
+    void finishStream() override;
+    void abort() override;
+    void onGone(std::function<void()> action) override;
+    bool isGone() const override;
+
+private:
+    /** Returns the session while this exchange is its current one. */
+    std::shared_ptr<http_session> current() const;
+
+    std::weak_ptr<http_session> m_session;
+    std::uint64_t m_number;
+    http_request m_request;
+    bool m_isAnswered = false;
+};
+
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+    http_session(tcp::socket socket, std::shared_ptr<server_state> server)
+        : m_stream(std::move(socket))
+        , m_server(std::move(server))
+    {
+    }
+
+    void readNext()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server->options.maximumHeaderBytes));
+        m_parser->body_limit(m_server->options.maximumBodyBytes);
+        m_stream.expires_after(m_server->options.idleTimeout);
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+            self->received(error);
+        });
+    }
+
+    void close()
+    {
+        if (m_isClosed) {
+            return;
+        }
+        m_isClosed = true;
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.socket().close(ignored);
+        endExchange(true);
+        m_server->sessions.erase(shared_from_this());
+    }
+
+    bool isCurrent(std::uint64_t number) const
+    {
+        return m_isAnswering && number == m_exchangeNumber && !m_isClosed;
+    }
+
+    void respond(http_response response)
+    {
+        const auto message = std::make_shared<http::response<http::string_body>>(static_cast<http::status>(response.status), m_version);
+        for (const http_field &field : response.fields.all()) {
+            message->set(field.name, field.value);
+        }
+        message->body() = std::move(response.body);
+        message->keep_alive(mayKeepAlive());
+        message->prepare_payload();
+        m_stream.expires_after(m_server->options.writeTimeout);
+        http::async_write(m_stream, *message, [self = shared_from_this(), message](const beast::error_code &error, std::size_t) {
+            self->answered(error);
+        });
+    }
+
+    void startStream(const http_response &head)
+    {
+        http::response<http::empty_body> message(static_cast<http::status>(head.status), m_version);
+        for (const http_field &field : head.fields.all()) {
+            message.set(field.name, field.value);
+        }
+        m_isChunked = m_version >= 11;
+        message.chunked(m_isChunked);
+        message.keep_alive(m_isChunked && mayKeepAlive());
+        std::ostringstream text;
+        text << message.base();
+        enqueue(text.str());
+    }
+
+    void write(std::string_view data)
+    {
+        if (data.empty()) {
+            return;
+        }
+        if (!m_isChunked) {
+            enqueue(std::string(data));
+            return;
+        }
+        char size[24];
+        std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+        enqueue(std::string(size).append(data).append("\r\n"));
+    }
+
+    void finishStream()
+    {
+        m_isStreamEnded = true;
+        enqueue(m_isChunked ? "0\r\n\r\n" : "");
+    }
+
+    std::function<void()> goneAction;
+
+private:
+    bool mayKeepAlive() const
+    {
+        return m_wantsKeepAlive && !m_server->isStopping;
+    }
+
+    void received(const beast::error_code &error)
+    {
+        if (m_isClosed) {
+            return;
+        }
+        if (error == http::error::header_limit || error == http::error::body_limit) {
+            refuse(error == http::error::body_limit ? http::status::payload_too_large : http::status::request_header_fields_too_large);
+            return;
+        }
+        if (error && error != http::error::end_of_stream && m_parser->got_some()) {
+            refuse(http::status::bad_request);
+            return;
+        }
+        if (error) {
+            close();
+            return;
+        }
+        beginExchange();
+    }
+
+    void refuse(http::status status)
+    {
+        m_wantsKeepAlive = false;
+        m_isAnswering = true;
+        ++m_server->inFlight;
+        const error_kind kind = status == http::status::bad_request ? error_kind::BadRequest : error_kind::TooLarge;
+        http_response response = jsonResponse(static_cast<std::uint16_t>(status), "{\"error\":\"" + std::string(answerFor(kind).name) + "\"}");
+        response.fields.set("Reedtrail-Outcome", std::string(outcomeText(answerFor(kind).outcome)));
+        respond(std::move(response));
+    }
+
+    void beginExchange()
+    {
+        const auto &message = m_parser->get();
+        m_version = message.version();
+        m_wantsKeepAlive = message.keep_alive();
+        http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message) {
+            request.fields.set(std::string_view(field.name_string().data(), field.name_string().size()), std::string(field.value()));
+        }
+        request.body = std::move(m_parser->get().body());
+        m_isAnswering = true;
+        m_isStreamEnded = false;
+        m_isChunked = false;
+        ++m_server->inFlight;
+        m_stream.expires_never();
+        watchForHangUp();
+        m_server->handle(std::make_shared<session_exchange>(weak_from_this(), ++m_exchangeNumber, std::move(request)));
+    }
+
+    /** Waits until the caller's side shows something while its answer is pending: the end of the connection, or (ignored) a further request. */
+    void watchForHangUp()
+    {
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), number = m_exchangeNumber + 1](const beast::error_code &error) {
+            if (error || !self->isCurrent(number)) {
+                return;
+            }
+            char byte = 0;
+            const ssize_t count = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            const bool hasEnded = count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+            if (hasEnded) {
+                self->close();
+            }
+        });
+    }
+
+    void enqueue(std::string bytes)
+    {
+        m_queuedBytes += bytes.size();
+        m_queue.push_back(std::move(bytes));
+        if (m_queuedBytes > m_server->options.maximumQueuedBytes) {
+            close();
+            return;
+        }
+        if (m_queue.size() == 1) {
+            writeQueued();
+        }
+    }
+
+    void writeQueued()
+    {
+        m_stream.expires_after(m_server->options.writeTimeout);
+        asio::async_write(m_stream, asio::buffer(m_queue.front()), [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+            self->wroteQueued(error);
+        });
+    }
+
+    void wroteQueued(const beast::error_code &error)
+    {
+        if (error || m_isClosed) {
+            close();
+            return;
+        }
+        m_queuedBytes -= m_queue.front().size();
+        m_queue.pop_front();
+        if (!m_queue.empty()) {
+            writeQueued();
+        } else if (m_isStreamEnded) {
+            m_wantsKeepAlive = m_wantsKeepAlive && m_isChunked;
+            answered({});
+        } else {
+            m_stream.expires_never();
+        }
+    }
+
+    void answered(const beast::error_code &error)
+    {
+        if (m_isClosed) {
+            return;
+        }
+        if (error || !mayKeepAlive()) {
+            endExchange(error.failed());
+            close();
+            return;
+        }
+        endExchange(false);
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+        readNext();
+    }
+
+    void endExchange(bool isGone)
+    {
+        if (!m_isAnswering) {
+            return;
+        }
+        m_isAnswering = false;
+        --m_server->inFlight;
+        const std::function<void()> action = std::exchange(goneAction, nullptr);
+        if (isGone && action) {
+            action();
+        }
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<server_state> m_server;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::deque<std::string> m_queue;
+    std::size_t m_queuedBytes = 0;
+    std::uint64_t m_exchangeNumber = 0;
+    unsigned m_version = 11;
+    bool m_wantsKeepAlive = true;
+    bool m_isAnswering = false;
+    bool m_isChunked = false;
+    bool m_isStreamEnded = false;
+    bool m_isClosed = false;
+};
+
+std::shared_ptr<http_session> session_exchange::current() const
+{
+    std::shared_ptr<http_session> session = m_session.lock();
+    return session && session->isCurrent(m_number) ? session : nullptr;
+}
+
+session_exchange::~session_exchange()
+{
+    if (!m_isAnswered) {
+        respond(jsonResponse(answerFor(error_kind::Internal).httpStatus, R"({"error":"internal"})"));
+    }
+}
+
+void session_exchange::respond(http_response response)
+{
+    REEDTRAIL_CHECK(!m_isAnswered, "an exchange is answered once");
+    m_isAnswered = true;
+    if (const auto session = current()) {
+        session->respond(std::move(response));
+    }
+}
+
+void session_exchange::startStream(http_response head)
+{
+    REEDTRAIL_CHECK(!m_isAnswered, "an exchange is answered once");
+    m_isAnswered = true;
+    if (const auto session = current()) {
+        session->startStream(head);
+    }
+}
+
+void session_exchange::write(std::string data)
+{
+    if (const auto session = current()) {
+        session->write(data);
+    }
+}
+
+void session_exchange::finishStream()
+{
+    if (const auto session = current()) {
+        session->finishStream();
+    }
+}
+
+void session_exchange::abort()
+{
+    m_isAnswered = true;
+    if (const auto session = current()) {
+        session->close();
+    }
+}
+
+void session_exchange::onGone(std::function<void()> action)
+{
+    if (const auto session = current()) {
+        session->goneAction = std::move(action);
+    }
+}
+
+bool session_exchange::isGone() const
+{
+    return current() == nullptr;
+}
+
+} // namespace
+
+struct http_server::implementation : std::enable_shared_from_this<http_server::implementation>
+{
+    asio::io_context &io;
+    tcp::acceptor acceptor;
+    std::shared_ptr<server_state> state = std::make_shared<server_state>();
+
+    explicit implementation(asio::io_context &context)
+        : io(context)
+        , acceptor(context)
+    {
+    }
+
+    void acceptNext()
+    {
+        acceptor.async_accept([self = shared_from_this()](const beast::error_code &error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted || !self->acceptor.is_open()) {
+                return;
+            }
+            if (!error) {
+                self->begin(std::move(socket));
+            }
+            self->acceptNext();
+        });
+    }
+
+    void begin(tcp::socket socket)
+    {
+        if (state->sessions.size() >= state->options.maximumConnections) {
+            return;
+        }
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const auto session = std::make_shared<http_session>(std::move(socket), state);
+        state->sessions.insert(session);
+        session->readNext();
+    }
+};
+
+http_server::http_server(asio::io_context &io, http_server_options options, handler handle)
+    : m_implementation(std::make_shared<implementation>(io))
+{
+    m_implementation->state->options = std::move(options);
+    m_implementation->state->handle = std::move(handle);
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+result<void> http_server::start()
+{
+    beast::error_code error;
+    const endpoint &where = m_implementation->state->options.address;
+    const tcp::endpoint address(asio::ip::make_address(where.ip, error), where.port);
+    tcp::acceptor &acceptor = m_implementation->acceptor;
+    if (!error) {
+        acceptor.open(address.protocol(), error);
+    }
+    if (!error) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(address, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return fail(error_kind::PeerUnreachable, "cannot listen on " + where.text() + ": " + error.message());
+    }
+    m_implementation->acceptNext();
+    return {};
+}
+
+void http_server::stopAccepting()
+{
+    m_implementation->state->isStopping = true;
+    beast::error_code ignored;
+    m_implementation->acceptor.close(ignored);
+}
+
+void http_server::stop()
+{
+    stopAccepting();
+    const auto sessions = m_implementation->state->sessions;
+    for (const auto &session : sessions) {
+        session->close();
+    }
+}
+
+std::size_t http_server::exchangesInFlight() const
+{
+    return m_implementation->state->inFlight;
+}
+
+std::size_t http_server::connections() const
+{
+    return m_implementation->state->sessions.size();
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/net/testing/http_test.cpp
@@ -0,0 +1,106 @@
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A server and a client on one loop. */
+struct http_fixture
+{
+    boost::asio::io_context io;
+    endpoint where{ "127.0.0.1", 29872 };
+    http_client client{ io, {} };
+};
+
+TEST(http, answersWholeAndStreamedOverOneKeptConnection)
+{
+    http_fixture fixture;
+    http_server server(fixture.io, { .address = fixture.where }, [](std::shared_ptr<http_exchange> exchange) {
+        if (exchange->request().path() == "/whole") {
+            exchange->respond(textResponse(201, exchange->request().body + exchange->request().query("q").value_or("")));
+            return;
+        }
+        exchange->startStream({ 200, { { "Content-Type", "text/event-stream" } }, "" });
+        exchange->write("one");
+        exchange->write("two");
+        exchange->finishStream();
+    });
+    ASSERT_TRUE(server.start());
+    std::vector<std::string> bodies;
+    fixture.client.call(fixture.where, { "POST", "/whole?q=a%20b", {}, "body" }, {}, [&](const http_call_end &end, const http_response &response) {
+        EXPECT_EQ(end.error, error_kind::None);
+        EXPECT_EQ(response.status, 201);
+        bodies.push_back(response.body);
+        EXPECT_EQ(server.exchangesInFlight(), 0U);
+        fixture.client.call(fixture.where, { "GET", "/stream", {}, "" }, {}, [&](const http_call_end &streamEnd, const http_response &streamed) {
+            EXPECT_EQ(streamEnd.error, error_kind::None) << streamEnd.detail;
+            bodies.push_back(streamed.body);
+            EXPECT_EQ(server.connections(), 1U);
+            fixture.io.stop();
+        });
+    });
+    fixture.io.run_for(20s);
+    EXPECT_EQ(bodies, (std::vector<std::string>{ "bodya b", "onetwo" }));
+}
+
+TEST(http, tellsNothingWasHandedOverWhenNoConnectionWasMade)
+{
+    http_fixture fixture;
+    bool ended = false;
+    fixture.client.call(fixture.where, {}, {}, [&](const http_call_end &end, const http_response &) {
+        EXPECT_EQ(end.error, error_kind::NoServer);
+        EXPECT_FALSE(end.isHandedOver);
+        ended = true;
+        fixture.io.stop();
+    });
+    fixture.io.run_for(20s);
+    EXPECT_TRUE(ended);
+}
+
+TEST(http, givesUpASilentServerAndTellsThatTheRequestWasHandedOver)
+{
+    http_fixture fixture;
+    std::shared_ptr<http_exchange> held;
+    http_server server(fixture.io, { .address = fixture.where }, [&](std::shared_ptr<http_exchange> exchange) {
+        held = std::move(exchange);
+    });
+    ASSERT_TRUE(server.start());
+    bool gone = false;
+    fixture.client.call(fixture.where, {}, { .silenceTimeout = 50ms }, [&](const http_call_end &end, const http_response &) {
+        EXPECT_EQ(end.error, error_kind::ServerSilent);
+        EXPECT_TRUE(end.isHandedOver);
+        held->onGone([&] {
+            gone = true;
+            fixture.io.stop();
+        });
+    });
+    fixture.io.run_for(20s);
+    EXPECT_TRUE(gone);
+}
+
+TEST(http, refusesABodyOverTheLimitAndAMalformedRequest)
+{
+    http_fixture fixture;
+    http_server server(fixture.io, { .address = fixture.where, .maximumBodyBytes = 8 }, [](std::shared_ptr<http_exchange> exchange) {
+        exchange->respond(textResponse(200, ""));
+    });
+    ASSERT_TRUE(server.start());
+    std::vector<int> statuses;
+    fixture.client.call(fixture.where, { "POST", "/", {}, "123456789" }, {}, [&](const http_call_end &, const http_response &response) {
+        statuses.push_back(response.status);
+        fixture.client.call(fixture.where, { "G ET", "/", {}, "" }, {}, [&](const http_call_end &, const http_response &second) {
+            statuses.push_back(second.status);
+            fixture.io.stop();
+        });
+    });
+    fixture.io.run_for(20s);
+    EXPECT_EQ(statuses, (std::vector<int>{ 413, 400 }));
+}
+
+} // namespace
+} // namespace reedtrail
