--- /dev/null
+++ b/bench/frame_bench.cpp
@@ -0,0 +1,35 @@
+// Measures the frame everything else is measured in: events a second of the virtual clock. A slow frame would bound the size of the simulated fleets.
+
+#include "bench/benchmark.h"
+
+#include "harness/lossy_network.h"
+
+#include <chrono>
+
+namespace reedtrail::bench {
+namespace {
+
+constexpr int messageCount = 500000;
+constexpr double leastEventsPerSecond = 100000;
+
+void runFrame(const bench_options &options, bench_report &report)
+{
+    harness::virtual_time world;
+    harness::lossy_network network(world, random_source(options.seed), {});
+    std::uint64_t arrived = 0;
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < messageCount; ++i) {
+        network.send("a", "b", [&arrived] {
+            ++arrived;
+        });
+    }
+    world.runUntil(time_point(std::chrono::seconds(1)));
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    report.figure("eventsPerSecond", messageCount / seconds, "1/s", atLeast(leastEventsPerSecond));
+    report.figure("lost", static_cast<double>(messageCount - arrived), "messages", exactly(0));
+}
+
+const registered_benchmark frame("frame", "Events a second of the virtual clock", {}, runFrame);
+
+} // namespace
+} // namespace reedtrail::bench
