Name the live nodes and their gates in the fleet view

A gate passes the repeat of a request that must run at most once to the gate that issued its ticket, and may connect only to addresses that its steward listed. The field is additive: an older steward leaves it empty and the repeat is answered unknown.

--- a/fleet/peer_messages.h
+++ b/fleet/peer_messages.h
@@ -48,6 +48,15 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(spool_view, node, zone, address)
 };
 
+/** A node that is believed to be alive. */
+struct node_view
+{
+    node_id node;
+    zone_id zone;
+    std::string gateAddress; ///< Peer address of its gate.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(node_view, node, zone, gateAddress)
+};
+
 /** What a steward tells the gate of its node, whole, at each change: settings in force and hints. */
 struct fleet_view
 {
@@ -57,7 +66,8 @@
     std::vector<server_id> leavingServers; ///< From the VM list or from peers.
     std::vector<run_owner_view> owners;
     std::vector<spool_view> spools;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(fleet_view, revision, document, leavingServers, owners, spools)
+    std::vector<node_view> nodes; ///< This node included.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(fleet_view, revision, document, leavingServers, owners, spools, nodes)
 };
 
 /** Tokens [from, to) of an answer were made by one weight version. */
