--- /dev/null
+++ b/fleet/membership_messages.h
@@ -0,0 +1,161 @@
+/**
+ * @file
+ * Messages by which stewards keep membership and settings in step. Field names are short because they are sent several times a second.
+ */
+#pragma once
+
+#include "base/ids.h"
+
+#include <compare>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace reedtrail {
+
+/** What is known of a member. A later state wins over an earlier one of the same incarnation. */
+enum class member_state : std::uint8_t { Alive, Suspect, Dead, Left };
+
+/** Who a member is and where its processes accept links. */
+struct member_card
+{
+    node_id node;
+    zone_id zone;
+    region_id region;
+    std::uint64_t number = 0; ///< Incarnation: rises with each restart and each refutation.
+    std::string stewardAddress; ///< "ip:port".
+    std::string gateAddress;
+    std::string spoolAddress; ///< Empty on a node without a disk.
+    bool isStoreReachable = true; ///< Whether it can do duties that need the store.
+    auto operator<=>(const member_card &) const = default;
+};
+
+template<class Json>
+void to_json(Json &json, const member_card &card)
+{
+    json = { { "n", card.node.str() },     { "z", card.zone.str() },  { "r", card.region.str() }, { "i", card.number },
+             { "s", card.stewardAddress }, { "g", card.gateAddress }, { "d", card.spoolAddress }, { "k", card.isStoreReachable } };
+}
+
+template<class Json>
+void from_json(const Json &json, member_card &card)
+{
+    card.node = node_id(json.value("n", std::string()));
+    card.zone = zone_id(json.value("z", std::string()));
+    card.region = region_id(json.value("r", std::string()));
+    card.number = json.value("i", std::uint64_t{ 0 });
+    card.stewardAddress = json.value("s", std::string());
+    card.gateAddress = json.value("g", std::string());
+    card.spoolAddress = json.value("d", std::string());
+    card.isStoreReachable = json.value("k", true);
+}
+
+/** A member as one node knows it. */
+struct member_rumor
+{
+    member_card card;
+    member_state state = member_state::Alive;
+    auto operator<=>(const member_rumor &) const = default;
+};
+
+template<class Json>
+void to_json(Json &json, const member_rumor &rumor)
+{
+    to_json(json, rumor.card);
+    json["t"] = static_cast<std::uint8_t>(rumor.state);
+}
+
+template<class Json>
+void from_json(const Json &json, member_rumor &rumor)
+{
+    from_json(json, rumor.card);
+    rumor.state = static_cast<member_state>(std::min<std::uint8_t>(json.value("t", std::uint8_t{ 0 }), static_cast<std::uint8_t>(member_state::Left)));
+}
+
+/** What one zone tells the others of itself. */
+struct zone_sum
+{
+    zone_id zone;
+    std::uint64_t counter = 0; ///< Raised by the zone's deputy each second: the zone is reachable while it rises.
+    std::uint64_t alive = 0; ///< Members alive.
+    std::uint64_t digest = 0; ///< Of the ids and incarnations of the members alive.
+    auto operator<=>(const zone_sum &) const = default;
+};
+
+template<class Json>
+void to_json(Json &json, const zone_sum &sum)
+{
+    json = { { "z", sum.zone.str() }, { "c", sum.counter }, { "a", sum.alive }, { "d", sum.digest } };
+}
+
+template<class Json>
+void from_json(const Json &json, zone_sum &sum)
+{
+    sum.zone = zone_id(json.value("z", std::string()));
+    sum.counter = json.value("c", std::uint64_t{ 0 });
+    sum.alive = json.value("a", std::uint64_t{ 0 });
+    sum.digest = json.value("d", std::uint64_t{ 0 });
+}
+
+/** Sent to each neighbour several times a second; anything received from a member is a proof of life. */
+struct heartbeat
+{
+    static constexpr std::string_view messageName = "hb";
+    node_id node;
+    std::string address; ///< Peer address of the sender's steward.
+    std::uint64_t revision = 0; ///< Settings in force at the sender.
+    std::vector<zone_sum> sums; ///< Each second, of all zones known.
+    std::vector<member_rumor> rumors; ///< News since the last one.
+    bool wantsMembers = false; ///< Asks for all members, by a node that has just started.
+};
+
+template<class Json>
+void to_json(Json &json, const heartbeat &message)
+{
+    json = { { "n", message.node.str() }, { "a", message.address }, { "v", message.revision } };
+    if (!message.sums.empty()) {
+        json["s"] = message.sums;
+    }
+    if (!message.rumors.empty()) {
+        json["r"] = message.rumors;
+    }
+    if (message.wantsMembers) {
+        json["w"] = true;
+    }
+}
+
+template<class Json>
+void from_json(const Json &json, heartbeat &message)
+{
+    message.node = node_id(json.value("n", std::string()));
+    message.address = json.value("a", std::string());
+    message.revision = json.value("v", std::uint64_t{ 0 });
+    message.sums = json.value("s", std::vector<zone_sum>());
+    message.rumors = json.value("r", std::vector<member_rumor>());
+    message.wantsMembers = json.value("w", false);
+}
+
+/** Asks a peer for the settings it has in force. */
+struct settings_question
+{
+    static constexpr std::string_view messageName = "settings-question";
+    std::uint64_t have = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settings_question, have)
+};
+
+/** One revision of the settings, as kept in the store and passed between stewards. */
+struct settings_record
+{
+    static constexpr std::string_view messageName = "settings-record";
+    std::uint64_t revision = 0;
+    std::string operation; ///< Id of the operation that made it, for finding out about a lost answer.
+    std::string operatorName;
+    std::string summary; ///< What changed, one line.
+    std::int64_t acceptedAtMs = 0; ///< Wall clock of the node that accepted it; for people only.
+    nlohmann::json document;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settings_record, revision, operation, operatorName, summary, acceptedAtMs, document)
+};
+
+} // namespace reedtrail
