--- /dev/null
+++ b/fleet/membership.cpp
@@ -0,0 +1,641 @@
+// Gossip in the manner of SWIM (Das, Gupta, Motivala 2002) with three changes.
+//
+// Observation is by a fixed overlay in place of random probes: in each of a few rings, ordered by hash, a node exchanges heartbeats with its successor and
+// predecessor of its own zone (as the monitoring rings of Rapid, Suresh et al. 2018). Links last, so TCP connections are few, and the cost a node pays does
+// not depend on the size of the fleet. Only members of the own zone are observed: a cut between zones kills nobody.
+//
+// Other zones are judged as a whole. The deputy of each zone raises a counter each second, which travels in the heartbeats; a counter that stands still
+// makes the zone unreachable and its members with it, without one message a member. When it rises again the members are there at once.
+//
+// News of a member floods the overlay, each node passing it on once and once more with the next heartbeat; what is lost all the same shows as a digest that
+// differs from the deputy's, and then the zone's members are asked for whole.
+//
+// A member is suspected, which is told to all; it refutes by a higher incarnation, and dies for others only when suspicionTimeout has passed without one. So
+// a pause that is shorter than suspectAfter + suspicionTimeout kills nobody. A node that finds that its own timer was late gives everybody else new time.
+//
+// Memory: one record a member, at most maximumTombstones dead ones. Time: linear in the zone's members when the view changes, constant otherwise.
+
+#include "fleet/membership.h"
+
+#include "base/check.h"
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace reedtrail {
+namespace {
+
+constexpr int sendsOfNews = 2; // at once, and with the next heartbeat
+constexpr std::size_t probesAtOnce = 2;
+constexpr std::size_t countersOfAZone = 3; // the deputy and those that stand in for it while its death is not yet certain
+
+bool isLive(member_state state)
+{
+    return state == member_state::Alive || state == member_state::Suspect;
+}
+
+bool isNewer(const member_rumor &rumor, const member_card &card, member_state state)
+{
+    return rumor.card.number != card.number ? rumor.card.number > card.number : rumor.state > state;
+}
+
+} // namespace
+
+membership::membership(membership_options options, member_card self, std::uint64_t seed)
+    : m_options(options)
+    , m_self(std::move(self))
+    , m_random(seed)
+    , m_selfSendsLeft(sendsOfNews)
+{
+    m_zones[m_self.zone].sum.zone = m_self.zone;
+}
+
+void membership::setHints(std::vector<std::string> addresses)
+{
+    m_hints = std::move(addresses);
+    std::erase(m_hints, m_self.stewardAddress);
+}
+
+void membership::setRevision(time_point now, std::uint64_t revision)
+{
+    REEDTRAIL_CHECK(revision >= m_revision, "the revision told to others must not fall");
+    m_hasNewRevision = m_hasNewRevision || revision > m_revision;
+    m_revision = revision;
+    m_newsAt = std::min(m_newsAt, m_hasNewRevision ? now : timeNever);
+}
+
+void membership::setStoreReachable(bool isReachable)
+{
+    if (m_self.isStoreReachable != isReachable) {
+        m_self.isStoreReachable = isReachable;
+        ++m_self.number;
+        m_selfSendsLeft = sendsOfNews;
+        m_newsAt = std::min(m_newsAt, m_nextBeat);
+        touchView();
+    }
+}
+
+membership_step membership::onTimer(time_point now)
+{
+    membership_step step;
+    checkPause(now);
+    countZone(now);
+    checkZones(now, step);
+    checkSuspects(now, step);
+    checkNeighbours(now, step);
+    if (now >= m_nextBeat) {
+        beat(now, step);
+    } else if (now >= m_newsAt) {
+        sendNews(now, step);
+    }
+    if (now >= m_nextProbe) {
+        probe(now, step);
+    }
+    return step;
+}
+
+time_point membership::deadline() const
+{
+    time_point earliest = std::min({ m_nextBeat, m_nextProbe, m_newsAt });
+    for (const node_id &node : m_neighbours) {
+        const member_record &record = m_known.at(node);
+        if (record.state == member_state::Alive) {
+            earliest = std::min(earliest, std::max(record.heardAt + m_options.suspectAfter, record.mutedUntil) + duration(1));
+        }
+    }
+    for (const node_id &node : m_suspects) {
+        earliest = std::min(earliest, m_known.at(node).changedAt + m_options.suspicionTimeout);
+    }
+    return earliest;
+}
+
+membership_step membership::onHeartbeat(time_point now, const heartbeat &received)
+{
+    membership_step step;
+    for (const member_rumor &rumor : received.rumors) {
+        apply(now, rumor, "gossip", step);
+    }
+    for (const zone_sum &sum : received.sums) {
+        applySum(now, sum, step);
+    }
+    const auto sender = m_known.find(received.node);
+    std::shared_ptr<heartbeat> answer;
+    if (sender != m_known.end() && isLive(sender->second.state)) {
+        sender->second.heardAt = now;
+    } else if (sender != m_known.end()) {
+        answer = newHeartbeat();
+        answer->rumors.push_back({ sender->second.card, sender->second.state }); // so that it can refute
+    } else if (received.node != m_self.node) {
+        answer = newHeartbeat();
+        answer->wants.emplace_back();
+    }
+    if (!received.wants.empty()) {
+        answer = answer ? answer : newHeartbeat();
+        for (const zone_id &zone : received.wants) {
+            addZoneMembers(zone, *answer);
+        }
+    }
+    if (answer) {
+        answer->sums = sums();
+        answer->rumors.push_back({ m_self, m_hasLeft ? member_state::Left : member_state::Alive });
+        step.sends.push_back({ received.address, answer });
+    }
+    return step;
+}
+
+membership_step membership::onLinkUp(time_point now, const std::string &address)
+{
+    membership_step step;
+    refreshNeighbours(now);
+    const auto message = newHeartbeat();
+    message->rumors.push_back({ m_self, m_hasLeft ? member_state::Left : member_state::Alive });
+    message->sums = sums();
+    if (m_known.empty()) {
+        message->wants.emplace_back();
+    }
+    step.sends.push_back({ address, message });
+    return step;
+}
+
+membership_step membership::leave(time_point now)
+{
+    membership_step step;
+    m_hasLeft = true;
+    m_selfSendsLeft = sendsOfNews;
+    sendNews(now, step);
+    return step;
+}
+
+/** Takes what another node says of a member. @return whether it was new */
+bool membership::apply(time_point now, const member_rumor &rumor, const char *cause, membership_step &step)
+{
+    if (rumor.card.node == m_self.node) {
+        refute(now, rumor);
+        return false;
+    }
+    const auto found = m_known.find(rumor.card.node);
+    if (found != m_known.end() && !isNewer(rumor, found->second.card, found->second.state)) {
+        return false;
+    }
+    member_record &record = m_known[rumor.card.node];
+    const bool isFirst = found == m_known.end();
+    const bool isRefutation = !isFirst && record.isMySuspicion && record.state == member_state::Suspect && rumor.state == member_state::Alive;
+    if (isRefutation) {
+        record.mutedUntil = now + m_options.mutedAfterRefutation;
+    }
+    if (isFirst || rumor.card.number > record.card.number) {
+        record.heardAt = std::max(record.heardAt, now + m_options.neighbourGrace - m_options.suspectAfter);
+    }
+    record.card = rumor.card;
+    record.isMySuspicion = false;
+    if (isFirst && !isLive(rumor.state)) {
+        record.state = rumor.state;
+        record.changedAt = now;
+        noteNews(now, record);
+        return true;
+    }
+    setState(now, record, rumor.state, cause, step);
+    if (rumor.state == member_state::Alive) {
+        buryReplaced(now, rumor.card, step);
+    }
+    return true;
+}
+
+/** Answers what is said of this node itself: whoever says that it is not alive, or knows a higher incarnation, learns a yet higher one. */
+void membership::refute(time_point now, const member_rumor &rumor)
+{
+    const bool isOlder = rumor.card.number < m_self.number;
+    const bool isSame = rumor.card.number == m_self.number && rumor.state == member_state::Alive;
+    if (isOlder || isSame || m_hasLeft) {
+        return;
+    }
+    m_self.number = rumor.card.number + 1;
+    m_selfSendsLeft = sendsOfNews;
+    m_newsAt = now;
+    touchView();
+}
+
+/** Declares dead whoever was at the address of @p arrival before. */
+void membership::buryReplaced(time_point now, const member_card &arrival, membership_step &step)
+{
+    for (auto &[node, record] : m_known) {
+        const bool isReplaced = node != arrival.node && record.card.stewardAddress == arrival.stewardAddress && record.card.number < arrival.number;
+        if (isReplaced && isLive(record.state)) {
+            setState(now, record, member_state::Dead, "replaced on the same address", step);
+        }
+    }
+}
+
+void membership::setState(time_point now, member_record &record, member_state state, const char *cause, membership_step &step)
+{
+    record.state = state;
+    record.changedAt = now;
+    if (state == member_state::Suspect) {
+        m_suspects.insert(record.card.node);
+    } else {
+        m_suspects.erase(record.card.node);
+    }
+    step.changes.push_back({ record.card.node, record.card.zone, state, true, cause });
+    step.hasNewView = true;
+    noteNews(now, record);
+    touchView();
+}
+
+void membership::noteNews(time_point now, member_record &record)
+{
+    record.sendsLeft = sendsOfNews;
+    m_newsAt = std::min(m_newsAt, now + m_options.newsDelay);
+}
+
+void membership::touchView()
+{
+    m_viewIsOld = true;
+    m_neighboursAreOld = true;
+}
+
+void membership::applySum(time_point now, const zone_sum &sum, membership_step &step)
+{
+    zone_record &record = m_zones[sum.zone];
+    const bool isFirst = record.sum.zone.empty();
+    if (!isFirst && sum.counter <= record.sum.counter) {
+        return;
+    }
+    record.sum = sum;
+    record.roseAt = now;
+    if (!record.isReachable) {
+        record.isReachable = true;
+        step.changes.push_back({ {}, sum.zone, member_state::Alive, true, "zone counter rises again" });
+        step.hasNewView = true;
+        touchView();
+    }
+}
+
+/** Finds out that this process stood still: its own lateness must not be taken for the silence of others. */
+void membership::checkPause(time_point now)
+{
+    const duration late = now - m_lastTimer;
+    if (m_lastTimer != time_point{} && late > 2 * m_options.heartbeatInterval) {
+        for (auto &[node, record] : m_known) {
+            record.heardAt = std::max(record.heardAt, now);
+            if (record.state == member_state::Suspect) {
+                record.changedAt += late;
+            }
+        }
+        for (auto &[zone, record] : m_zones) {
+            record.roseAt = std::max(record.roseAt, now);
+        }
+    }
+    m_lastTimer = now;
+}
+
+/** Suspects neighbours that have been silent. */
+void membership::checkNeighbours(time_point now, membership_step &step)
+{
+    for (const node_id &node : m_neighbours) {
+        member_record &record = m_known.at(node);
+        if (record.state == member_state::Alive && now > record.mutedUntil && now - record.heardAt > m_options.suspectAfter) {
+            record.isMySuspicion = true;
+            setState(now, record, member_state::Suspect, "silent", step);
+        }
+    }
+}
+
+/** Declares dead whoever did not refute a suspicion in time. */
+void membership::checkSuspects(time_point now, membership_step &step)
+{
+    const std::set<node_id> suspects = m_suspects;
+    for (const node_id &node : suspects) {
+        member_record &record = m_known.at(node);
+        if (now - record.changedAt >= m_options.suspicionTimeout) {
+            setState(now, record, member_state::Dead, "suspicion was not refuted", step);
+        }
+    }
+}
+
+void membership::checkZones(time_point now, membership_step &step)
+{
+    for (auto &[zone, record] : m_zones) {
+        if (zone != m_self.zone && record.isReachable && now - record.roseAt > m_options.zoneTimeout) {
+            record.isReachable = false;
+            step.changes.push_back({ {}, zone, member_state::Alive, false, "zone counter stands still" });
+            step.hasNewView = true;
+            touchView();
+        }
+    }
+}
+
+/** Raises the counter of the own zone: its deputy does, and the next in rank when the deputy seems to be late. */
+void membership::countZone(time_point now)
+{
+    if (now < m_nextCount) {
+        return;
+    }
+    m_nextCount = now + m_options.zoneCountInterval / 4;
+    const std::vector<node_id> deputies = rankedDeputies(m_self.zone, countersOfAZone);
+    const auto place = std::ranges::find(deputies, m_self.node);
+    zone_record &record = m_zones.at(m_self.zone);
+    const duration patience = m_options.zoneCountInterval + (place - deputies.begin()) * m_options.zoneCountInterval / 2;
+    if (place != deputies.end() && (record.sum.counter == 0 || now - record.roseAt >= patience)) {
+        ++record.sum.counter;
+        record.sum.digest = digestOf(m_self.zone, record.sum.alive);
+        record.roseAt = now;
+    }
+}
+
+/** Asks a member of a zone for all of them, if its digest has differed for a while. */
+void membership::checkDigests(time_point now, membership_step &step)
+{
+    for (auto &[zone, record] : m_zones) {
+        std::uint64_t alive = 0;
+        if (record.sum.counter == 0 || !record.isReachable || digestOf(zone, alive) == record.sum.digest) {
+            record.differsSince.reset();
+            continue;
+        }
+        if (!record.differsSince) {
+            record.differsSince = now;
+        }
+        if (now - *record.differsSince < m_options.digestPatience || now - record.askedAt < m_options.digestPatience) {
+            continue;
+        }
+        const std::vector<const member_record *> members = membersOf(zone);
+        const auto deputy = deputyOf(zone);
+        std::string address = members.empty() ? (m_crossZonePeers.empty() ? "" : m_crossZonePeers.front())
+                                              : members[m_random.below(members.size())]->card.stewardAddress;
+        if (deputy && m_known.contains(*deputy) && m_random.chance(0.5)) {
+            address = m_known.at(*deputy).card.stewardAddress;
+        }
+        if (!address.empty()) {
+            record.askedAt = now;
+            const auto message = newHeartbeat();
+            message->wants.push_back(zone);
+            message->rumors.push_back({ m_self, member_state::Alive });
+            addZoneMembers(zone, *message);
+            step.sends.push_back({ address, message });
+        }
+    }
+}
+
+void membership::forgetTombstones(time_point now)
+{
+    std::size_t dead = 0;
+    for (auto entry = m_known.begin(); entry != m_known.end();) {
+        const bool isDead = !isLive(entry->second.state);
+        const bool isOld = isDead && (now - entry->second.changedAt > m_options.tombstoneTime || dead >= m_options.maximumTombstones);
+        dead += isDead ? 1 : 0;
+        entry = isOld ? m_known.erase(entry) : std::next(entry);
+    }
+}
+
+/** Tries addresses where somebody may be who is not known to be alive. */
+void membership::probe(time_point now, membership_step &step)
+{
+    m_nextProbe = now + duration(static_cast<std::int64_t>(static_cast<double>(m_options.probeInterval.count()) * m_random.uniform(0.8, 1.2)));
+    forgetTombstones(now);
+    std::set<std::string> candidates(m_hints.begin(), m_hints.end());
+    std::set<std::string> answered;
+    for (const auto &[node, record] : m_known) {
+        const bool isReachable = isLive(record.state) && isZoneReachable(record.card.zone);
+        if (isReachable) {
+            answered.insert(record.card.stewardAddress);
+        } else if (record.state != member_state::Left) {
+            candidates.insert(record.card.stewardAddress);
+        }
+    }
+    std::vector<std::string> open;
+    std::ranges::set_difference(candidates, answered, std::back_inserter(open));
+    m_probes.clear();
+    for (std::size_t i = 0; i < probesAtOnce && !open.empty(); ++i) {
+        const std::size_t chosen = m_random.below(open.size());
+        m_probes.push_back(open[chosen]);
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    for (const std::string &address : m_probes) {
+        membership_step greeting = onLinkUp(now, address);
+        step.sends.insert(step.sends.end(), greeting.sends.begin(), greeting.sends.end());
+    }
+}
+
+void membership::beat(time_point now, membership_step &step)
+{
+    m_nextBeat = now + duration(static_cast<std::int64_t>(static_cast<double>(m_options.heartbeatInterval.count()) * m_random.uniform(0.9, 1.1)));
+    m_newsAt = timeNever;
+    ++m_beats;
+    refreshNeighbours(now);
+    checkDigests(now, step);
+    const bool isNewsOnly = m_beats % m_options.crossZoneEvery != 0;
+    const auto message = newHeartbeat();
+    message->sums = sums();
+    message->rumors = takeNews();
+    const bool hasNews = !message->rumors.empty() || m_hasNewRevision;
+    m_hasNewRevision = false;
+    for (const node_id &node : m_neighbours) {
+        step.sends.push_back({ m_known.at(node).card.stewardAddress, message });
+    }
+    if (!isNewsOnly || hasNews) {
+        for (const std::string &address : m_crossZonePeers) {
+            step.sends.push_back({ address, message });
+        }
+    }
+}
+
+void membership::sendNews(time_point now, membership_step &step)
+{
+    m_newsAt = timeNever;
+    refreshNeighbours(now);
+    const auto message = newHeartbeat();
+    message->rumors = takeNews();
+    if (message->rumors.empty() && !m_hasNewRevision) {
+        return;
+    }
+    m_hasNewRevision = false;
+    for (const node_id &node : m_neighbours) {
+        step.sends.push_back({ m_known.at(node).card.stewardAddress, message });
+    }
+    for (const std::string &address : m_crossZonePeers) {
+        step.sends.push_back({ address, message });
+    }
+}
+
+std::vector<member_rumor> membership::takeNews()
+{
+    std::vector<member_rumor> news;
+    if (m_selfSendsLeft > 0) {
+        --m_selfSendsLeft;
+        news.push_back({ m_self, m_hasLeft ? member_state::Left : member_state::Alive });
+    }
+    for (auto &[node, record] : m_known) {
+        if (record.sendsLeft > 0) {
+            --record.sendsLeft;
+            news.push_back({ record.card, record.state });
+        }
+    }
+    return news;
+}
+
+std::shared_ptr<heartbeat> membership::newHeartbeat() const
+{
+    auto message = std::make_shared<heartbeat>();
+    message->node = m_self.node;
+    message->address = m_self.stewardAddress;
+    message->revision = m_revision;
+    return message;
+}
+
+void membership::addZoneMembers(const zone_id &zone, heartbeat &message) const
+{
+    for (const auto &[node, record] : m_known) {
+        if (zone.empty() || record.card.zone == zone) {
+            message.rumors.push_back({ record.card, record.state });
+        }
+    }
+}
+
+std::vector<const membership::member_record *> membership::membersOf(const zone_id &zone) const
+{
+    std::vector<const member_record *> members;
+    for (const auto &[node, record] : m_known) {
+        if (record.card.zone == zone && isLive(record.state)) {
+            members.push_back(&record);
+        }
+    }
+    return members;
+}
+
+/** Finds the next member after (or before) this node in the order of hashes, going round. */
+const membership::member_record *membership::ringNeighbour(const std::vector<const member_record *> &candidates, std::size_t ring, bool isSuccessor) const
+{
+    const std::uint64_t own = stableHash(m_self.node.view(), ring);
+    const member_record *best = nullptr;
+    std::uint64_t bestDistance = 0;
+    for (const member_record *candidate : candidates) {
+        const std::uint64_t place = stableHash(candidate->card.node.view(), ring);
+        const std::uint64_t distance = isSuccessor ? place - own : own - place;
+        if (best == nullptr || distance < bestDistance) {
+            best = candidate;
+            bestDistance = distance;
+        }
+    }
+    return best;
+}
+
+void membership::refreshNeighbours(time_point now)
+{
+    if (!m_neighboursAreOld) {
+        return;
+    }
+    m_neighboursAreOld = false;
+    const std::set<node_id> before = std::move(m_neighbours);
+    m_neighbours.clear();
+    const std::vector<const member_record *> zoneMembers = membersOf(m_self.zone);
+    for (std::size_t ring = 0; ring < m_options.rings && !zoneMembers.empty(); ++ring) {
+        m_neighbours.insert(ringNeighbour(zoneMembers, ring, true)->card.node);
+        m_neighbours.insert(ringNeighbour(zoneMembers, ring, false)->card.node);
+    }
+    for (const node_id &node : m_neighbours) {
+        if (!before.contains(node)) {
+            member_record &record = m_known.at(node);
+            record.heardAt = std::max(record.heardAt, now + m_options.neighbourGrace - m_options.suspectAfter);
+        }
+    }
+    m_crossZonePeers.clear();
+    for (const auto &[zone, record] : m_zones) {
+        std::vector<std::string> candidates;
+        for (const member_record *member : zone == m_self.zone ? std::vector<const member_record *>() : membersOf(zone)) {
+            candidates.push_back(member->card.stewardAddress);
+        }
+        for (const std::size_t chosen : rendezvousChoose(m_self.node.view(), candidates, 1)) {
+            m_crossZonePeers.push_back(candidates[chosen]);
+        }
+    }
+}
+
+std::uint64_t membership::digestOf(const zone_id &zone, std::uint64_t &alive) const
+{
+    std::uint64_t digest = 0;
+    alive = 0;
+    for (const member_record *member : membersOf(zone)) {
+        digest ^= stableHash(member->card.node.view(), member->card.number);
+        ++alive;
+    }
+    if (zone == m_self.zone && !m_hasLeft) {
+        digest ^= stableHash(m_self.node.view(), m_self.number);
+        ++alive;
+    }
+    return digest;
+}
+
+const std::vector<member_card> &membership::reachable() const
+{
+    if (m_viewIsOld) {
+        m_viewIsOld = false;
+        m_view.clear();
+        for (const auto &[node, record] : m_known) {
+            if (isLive(record.state) && isZoneReachable(record.card.zone)) {
+                m_view.push_back(record.card);
+            }
+        }
+        const auto place = std::ranges::lower_bound(m_view, m_self.node, {}, &member_card::node);
+        m_view.insert(place, m_self);
+    }
+    return m_view;
+}
+
+std::vector<member_rumor> membership::everything() const
+{
+    std::vector<member_rumor> all{ { m_self, m_hasLeft ? member_state::Left : member_state::Alive } };
+    for (const auto &[node, record] : m_known) {
+        all.push_back({ record.card, record.state });
+    }
+    return all;
+}
+
+std::vector<zone_sum> membership::sums() const
+{
+    std::vector<zone_sum> all;
+    for (const auto &[zone, record] : m_zones) {
+        if (record.sum.counter > 0) {
+            all.push_back(record.sum);
+        }
+    }
+    return all;
+}
+
+bool membership::isZoneReachable(const zone_id &zone) const
+{
+    const auto found = m_zones.find(zone);
+    return zone == m_self.zone || (found != m_zones.end() && found->second.isReachable);
+}
+
+std::optional<node_id> membership::deputyOf(const zone_id &zone) const
+{
+    const std::vector<node_id> ranked = rankedDeputies(zone, 1);
+    return ranked.empty() ? std::nullopt : std::optional(ranked.front());
+}
+
+std::vector<node_id> membership::rankedDeputies(const zone_id &zone, std::size_t count) const
+{
+    std::vector<std::string> candidates;
+    for (const member_record *member : membersOf(zone)) {
+        candidates.push_back(member->card.node.str());
+    }
+    if (zone == m_self.zone && !m_hasLeft) {
+        candidates.push_back(m_self.node.str());
+    }
+    std::vector<node_id> ranked;
+    for (const std::size_t chosen : rendezvousChoose("zone-deputy/" + zone.str(), candidates, count)) {
+        ranked.emplace_back(candidates[chosen]);
+    }
+    return ranked;
+}
+
+std::vector<std::string> membership::wantedPeers() const
+{
+    std::set<std::string> wanted(m_crossZonePeers.begin(), m_crossZonePeers.end());
+    wanted.insert(m_probes.begin(), m_probes.end());
+    for (const node_id &node : m_neighbours) {
+        wanted.insert(m_known.at(node).card.stewardAddress);
+    }
+    return { wanted.begin(), wanted.end() };
+}
+
+} // namespace reedtrail
--- a/fleet/membership_messages.h
+++ b/fleet/membership_messages.h
@@ -6,6 +6,7 @@
 
 #include "base/ids.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -108,7 +109,7 @@
     std::uint64_t revision = 0; ///< Settings in force at the sender.
     std::vector<zone_sum> sums; ///< Each second, of all zones known.
     std::vector<member_rumor> rumors; ///< News since the last one.
-    bool wantsMembers = false; ///< Asks for all members, by a node that has just started.
+    std::vector<zone_id> wants; ///< Zones whose members are asked for; a zone with an empty id stands for all.
 };
 
 template<class Json>
@@ -121,8 +122,8 @@
     if (!message.rumors.empty()) {
         json["r"] = message.rumors;
     }
-    if (message.wantsMembers) {
-        json["w"] = true;
+    if (!message.wants.empty()) {
+        json["w"] = message.wants;
     }
 }
 
@@ -134,7 +135,7 @@
     message.revision = json.value("v", std::uint64_t{ 0 });
     message.sums = json.value("s", std::vector<zone_sum>());
     message.rumors = json.value("r", std::vector<member_rumor>());
-    message.wantsMembers = json.value("w", false);
+    message.wants = json.value("w", std::vector<zone_id>());
 }
 
 /** Asks a peer for the settings it has in force. */
--- a/fleet/store_types.h
+++ b/fleet/store_types.h
@@ -149,7 +149,7 @@
 /** Answer to a transaction. */
 struct store_txn_answer
 {
-    std::optional<failure> error; ///< StoreUnavailable or StoreUnknown.
+    std::optional<failure> error; ///< StoreUnavailable, StoreUnknown, or NotFound if a put names a lease that has lapsed.
     bool isSucceeded = false; ///< Whether all compares held.
     store_revision revision = 0; ///< Of the store after it.
     std::vector<store_range_answer> ranges; ///< Of the reads among the operations applied, in their order.
--- a/harness/fake_store.cpp
+++ b/harness/fake_store.cpp
@@ -313,6 +313,14 @@
         return holds(compare);
     });
     const std::vector<store_operation> &operations = answer.isSucceeded ? call.onSuccess : call.onFailure;
+    const bool hasLostLease = std::ranges::any_of(operations, [this](const store_operation &operation) {
+        const auto *put = std::get_if<store_put>(&operation);
+        return put != nullptr && put->lease != 0 && !m_leases.contains(put->lease);
+    });
+    if (hasLostLease) {
+        answer.error = failure{ error_kind::NotFound, "lease has lapsed" };
+        return answer;
+    }
     const bool writesAny = std::ranges::any_of(operations, [](const store_operation &operation) {
         return !std::holds_alternative<store_range>(operation);
     });
@@ -343,7 +351,7 @@
     item.modRevision = revision;
     ++item.version;
     item.lease = put.lease;
-    if (put.lease != 0 && m_leases.contains(put.lease)) {
+    if (put.lease != 0) {
         m_leases.at(put.lease).keys.insert(put.key);
     }
     m_history.push_back({ revision, { store_watch_event::kind::Put, item } });
