--- a/fleet/membership.cpp
+++ b/fleet/membership.cpp
@@ -64,6 +64,13 @@
     m_newsAt = std::min(m_newsAt, m_hasNewRevision ? now : timeNever);
 }
 
+bool membership::putFact(time_point now, const std::string &key, std::uint64_t version, nlohmann::json value)
+{
+    const bool isNew = m_facts.put(key, version, std::move(value));
+    m_newsAt = isNew ? std::min(m_newsAt, now + m_options.newsDelay) : m_newsAt;
+    return isNew;
+}
+
 void membership::setStoreReachable(bool isReachable)
 {
     if (m_self.isStoreReachable != isReachable) {
@@ -129,6 +136,7 @@
         answer = newHeartbeat();
         answer->wants.emplace_back();
     }
+    applyFacts(now, received, answer, step);
     if (!received.wants.empty()) {
         answer = answer ? answer : newHeartbeat();
         for (const zone_id &zone : received.wants) {
@@ -143,6 +151,31 @@
     return step;
 }
 
+/** Takes facts, and asks for all of them when the digests have differed for a while. */
+void membership::applyFacts(time_point now, const heartbeat &received, std::shared_ptr<heartbeat> &answer, membership_step &step)
+{
+    step.hasNewFacts = m_facts.apply(received.facts);
+    if (step.hasNewFacts) {
+        m_newsAt = std::min(m_newsAt, now + m_options.newsDelay);
+    }
+    const bool differs = received.factDigest != m_facts.digest();
+    if (!differs) {
+        m_factsDifferSince.reset();
+    } else if (!m_factsDifferSince) {
+        m_factsDifferSince = now;
+    }
+    const bool asks = differs && now - *m_factsDifferSince >= m_options.digestPatience;
+    if (!asks && !received.wantsFacts) {
+        return;
+    }
+    answer = answer ? answer : newHeartbeat();
+    answer->facts = m_facts.all();
+    if (asks) {
+        answer->wantsFacts = true;
+        m_factsDifferSince = now;
+    }
+}
+
 membership_step membership::onLinkUp(time_point now, const std::string &address)
 {
     membership_step step;
@@ -152,6 +185,7 @@
     message->sums = sums();
     if (m_known.empty()) {
         message->wants.emplace_back();
+        message->wantsFacts = true;
     }
     step.sends.push_back({ address, message });
     return step;
@@ -359,8 +393,8 @@
         }
         const std::vector<const member_record *> members = membersOf(zone);
         const auto deputy = deputyOf(zone);
-        std::string address = members.empty() ? (m_crossZonePeers.empty() ? "" : m_crossZonePeers.front())
-                                              : members[m_random.below(members.size())]->card.stewardAddress;
+        std::string address =
+            members.empty() ? (m_crossZonePeers.empty() ? "" : m_crossZonePeers.front()) : members[m_random.below(members.size())]->card.stewardAddress;
         if (deputy && m_known.contains(*deputy) && m_random.chance(0.5)) {
             address = m_known.at(*deputy).card.stewardAddress;
         }
@@ -426,7 +460,8 @@
     const auto message = newHeartbeat();
     message->sums = sums();
     message->rumors = takeNews();
-    const bool hasNews = !message->rumors.empty() || m_hasNewRevision;
+    message->facts = m_facts.takeNews();
+    const bool hasNews = !message->rumors.empty() || !message->facts.empty() || m_hasNewRevision;
     m_hasNewRevision = false;
     for (const node_id &node : m_neighbours) {
         step.sends.push_back({ m_known.at(node).card.stewardAddress, message });
@@ -444,7 +479,8 @@
     refreshNeighbours(now);
     const auto message = newHeartbeat();
     message->rumors = takeNews();
-    if (message->rumors.empty() && !m_hasNewRevision) {
+    message->facts = m_facts.takeNews();
+    if (message->rumors.empty() && message->facts.empty() && !m_hasNewRevision) {
         return;
     }
     m_hasNewRevision = false;
@@ -478,6 +514,7 @@
     message->node = m_self.node;
     message->address = m_self.stewardAddress;
     message->revision = m_revision;
+    message->factDigest = m_facts.digest();
     return message;
 }
 
--- a/fleet/membership.h
+++ b/fleet/membership.h
@@ -67,6 +67,7 @@
     std::vector<membership_send> sends;
     std::vector<membership_change> changes;
     bool hasNewView = false; ///< Whether reachable() may have changed.
+    bool hasNewFacts = false; ///< Whether facts() has changed.
 };
 
 /** The core of membership of one node. */
@@ -79,6 +80,13 @@
     void setHints(std::vector<std::string> addresses);
     /** Sets the revision of the settings told to others; a new one is told at once. */
     void setRevision(time_point now, std::uint64_t revision);
+    /** Passes a fact on to all. @return whether it was newer than what is known */
+    bool putFact(time_point now, const std::string &key, std::uint64_t version, nlohmann::json value);
+    /** Returns the facts known. */
+    const shared_facts &facts() const
+    {
+        return m_facts;
+    }
     /** Tells the others whether this node reaches the store. */
     void setStoreReachable(bool isReachable);
 
@@ -151,6 +159,7 @@
 
     std::shared_ptr<heartbeat> newHeartbeat() const;
     std::vector<member_rumor> takeNews();
+    void applyFacts(time_point now, const heartbeat &received, std::shared_ptr<heartbeat> &answer, membership_step &step);
     void addZoneMembers(const zone_id &zone, heartbeat &message) const;
     void refreshNeighbours(time_point now);
     std::vector<const member_record *> membersOf(const zone_id &zone) const;
@@ -164,6 +173,8 @@
     random_source m_random;
     std::map<node_id, member_record> m_known; ///< Without this node itself.
     std::map<zone_id, zone_record> m_zones;
+    shared_facts m_facts;
+    std::optional<time_point> m_factsDifferSince;
     std::vector<std::string> m_hints;
     std::set<node_id> m_neighbours; ///< In the own zone: observed and observing.
     std::set<node_id> m_suspects;
--- a/fleet/membership_messages.h
+++ b/fleet/membership_messages.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "fleet/shared_facts.h"
 
 #include <algorithm>
 #include <compare>
@@ -109,19 +110,28 @@
     std::uint64_t revision = 0; ///< Settings in force at the sender.
     std::vector<zone_sum> sums; ///< Each second, of all zones known.
     std::vector<member_rumor> rumors; ///< News since the last one.
+    std::vector<shared_fact> facts; ///< New facts since the last one.
+    std::uint64_t factDigest = 0; ///< Of all facts the sender knows.
+    bool wantsFacts = false; ///< Asks for all facts.
     std::vector<zone_id> wants; ///< Zones whose members are asked for; a zone with an empty id stands for all.
 };
 
 template<class Json>
 void to_json(Json &json, const heartbeat &message)
 {
-    json = { { "n", message.node.str() }, { "a", message.address }, { "v", message.revision } };
+    json = { { "n", message.node.str() }, { "a", message.address }, { "v", message.revision }, { "f", message.factDigest } };
     if (!message.sums.empty()) {
         json["s"] = message.sums;
     }
     if (!message.rumors.empty()) {
         json["r"] = message.rumors;
     }
+    if (!message.facts.empty()) {
+        json["x"] = message.facts;
+    }
+    if (message.wantsFacts) {
+        json["q"] = true;
+    }
     if (!message.wants.empty()) {
         json["w"] = message.wants;
     }
@@ -135,6 +145,9 @@
     message.revision = json.value("v", std::uint64_t{ 0 });
     message.sums = json.value("s", std::vector<zone_sum>());
     message.rumors = json.value("r", std::vector<member_rumor>());
+    message.facts = json.value("x", std::vector<shared_fact>());
+    message.factDigest = json.value("f", std::uint64_t{ 0 });
+    message.wantsFacts = json.value("q", false);
     message.wants = json.value("w", std::vector<zone_id>());
 }
 
--- a/fleet/peer_messages.h
+++ b/fleet/peer_messages.h
@@ -39,6 +39,14 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(run_owner_view, run, node, epoch, stewardAddress, trainerStep)
 };
 
+/** The same, as the stewards tell each other. */
+struct run_owner_fact
+{
+    static constexpr std::string_view messageName = "run-owner";
+    run_owner_view owner;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(run_owner_fact, owner)
+};
+
 /** A node with a disk. */
 struct spool_view
 {
--- a/steward/fleet_service.h
+++ b/steward/fleet_service.h
@@ -9,9 +9,11 @@
  */
 #pragma once
 
+#include "base/decision_log.h"
 #include "fleet/fleet_document.h"
-#include "fleet/membership_messages.h"
+#include "fleet/membership.h"
 #include "fleet/peer_messages.h"
+#include "fleet/settings_core.h"
 #include "kernel/service.h"
 #include "net/peer_bus.h"
 #include "node/process_host.h"
@@ -51,11 +53,22 @@
     const std::vector<run_owner_view> &owners() const;
     /** Returns backend servers that are leaving, by the VM list or the document. */
     const std::vector<server_id> &leavingServers() const;
+    /** Tells all nodes who owns a run and how far it is; called by the owner's steward. */
+    void announceOwner(const run_owner_view &view);
     /** Tells whether this node is the deputy of its zone. */
     bool isZoneDeputy() const;
     /** Returns the deputies of all zones, one for each zone with a live member. */
     std::vector<member_card> zoneDeputies() const;
 
+    /** Returns the membership core, for showing it. */
+    const membership &gossip() const;
+    /** Returns the record in force, or none. */
+    std::shared_ptr<const settings_record> settingsRecord() const;
+    /** Commits a change; it is in force here before @p onEnd runs without an error. */
+    void confirmSettings(settings_change change, std::function<void(std::optional<failure> error, std::uint64_t revision)> onEnd);
+    /** Returns the decisions of this process. */
+    decision_log &decisions();
+
     /** Returns the bus of this process, for handlers and messages of other services. */
     peer_bus &bus();
     /** Returns the open link to the gate of this node. */
--- /dev/null
+++ b/steward/main.cpp
@@ -0,0 +1,19 @@
+// The program reedtrail-steward: control on one entry VM.
+
+#include "node/process_host.h"
+#include "steward/fleet_service.h"
+#include "steward/operators_service.h"
+#include "steward/store_service.h"
+
+int main(int argc, char **argv)
+{
+    using namespace reedtrail;
+    const process_description description{ "reedtrail-steward", "Membership, settings, runs and weights on one entry VM.", [](const node_settings &settings) {
+                                              return std::optional(settings.listen.operators);
+                                          } };
+    return runNodeProcess(description, argc, argv, [](process_context &context) {
+        context.services.add("store", std::make_unique<store_service>(context, store_service_options{}));
+        context.services.add("fleet", std::make_unique<fleet_service>(context));
+        context.services.add("operators", std::make_unique<operators_service>(context));
+    });
+}
