--- a/fleet/peer_messages.h
+++ b/fleet/peer_messages.h
@@ -114,6 +114,52 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(draft_result, slot, draft, epoch, error, versions, tokens, score, spoolNode, payloadKey, server)
 };
 
+/** One draft that a gate works on. */
+struct draft_progress_item
+{
+    slot_id slot;
+    std::uint64_t draft = 0;
+    std::uint64_t tokens = 0; ///< So far; 0 while it waits for a server.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(draft_progress_item, slot, draft, tokens)
+};
+
+/** A gate tells the owner, once a second, which drafts of a run it works on: all of them, queued ones too; an empty list once when the last has ended. */
+struct draft_progress
+{
+    static constexpr std::string_view messageName = "draft-progress";
+    run_id run;
+    node_id gate;
+    std::vector<draft_progress_item> drafts;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(draft_progress, run, gate, drafts)
+};
+
+/** The owner tells a gate to cancel a draft that is no longer wanted; a draft not known is ignored. */
+struct draft_cancel
+{
+    static constexpr std::string_view messageName = "draft-cancel";
+    run_id run;
+    std::uint64_t draft = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(draft_cancel, run, draft)
+};
+
+/** The owner tells a gate to resume a draft that stands still on another server, from the tokens it has. */
+struct draft_move
+{
+    static constexpr std::string_view messageName = "draft-move";
+    run_id run;
+    std::uint64_t draft = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(draft_move, run, draft)
+};
+
+/** A gate tells the owner that a payload cannot be read from its spool. */
+struct payload_missing
+{
+    static constexpr std::string_view messageName = "payload-missing";
+    slot_id slot;
+    std::uint64_t draft = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(payload_missing, slot, draft)
+};
+
 /** A gate passes a trainer's pull to the owner of the run. */
 struct pull_question
 {
