--- a/fleet/fleet_document.cpp
+++ b/fleet/fleet_document.cpp
@@ -87,6 +87,7 @@
     run.maximumTokens = reader.integer("maximumTokens", { 1, 1000000 }, run.maximumTokens);
     run.idleTimeWeight = reader.number("idleTimeWeight", { 0, 1 }, run.idleTimeWeight);
     run.weight = reader.number("weight", { 0.001, 1000 }, run.weight);
+    run.weightBytesPerServer = reader.integer("weightBytesPerServer", { 1, std::int64_t{ 1 } << 50U }, run.weightBytesPerServer);
     run.prompts = reader.texts("prompts", std::vector<std::string>{ "prompt" });
     return run;
 }
--- a/fleet/fleet_document.h
+++ b/fleet/fleet_document.h
@@ -72,6 +72,7 @@
     std::int64_t maximumTokens = 64;
     double idleTimeWeight = 0.5; ///< Objective between staleness (0) and trainer idle time (1).
     double weight = 1; ///< Share among runs on the same engines.
+    std::int64_t weightBytesPerServer = 100000000; ///< Bytes that one server draws from the weight store for a version; paces staging.
     std::vector<std::string> prompts; ///< Drawn round robin by group.
 };
 
