--- /dev/null
+++ b/sampling/run_owner_drafts.cpp
@@ -0,0 +1,293 @@
+// Which slots get a draft, on which gate, and what becomes of it.
+//
+// One draft a slot at a time. A duplicate that runs beside a straggler and wins when it ends first would favour short answers, so there are none: a straggler goes on
+// elsewhere from the tokens it has, and only one that stands still after that is drawn anew. For the same reason a redraw for fresher weights takes all slots of
+// a step, finished or not, and only while none of them is sealed.
+
+#include "base/check.h"
+#include "sampling/run_owner.h"
+#include "sampling/sample_check.h"
+
+#include <algorithm>
+
+namespace reedtrail {
+namespace {
+
+/** Longest time that drafting waits for a published version to be served, where staleness weighs more. */
+constexpr duration longestWaitForVersion = std::chrono::seconds(15);
+
+/** Weight above which trainer idle time counts more than staleness. */
+constexpr double evenWeight = 0.5;
+
+duration retryDelay(std::uint32_t failures, duration first, duration longest)
+{
+    const std::uint32_t doublings = std::min<std::uint32_t>(failures, 10);
+    return std::min(longest, first * (1 << doublings));
+}
+
+std::string slotText(const slot_id &slot)
+{
+    return slot.run.str() + "/" + std::to_string(slot.step) + "/" + std::to_string(slot.group) + "/" + std::to_string(slot.index);
+}
+
+} // namespace
+
+bool run_owner::isGateKnown(const node_id &node) const
+{
+    return std::ranges::any_of(m_gates, [&node](const draft_gate &gate) {
+        return gate.node == node;
+    });
+}
+
+draft_gate *run_owner::leastLoadedGate()
+{
+    draft_gate *best = nullptr;
+    double bestLoad = 1;
+    for (draft_gate &gate : m_gates) {
+        if (gate.capacity == 0) {
+            continue;
+        }
+        const double load = static_cast<double>(m_activeByGate[gate.node]) / static_cast<double>(gate.capacity);
+        if (load < bestLoad) {
+            best = &gate;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+bool run_owner::mayDraft(std::uint64_t step) const
+{
+    const auto bound = static_cast<std::uint64_t>(m_settings->stalenessBound);
+    if (m_served != 0 && stepsBehind(step, m_served) > bound) {
+        return false; // A draft that starts now could never be sealed.
+    }
+    const bool isVersionComing = m_served != 0 && m_served < m_published && m_served < step;
+    const time_point needed = m_objective.neededAt(step, m_now);
+    if (isVersionComing && m_settings->idleTimeWeight < evenWeight && m_now < m_publishedAt + longestWaitForVersion) {
+        return false;
+    }
+    return step <= m_nextStepToSeal || m_now >= needed - m_objective.lead(m_settings->idleTimeWeight);
+}
+
+void run_owner::orderDrafts()
+{
+    if (m_machine.phase() != run_phase::Open || m_now < m_orderFrom || m_gates.empty()) {
+        return;
+    }
+    const std::uint64_t firstStep = m_fixed.empty() ? m_nextStepToSeal : std::min(m_nextStepToSeal, m_fixed.begin()->second.step);
+    const std::uint64_t lastStep = m_nextStepToSeal + static_cast<std::uint64_t>(std::max<std::int64_t>(1, m_settings->stalenessBound));
+    for (std::uint64_t step = firstStep; step <= lastStep; ++step) {
+        if (step >= m_nextStepToSeal) {
+            if (!mayDraft(step)) {
+                return;
+            }
+            m_book.open(step, shape());
+        }
+        step_slots *slots = m_book.findStep(step);
+        if (slots == nullptr || slots->count(slot_phase::Open) == 0) {
+            continue;
+        }
+        for (slot_entry &entry : slots->slots) {
+            if (entry.phase != slot_phase::Open || entry.retryAt > m_now) {
+                continue;
+            }
+            draft_gate *gate = leastLoadedGate();
+            if (gate == nullptr) {
+                return;
+            }
+            orderDraft(entry, *gate);
+            slots->firstOrderAt = std::min(slots->firstOrderAt, m_now);
+        }
+    }
+}
+
+void run_owner::orderDraft(slot_entry &entry, draft_gate &gate)
+{
+    const auto bound = static_cast<std::uint64_t>(m_settings->stalenessBound);
+    draft_order order;
+    order.slot = entry.slot;
+    order.draft = m_nextDraft++;
+    order.epoch = m_epoch;
+    order.customer = m_settings->customer;
+    order.pool = m_settings->pool;
+    order.scorerPool = m_settings->scorerPool;
+    const std::uint64_t groupNumber = (entry.slot.step - 1) * static_cast<std::uint64_t>(m_settings->groups) + entry.slot.group;
+    order.prompt = m_settings->prompts.empty() ? "" : m_settings->prompts[groupNumber % m_settings->prompts.size()];
+    order.maximumTokens = static_cast<std::uint64_t>(m_settings->maximumTokens);
+    order.minimumVersion = entry.slot.step > bound ? entry.slot.step - bound : 0;
+    order.deadlineMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings->stepDeadline).count();
+    entry.attempt = { .draft = order.draft, .gate = gate.node, .orderedAt = m_now, .progressAt = m_now, .orderedWith = m_served, .reportedAt = m_now };
+    m_book.setPhase(entry, slot_phase::Drafting);
+    m_slotOfDraft[order.draft] = entry.slot;
+    ++m_activeByGate[gate.node];
+    ++m_counts.ordered;
+    m_actions.emplace_back(run_action::order_draft{ gate.node, std::move(order) });
+}
+
+void run_owner::endAttempt(slot_entry &entry)
+{
+    if (entry.phase != slot_phase::Drafting) {
+        return;
+    }
+    m_slotOfDraft.erase(entry.attempt.draft);
+    std::uint64_t &active = m_activeByGate[entry.attempt.gate];
+    REEDTRAIL_CHECK(active > 0, "each draft under way is counted at its gate");
+    active -= active > 0 ? 1 : 0;
+}
+
+void run_owner::dropDraft(slot_entry &entry, error_kind cause, bool countsAsFailure)
+{
+    note(decision_kind::Dropped, subject_kind::Slot, slotText(entry.slot), cause, "draft " + std::to_string(entry.attempt.draft) + " at " + entry.attempt.gate.str());
+    endAttempt(entry);
+    m_book.setPhase(entry, slot_phase::Open);
+    ++m_counts.dropped;
+    if (countsAsFailure) {
+        entry.retryAt = m_now + retryDelay(entry.failures, m_options.draftRetryFirst, m_options.draftRetryLongest);
+        ++entry.failures;
+    }
+}
+
+void run_owner::handle(const run_event::draft_ended &event)
+{
+    const draft_result &result = event.result;
+    slot_entry *entry = m_book.find(result.slot);
+    if (!isOwner() || !m_settings || entry == nullptr) {
+        return;
+    }
+    const bool isExpected = entry->phase == slot_phase::Drafting && entry->attempt.draft == result.draft;
+    const bool isOfEarlierOwner = entry->phase == slot_phase::Open && result.epoch < m_epoch;
+    if (!isExpected && !isOfEarlierOwner) {
+        return; // Doubled, given up, or the slot has its draft already.
+    }
+    const error_kind verdict = judgeDraft(result, static_cast<std::uint64_t>(m_settings->stalenessBound));
+    if (verdict != error_kind::None) {
+        dropDraft(*entry, verdict, true);
+        return;
+    }
+    endAttempt(*entry);
+    entry->failures = 0;
+    entry->sample = { result.slot, result.draft, result.versions, result.tokens, result.score, result.spoolNode, result.payloadKey };
+    m_book.setPhase(*entry, slot_phase::Ready);
+    step_slots *slots = m_book.findStep(result.slot.step);
+    if (!slots->isDraftTimeKnown && slots->count(slot_phase::Open) + slots->count(slot_phase::Drafting) == 0 && slots->firstOrderAt != timeNever) {
+        slots->isDraftTimeKnown = true;
+        m_objective.onStepDrafted(m_now - slots->firstOrderAt);
+    }
+}
+
+void run_owner::handle(const run_event::gate_reported &event)
+{
+    if (!isOwner()) {
+        return;
+    }
+    m_reportingGates.insert(event.gate);
+    for (const draft_progress_item &item : event.drafts) {
+        const auto known = m_slotOfDraft.find(item.draft);
+        if (known == m_slotOfDraft.end()) {
+            adoptAttempt(event.gate, item);
+            continue;
+        }
+        slot_entry *entry = m_book.find(known->second);
+        if (entry != nullptr) {
+            noteProgress(*entry, item);
+        }
+    }
+}
+
+void run_owner::adoptAttempt(const node_id &gate, const draft_progress_item &item)
+{
+    const bool isOfEarlierOwner = (item.draft >> 24U) < m_epoch;
+    if (m_settings && item.slot.step == m_nextStepToSeal) {
+        m_book.open(item.slot.step, shape());
+    }
+    slot_entry *entry = m_book.find(item.slot);
+    if (entry == nullptr || entry->phase != slot_phase::Open || !isOfEarlierOwner || m_machine.phase() != run_phase::Open) {
+        m_actions.emplace_back(run_action::cancel_draft{ gate, item.draft });
+        return;
+    }
+    entry->attempt = { .draft = item.draft, .gate = gate, .orderedAt = m_now, .progressAt = m_now, .orderedWith = 0, .reportedAt = m_now, .tokens = item.tokens };
+    m_book.setPhase(*entry, slot_phase::Drafting);
+    m_slotOfDraft[item.draft] = item.slot;
+    ++m_activeByGate[gate];
+}
+
+void run_owner::noteProgress(slot_entry &entry, const draft_progress_item &item)
+{
+    draft_attempt &attempt = entry.attempt;
+    attempt.reportedAt = m_now;
+    if (item.tokens <= attempt.tokens) {
+        return;
+    }
+    if (attempt.tokens > 0) {
+        m_stragglers.onProgress(m_now - attempt.progressAt);
+    }
+    attempt.tokens = item.tokens;
+    attempt.progressAt = m_now;
+    attempt.isMoved = false;
+}
+
+void run_owner::watchStragglers()
+{
+    for (auto &[step, slots] : m_book.steps()) {
+        if (slots.count(slot_phase::Drafting) == 0) {
+            continue;
+        }
+        for (slot_entry &entry : slots.slots) {
+            if (entry.phase != slot_phase::Drafting) {
+                continue;
+            }
+            draft_attempt &attempt = entry.attempt;
+            const bool isReporting = m_reportingGates.contains(attempt.gate);
+            const bool isExpired = m_settings && m_now - attempt.orderedAt > m_settings->stepDeadline;
+            if (isExpired || (isReporting && m_now - attempt.reportedAt > m_options.reportTimeout)) {
+                dropDraft(entry, error_kind::PeerUnreachable, false);
+                continue;
+            }
+            const straggler_verdict verdict = m_stragglers.judge(attempt, m_now);
+            if (verdict == straggler_verdict::Move) {
+                attempt.isMoved = true;
+                ++m_counts.moved;
+                note(decision_kind::Moved, subject_kind::Slot, slotText(entry.slot), error_kind::ServerSilent, "at " + std::to_string(attempt.tokens) + " tokens");
+                m_actions.emplace_back(run_action::move_draft{ attempt.gate, attempt.draft });
+            } else if (verdict == straggler_verdict::GiveUp) {
+                ++m_counts.givenUp;
+                m_actions.emplace_back(run_action::cancel_draft{ attempt.gate, attempt.draft });
+                dropDraft(entry, error_kind::ServerSilent, false);
+            }
+        }
+    }
+}
+
+bool run_owner::isRedrawWorthwhile(const step_slots &slots) const
+{
+    const bool isUntouched = slots.count(slot_phase::Sealed) + slots.count(slot_phase::Sealing) == 0;
+    const bool isTimely = m_pulls.empty() && m_objective.neededAt(slots.step, m_now) - m_now > 2 * m_objective.draftTime();
+    return isUntouched && isTimely && m_objective.draftTime() > duration::zero();
+}
+
+void run_owner::redrawOldDrafts()
+{
+    if (m_settings->idleTimeWeight >= evenWeight || m_machine.phase() != run_phase::Open || m_served <= m_redrawnFor) {
+        return;
+    }
+    m_redrawnFor = m_served;
+    for (auto &[step, slots] : m_book.steps()) {
+        if (step < m_nextStepToSeal || !isRedrawWorthwhile(slots)) {
+            continue;
+        }
+        for (slot_entry &entry : slots.slots) {
+            const bool isOldDraft = entry.phase == slot_phase::Drafting && entry.attempt.orderedWith < m_served;
+            const bool isOldSample = entry.phase == slot_phase::Ready && oldestVersion(entry.sample.versions) < std::min(m_served, step);
+            if (isOldDraft) {
+                m_actions.emplace_back(run_action::cancel_draft{ entry.attempt.gate, entry.attempt.draft });
+            }
+            if (isOldDraft || isOldSample) {
+                ++m_counts.redrawn;
+                dropDraft(entry, error_kind::Stale, false);
+            }
+        }
+    }
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/sampling/run_store.cpp
@@ -0,0 +1,140 @@
+// The epoch is compared in the same transaction as each write, so the store itself refuses a lapsed owner; no clock takes part. A seal record is fenced twice: by the owner key, and by the
+// number of writes to its own key, which lets a repeated write take effect once.
+
+#include "sampling/run_store.h"
+
+#include <algorithm>
+
+namespace reedtrail {
+namespace {
+
+store_compare isOwnedAt(const run_id &run, epoch_number epoch)
+{
+    return store_compare::unchanged(ownerKey(run), epoch);
+}
+
+const store_key_value *onlyItem(const store_range_answer &answer)
+{
+    return answer.items.empty() ? nullptr : &answer.items.front();
+}
+
+} // namespace
+
+store_txn claimTxn(const run_id &run, const ownership_action::claim &claim)
+{
+    const std::string key = ownerKey(run);
+    store_txn txn;
+    txn.compares.push_back(claim.heldEpoch == 0 ? store_compare::absent(key) : store_compare::unchanged(key, claim.heldEpoch));
+    txn.onSuccess.emplace_back(store_put{ key, nlohmann::json(claim.record).dump(), claim.lease });
+    txn.onFailure.emplace_back(store_range{ key });
+    return txn;
+}
+
+ownership_event::claim_ended claimEnded(const store_txn_answer &answer)
+{
+    using outcome = ownership_event::claim_ended::outcome;
+    ownership_event::claim_ended ended;
+    if (answer.error) {
+        ended.result = answer.error->kind == error_kind::StoreUnknown ? outcome::Unknown : outcome::NotDone;
+        return ended;
+    }
+    if (answer.isSucceeded) {
+        ended.result = outcome::Succeeded;
+        ended.epoch = answer.revision;
+        return ended;
+    }
+    ended.result = outcome::Refused;
+    ended.owner = answer.ranges.empty() ? owner_seen{} : ownerRead(answer.ranges.front());
+    return ended;
+}
+
+store_txn writeSealTxn(const run_id &run, const seal_record &record)
+{
+    const std::string key = sealKey(run, record.step, record.number);
+    store_txn txn;
+    txn.compares.push_back(isOwnedAt(run, record.epoch));
+    txn.compares.push_back({ key, store_compare_target::Version, store_compare_relation::Equal, record.revision, {} });
+    txn.onSuccess.emplace_back(store_put{ key, encodeSealRecord(record), 0 });
+    txn.onFailure.emplace_back(store_range{ ownerKey(run) });
+    return txn;
+}
+
+seal_outcome sealOutcome(const store_txn_answer &answer, epoch_number epoch)
+{
+    if (answer.error) {
+        return answer.error->kind == error_kind::StoreUnknown ? seal_outcome::Unknown : seal_outcome::NotWritten;
+    }
+    if (answer.isSucceeded) {
+        return seal_outcome::Written;
+    }
+    const store_key_value *owner = answer.ranges.empty() ? nullptr : onlyItem(answer.ranges.front());
+    const bool isOwner = owner != nullptr && owner->modRevision == epoch;
+    return isOwner ? seal_outcome::Unknown : seal_outcome::Fenced; // The owner's own earlier write may be there: read it back.
+}
+
+store_txn readSealTxn(const run_id &run, const run_action::read_seal &action)
+{
+    store_txn txn;
+    txn.onSuccess.emplace_back(store_range{ ownerKey(run) });
+    txn.onSuccess.emplace_back(store_range{ sealKey(run, action.step, action.number) });
+    return txn;
+}
+
+run_event::seal_read_ended sealReadEnded(const run_id &run, const run_action::read_seal &action, epoch_number epoch, const store_txn_answer &answer)
+{
+    run_event::seal_read_ended ended{ .number = action.number, .attempt = action.attempt };
+    if (answer.error || answer.ranges.size() != 2) {
+        return ended;
+    }
+    const store_key_value *owner = onlyItem(answer.ranges[0]);
+    const store_key_value *item = onlyItem(answer.ranges[1]);
+    ended.isAnswered = true;
+    ended.isOwner = owner != nullptr && owner->modRevision == epoch;
+    if (item == nullptr) {
+        return ended;
+    }
+    const std::optional<failure> error = failureOf([&]() -> result<void> {
+        BOOST_LEAF_ASSIGN(ended.record, decodeSealRecord(run, item->value));
+        return {};
+    });
+    ended.isFound = !error;
+    return ended;
+}
+
+store_txn removeSealsTxn(const run_id &run, const run_action::remove_seals &action)
+{
+    store_txn txn;
+    txn.compares.push_back(isOwnedAt(run, action.epoch));
+    for (const run_action::remove_seals::batch &batch : action.batches) {
+        txn.onSuccess.emplace_back(store_delete{ sealKey(run, batch.step, batch.number) });
+    }
+    return txn;
+}
+
+store_range batchesRange(const run_id &run)
+{
+    return { .key = sealPrefix(run), .isPrefix = true };
+}
+
+ownership_event::batches_read batchesRead(const run_id &run, const store_range_answer &answer)
+{
+    ownership_event::batches_read read;
+    read.isAnswered = !answer.error;
+    for (const store_key_value &item : answer.items) {
+        const std::optional<failure> error = failureOf([&]() -> result<void> {
+            BOOST_LEAF_AUTO(record, decodeSealRecord(run, item.value));
+            read.batches.push_back(std::move(record));
+            return {};
+        });
+        read.isAnswered = read.isAnswered && !error;
+    }
+    std::ranges::sort(read.batches, {}, &seal_record::number);
+    return read;
+}
+
+owner_seen ownerRead(const store_range_answer &answer)
+{
+    return readOwner(onlyItem(answer));
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/weights/zone_weights.cpp
@@ -0,0 +1,223 @@
+// One deputy a zone keeps cross-zone traffic at one message an operation, and lets a cut-off zone go on with what it was last told. A second deputy for the same zone, for as long
+// as two nodes disagree about who it is, does no harm: orders are idempotent and servers count what they are told.
+//
+// Cost: one load read a server each 3 s (each 0.5 s during a switch), one report a run each 5 s or at a change. Memory: about 300 bytes for each pair of server and run.
+
+#include "weights/zone_weights.h"
+
+#include <algorithm>
+
+namespace reedtrail {
+namespace {
+
+constexpr std::string_view silentState = "silent";
+
+} // namespace
+
+zone_weights::zone_weights(zone_id zone, deputy_options options)
+    : m_zone(std::move(zone))
+    , m_options(options)
+{
+}
+
+std::vector<deputy_action_item> zone_weights::onEvent(time_point now, const deputy_event &event)
+{
+    m_now = now;
+    m_actions.clear();
+    std::visit(
+        [this](const auto &known) {
+            handle(known);
+        },
+        event);
+    return std::move(m_actions);
+}
+
+time_point zone_weights::nextDeadline() const
+{
+    time_point next = timeNever;
+    for (const auto &[id, server] : m_servers) {
+        next = server.isLoadAsked ? next : std::min(next, server.loadAt);
+    }
+    for (const auto &[run, state] : m_runs) {
+        next = std::min(next, state.reportAt);
+    }
+    return next;
+}
+
+void zone_weights::handle(const deputy_input::servers_changed &event)
+{
+    std::map<server_id, server_state> before;
+    before.swap(m_servers);
+    for (const deputy_server &settings : event.servers) {
+        server_state state;
+        const auto known = before.find(settings.id);
+        if (known != before.end()) {
+            state = std::move(known->second);
+        } else {
+            state.loadAt = m_now;
+            state.lastAnswerAt = m_now;
+        }
+        state.settings = settings;
+        std::erase_if(state.runs, [&settings](const auto &item) {
+            return std::ranges::find(settings.runs, item.first) == settings.runs.end();
+        });
+        for (const run_id &run : settings.runs) {
+            state.runs[run].known.server = settings.id;
+            run_state_known &runState = m_runs[run];
+            runState.reportAt = std::min(runState.reportAt, m_now + m_options.reportInterval);
+        }
+        m_servers.emplace(settings.id, std::move(state));
+    }
+    std::erase_if(m_runs, [this](const auto &item) {
+        return std::ranges::none_of(m_servers, [&item](const auto &server) {
+            return server.second.runs.contains(item.first);
+        });
+    });
+}
+
+void zone_weights::handle(const deputy_input::order_received &event)
+{
+    const weight_order &order = event.order;
+    const auto run = m_runs.find(order.run);
+    if (run == m_runs.end() || order.epoch < run->second.epoch) {
+        ++m_refusedOrders;
+        return;
+    }
+    run->second.epoch = order.epoch;
+    const time_point notAfter = m_now + std::chrono::milliseconds(order.validForMs);
+    for (const server_id &id : order.servers) {
+        const auto found = m_servers.find(id);
+        if (found != m_servers.end()) {
+            passOn(order, found->second, notAfter);
+        }
+    }
+}
+
+void zone_weights::passOn(const weight_order &order, server_state &server, time_point notAfter)
+{
+    const auto found = server.runs.find(order.run);
+    if (found == server.runs.end()) {
+        return;
+    }
+    run_progress &progress = found->second;
+    const bool isOld = order.version < std::max(progress.known.version, progress.newestSwitch) && order.operation == switchOperation;
+    const bool isLate = !server.settings.checksFencing && notAfter <= m_now;
+    if (isOld || isLate) {
+        ++m_refusedOrders;
+        return;
+    }
+    if (order.operation == switchOperation) {
+        progress.newestSwitch = order.version;
+    }
+    ++server.ordersUnderWay;
+    server.loadAt = std::min(server.loadAt, m_now + m_options.loadIntervalBusy);
+    const time_point limit = server.settings.checksFencing ? timeNever : notAfter;
+    m_actions.emplace_back(deputy_action::order_server{ server.settings.id, order.run, order.operation, order.argument, order.version, order.epoch, limit });
+}
+
+void zone_weights::handle(const deputy_input::order_answered &event)
+{
+    const auto found = m_servers.find(event.server);
+    if (found == m_servers.end() || !found->second.runs.contains(event.run)) {
+        return;
+    }
+    server_state &server = found->second;
+    server_weights &known = server.runs.at(event.run).known;
+    server.ordersUnderWay -= server.ordersUnderWay > 0 ? 1 : 0;
+    server.loadAt = std::min(server.loadAt, m_now); // What the server reports decides, not what the order's answer implies.
+    using outcome = deputy_input::order_answered::outcome;
+    if (event.result == outcome::Done) {
+        known.failures = 0;
+        if (event.operation == stageOperation) {
+            known.staged = std::max(known.staged, event.version);
+        }
+    } else {
+        ++known.failures;
+        known.failedOperation = event.operation;
+        if (event.operation == switchOperation && event.result != outcome::Refused) {
+            known.version = 0; // It may have failed partway: not known until the server reports.
+        }
+    }
+    changed(event.run);
+}
+
+void zone_weights::handle(const deputy_input::load_read &event)
+{
+    const auto found = m_servers.find(event.server);
+    if (found == m_servers.end()) {
+        return;
+    }
+    server_state &server = found->second;
+    server.isLoadAsked = false;
+    server.loadAt = m_now + (server.ordersUnderWay > 0 ? m_options.loadIntervalBusy : m_options.loadInterval);
+    server.lastAnswerAt = event.isAnswered ? m_now : server.lastAnswerAt;
+    const bool isSilent = m_now - server.lastAnswerAt >= m_options.silentAfter;
+    if (!event.isAnswered && !isSilent) {
+        return;
+    }
+    for (auto &[run, progress] : server.runs) {
+        const auto own = event.versions.find(run);
+        const weight_version reported = own == event.versions.end() ? event.baseVersion : own->second;
+        const bool isDoubtful = event.state == "unknown-version" && reported == 0;
+        const weight_version version = event.isAnswered && !isDoubtful ? reported : 0;
+        const std::string state = event.isAnswered ? event.state : std::string(silentState);
+        if (version != progress.known.version || state != progress.known.state) {
+            progress.known.version = version;
+            progress.known.state = state;
+            changed(run);
+        }
+    }
+}
+
+void zone_weights::handle(const deputy_input::timer &)
+{
+    for (auto &[id, server] : m_servers) {
+        if (!server.isLoadAsked && server.loadAt <= m_now) {
+            server.isLoadAsked = true;
+            m_actions.emplace_back(deputy_action::read_load{ id });
+        }
+    }
+    for (auto &[run, state] : m_runs) {
+        if (state.reportAt <= m_now) {
+            reportRun(run, state);
+        }
+    }
+}
+
+void zone_weights::changed(const run_id &run)
+{
+    const auto found = m_runs.find(run);
+    if (found != m_runs.end()) {
+        found->second.reportAt = std::min(found->second.reportAt, m_now + m_options.reportDelay);
+    }
+}
+
+void zone_weights::reportRun(const run_id &run, run_state_known &state)
+{
+    state.reportAt = m_now + m_options.reportInterval;
+    weight_report report;
+    report.run = run;
+    report.zone = m_zone;
+    report.epoch = state.epoch;
+    for (const auto &[id, server] : m_servers) {
+        const auto found = server.runs.find(run);
+        if (found != server.runs.end()) {
+            report.servers.push_back(found->second.known);
+        }
+    }
+    m_actions.emplace_back(deputy_action::report{ std::move(report) });
+}
+
+nlohmann::json zone_weights::dump() const
+{
+    nlohmann::json servers = nlohmann::json::array();
+    for (const auto &[id, server] : m_servers) {
+        for (const auto &[run, progress] : server.runs) {
+            servers.push_back(progress.known);
+            servers.back()["run"] = run;
+        }
+    }
+    return { { "zone", m_zone }, { "refusedOrders", m_refusedOrders }, { "servers", std::move(servers) } };
+}
+
+} // namespace reedtrail
