--- a/fleet/membership.cpp
+++ b/fleet/membership.cpp
@@ -359,8 +359,8 @@
         }
         const std::vector<const member_record *> members = membersOf(zone);
         const auto deputy = deputyOf(zone);
-        std::string address = members.empty() ? (m_crossZonePeers.empty() ? "" : m_crossZonePeers.front())
-                                              : members[m_random.below(members.size())]->card.stewardAddress;
+        std::string address =
+            members.empty() ? (m_crossZonePeers.empty() ? "" : m_crossZonePeers.front()) : members[m_random.below(members.size())]->card.stewardAddress;
         if (deputy && m_known.contains(*deputy) && m_random.chance(0.5)) {
             address = m_known.at(*deputy).card.stewardAddress;
         }
--- a/fleet/peer_messages.h
+++ b/fleet/peer_messages.h
@@ -168,7 +168,8 @@
     std::uint64_t number = 0; ///< Pull number, rising from 1; the same number always gets the same samples.
     std::uint64_t have = 0; ///< Highest pull number whose samples the trainer holds.
     std::int64_t waitMs = 0;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pull_question, run, number, have, waitMs)
+    bool isForwarded = false; ///< Set by a steward that is not the owner; a forwarded question is not forwarded again.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pull_question, run, number, have, waitMs, isForwarded)
 };
 
 /** A sealed sample as the owner hands it out. */
--- a/fleet/settings_core.cpp
+++ b/fleet/settings_core.cpp
@@ -40,12 +40,8 @@
 
 std::string auditText(const settings_change &change, std::uint64_t revision)
 {
-    const nlohmann::json audit{ { "revision", revision },
-                                { "baseRevision", change.baseRevision },
-                                { "operator", change.operatorName },
-                                { "operation", change.operation },
-                                { "summary", change.summary },
-                                { "acceptedAtMs", change.acceptedAtMs } };
+    const nlohmann::json audit{ { "revision", revision },          { "baseRevision", change.baseRevision }, { "operator", change.operatorName },
+                                { "operation", change.operation }, { "summary", change.summary },           { "acceptedAtMs", change.acceptedAtMs } };
     return audit.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/fleet/settings_plan.cpp
+++ b/fleet/settings_plan.cpp
@@ -36,8 +36,8 @@
 bool isNamedList(const json &value)
 {
     return value.is_array() && !value.empty() && std::ranges::all_of(value, [](const json &item) {
-        return !nameOf(item).empty();
-    });
+               return !nameOf(item).empty();
+           });
 }
 
 std::map<std::string, const json *> byName(const json &list)
@@ -170,8 +170,8 @@
         const customer_settings *old = before.findCustomer(customer.id);
         const double now = customer.weight / total(after);
         if (old != nullptr && std::abs(old->weight / total(before) - now) > 0.005) {
-            plan.changes.push_back("customer " + customer.id.str() + " has a share of " + percent(now) + " under load, had " +
-                                   percent(old->weight / total(before)));
+            plan.changes.push_back("customer " + customer.id.str() + " has a share of " + percent(now) + " under load, had "
+                                   + percent(old->weight / total(before)));
         }
     }
     for (const customer_settings &old : before.customers) {
--- a/fleet/store_json.cpp
+++ b/fleet/store_json.cpp
@@ -195,7 +195,8 @@
     }
     if (body.value("canceled", false)) {
         const auto compacted = numberAt<store_revision>(body, "compact_revision");
-        line.end = store_watch_end{ { compacted != 0 ? error_kind::Stale : error_kind::StoreUnavailable, body.value("cancel_reason", "cancelled") }, compacted };
+        line.end =
+            store_watch_end{ { compacted != 0 ? error_kind::Stale : error_kind::StoreUnavailable, body.value("cancel_reason", "cancelled") }, compacted };
         return line;
     }
     for (const json &each : body.value("events", json::array())) {
--- a/sampling/run_owner.cpp
+++ b/sampling/run_owner.cpp
@@ -9,8 +9,8 @@
 // An owner that was paused and wakes still holds an epoch that the owner key no longer has. Its writes fail their compare; what it answers to pulls are fixed
 // records, which are right whoever hands them out; its orders cost some drafting at most, since drafts of any epoch are equal until one is sealed.
 //
-// Cost: one store write each sealInterval while samples become ready, one read at a takeover, one removal a step; none depends on nodes or samples. Memory: about
-// 300 bytes a slot of the steps worked on, and 200 bytes a sample of the batches not yet removed.
+// Cost: one store write each sealInterval while samples become ready, one read at a takeover, one removal a step; none depends on nodes or samples. Memory:
+// about 300 bytes a slot of the steps worked on, and 200 bytes a sample of the batches not yet removed.
 
 #include "sampling/run_owner.h"
 
@@ -113,7 +113,11 @@
         m_book.forgetBefore(m_fixed.begin()->second.step);
     }
     advanceTrainer(std::max(m_asked, m_acknowledged));
-    note(decision_kind::TookOver, subject_kind::Run, m_run.str(), error_kind::None, "epoch " + std::to_string(m_epoch) + ", batches " + std::to_string(m_fixed.size()));
+    note(decision_kind::TookOver,
+         subject_kind::Run,
+         m_run.str(),
+         error_kind::None,
+         "epoch " + std::to_string(m_epoch) + ", batches " + std::to_string(m_fixed.size()));
 }
 
 void run_owner::adoptBatch(const seal_record &record)
--- a/sampling/run_owner_drafts.cpp
+++ b/sampling/run_owner_drafts.cpp
@@ -1,8 +1,8 @@
 // Which slots get a draft, on which gate, and what becomes of it.
 //
-// One draft a slot at a time. A duplicate that runs beside a straggler and wins when it ends first would favour short answers, so there are none: a straggler goes on
-// elsewhere from the tokens it has, and only one that stands still after that is drawn anew. For the same reason a redraw for fresher weights takes all slots of
-// a step, finished or not, and only while none of them is sealed.
+// One draft a slot at a time. A duplicate that runs beside a straggler and wins when it ends first would favour short answers, so there are none: a straggler
+// goes on elsewhere from the tokens it has, and only one that stands still after that is drawn anew. For the same reason a redraw for fresher weights takes all
+// slots of a step, finished or not, and only while none of them is sealed.
 
 #include "base/check.h"
 #include "sampling/run_owner.h"
@@ -138,7 +138,11 @@
 
 void run_owner::dropDraft(slot_entry &entry, error_kind cause, bool countsAsFailure)
 {
-    note(decision_kind::Dropped, subject_kind::Slot, slotText(entry.slot), cause, "draft " + std::to_string(entry.attempt.draft) + " at " + entry.attempt.gate.str());
+    note(decision_kind::Dropped,
+         subject_kind::Slot,
+         slotText(entry.slot),
+         cause,
+         "draft " + std::to_string(entry.attempt.draft) + " at " + entry.attempt.gate.str());
     endAttempt(entry);
     m_book.setPhase(entry, slot_phase::Open);
     ++m_counts.dropped;
@@ -206,7 +210,9 @@
         m_actions.emplace_back(run_action::cancel_draft{ gate, item.draft });
         return;
     }
-    entry->attempt = { .draft = item.draft, .gate = gate, .orderedAt = m_now, .progressAt = m_now, .orderedWith = 0, .reportedAt = m_now, .tokens = item.tokens };
+    entry->attempt = {
+        .draft = item.draft, .gate = gate, .orderedAt = m_now, .progressAt = m_now, .orderedWith = 0, .reportedAt = m_now, .tokens = item.tokens
+    };
     m_book.setPhase(*entry, slot_phase::Drafting);
     m_slotOfDraft[item.draft] = item.slot;
     ++m_activeByGate[gate];
@@ -248,7 +254,11 @@
             if (verdict == straggler_verdict::Move) {
                 attempt.isMoved = true;
                 ++m_counts.moved;
-                note(decision_kind::Moved, subject_kind::Slot, slotText(entry.slot), error_kind::ServerSilent, "at " + std::to_string(attempt.tokens) + " tokens");
+                note(decision_kind::Moved,
+                     subject_kind::Slot,
+                     slotText(entry.slot),
+                     error_kind::ServerSilent,
+                     "at " + std::to_string(attempt.tokens) + " tokens");
                 m_actions.emplace_back(run_action::move_draft{ attempt.gate, attempt.draft });
             } else if (verdict == straggler_verdict::GiveUp) {
                 ++m_counts.givenUp;
--- a/sampling/run_owner_seals.cpp
+++ b/sampling/run_owner_seals.cpp
@@ -175,7 +175,8 @@
     m_write.reset();
     for (const sealed_sample &sample : record.samples) {
         slot_entry *entry = m_book.find(sample.slot);
-        REEDTRAIL_CHECK(entry != nullptr && entry->phase == slot_phase::Sealing && entry->sample.draft == sample.draft, "a slot is sealed once, with the draft written");
+        REEDTRAIL_CHECK(entry != nullptr && entry->phase == slot_phase::Sealing && entry->sample.draft == sample.draft,
+                        "a slot is sealed once, with the draft written");
         if (entry != nullptr) {
             m_book.setPhase(*entry, slot_phase::Sealed);
             entry->isReplacement = false;
--- a/sampling/run_ownership.cpp
+++ b/sampling/run_ownership.cpp
@@ -1,11 +1,12 @@
-// Ownership is what "Kafka Transactions" calls the producer's epoch: whoever initialises anew fences all before it. The store keeps it, so there is no consensus of our
-// own: the owner key is created under a lease by one transaction, and its revision is the epoch.
+// Ownership is what "Kafka Transactions" calls the producer's epoch: whoever initialises anew fences all before it. The store keeps it, so there is no
+// consensus of our own: the owner key is created under a lease by one transaction, and its revision is the epoch.
 //
 // An owner whose lease may have lapsed by its own clock goes on: in an outage of the store nobody else can take over, and what it writes is compared with its
 // epoch anyway. It stops when the store says that the key is another's or gone. Only orders to engines that ignore fencing numbers need the lease's time; see
 // weights/weight_rollout.h.
 //
-// Store calls: one keep-alive each 1.5 s by the owner; one waiting watch and one read each 3 s by each of three candidates. None depends on the number of nodes.
+// Store calls: one keep-alive each 1.5 s by the owner; one waiting watch and one read each 3 s by each of three candidates. None depends on the number of
+// nodes.
 
 #include "sampling/run_ownership.h"
 
--- a/sampling/run_share.cpp
+++ b/sampling/run_share.cpp
@@ -1,6 +1,6 @@
-// A customer's part of a pool depends on weights and on which customers have open runs there, never on how urgent a run is, so urgency moves slots only between runs of one customer. Every
-// owner computes this alone from the same document; needs that are late or missing shift slots within a customer for a second or two, and nothing else. A run whose step has few open slots
-// leaves the rest of its part to the customer's other runs.
+// A customer's part of a pool depends on weights and on which customers have open runs there, never on how urgent a run is, so urgency moves slots only between
+// runs of one customer. Every owner computes this alone from the same document; needs that are late or missing shift slots within a customer for a second or
+// two, and nothing else. A run whose step has few open slots leaves the rest of its part to the customer's other runs.
 
 #include "sampling/run_share.h"
 
--- a/sampling/run_share.h
+++ b/sampling/run_share.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Shares a pool's engines among the runs that draft on it: first among customers by weight, then among a customer's runs so that the one nearest to stalling its trainer goes first.
+ * Shares a pool's engines among the runs that draft on it: first among customers by weight, then among a customer's runs so that the one nearest to stalling
+ * its trainer goes first.
  *
  *     std::uint64_t drafts = draftsOf(document, run, needs);     // most drafts of the run under way at once
  */
--- a/sampling/run_store.cpp
+++ b/sampling/run_store.cpp
@@ -1,5 +1,5 @@
-// The epoch is compared in the same transaction as each write, so the store itself refuses a lapsed owner; no clock takes part. A seal record is fenced twice: by the owner key, and by the
-// number of writes to its own key, which lets a repeated write take effect once.
+// The epoch is compared in the same transaction as each write, so the store itself refuses a lapsed owner; no clock takes part. A seal record is fenced twice:
+// by the owner key, and by the number of writes to its own key, which lets a repeated write take effect once.
 
 #include "sampling/run_store.h"
 
--- a/weights/staging_allotment.cpp
+++ b/weights/staging_allotment.cpp
@@ -1,5 +1,5 @@
-// Starts are spaced by the time one shard takes at the allotted rate. A server draws its shard in about that time or longer, so what all draw in any window of a few
-// shards stays within the rate; a burst after a quiet time would not.
+// Starts are spaced by the time one shard takes at the allotted rate. A server draws its shard in about that time or longer, so what all draw in any window of
+// a few shards stays within the rate; a burst after a quiet time would not.
 
 #include "weights/staging_allotment.h"
 
--- a/weights/weight_rollout.cpp
+++ b/weights/weight_rollout.cpp
@@ -1,11 +1,13 @@
-// Staging takes minutes and is paced by the weight store; switching takes seconds and is done for the whole fleet at once, so that a step's samples differ little in their
-// versions. The switch goes in two waves, half of each zone's servers at a time, so that interactive work always finds servers that are not swapping.
+// Staging takes minutes and is paced by the weight store; switching takes seconds and is done for the whole fleet at once, so that a step's samples differ
+// little in their versions. The switch goes in two waves, half of each zone's servers at a time, so that interactive work always finds servers that are not
+// swapping.
 //
 // An order of an owner whose lease has lapsed, in order of defence:
 //   1. servers that check the fencing number (the epoch) refuse it;
 //   2. for the others, nothing is sent unless the lease still holds for leaseMargin, and the order says for how long it is valid from its receipt;
 //   3. a new owner sends those servers nothing until the earlier lease and the longest flight have passed;
-//   4. all reported versions are compared afterwards: a server that fell back is noticed, counted and brought forward again. This alone covers an owner paused between its check and
+//   4. all reported versions are compared afterwards: a server that fell back is noticed, counted and brought forward again. This alone covers an owner paused
+//   between its check and
 //      its send, which no clock can exclude.
 // A swap that failed partway leaves the server's version unknown (0): it is out of sampling until it reports a version, and is ordered again.
 //
@@ -177,7 +179,8 @@
         m_waveSince = m_now;
         m_machine.handle(rollout_event::Staged);
         if (m_log != nullptr) {
-            m_log->add({ m_now, decision_kind::Ordered, subject_kind::Run, m_run.str(), error_kind::None, "switch to version " + std::to_string(m_switchVersion) });
+            m_log->add(
+                { m_now, decision_kind::Ordered, subject_kind::Run, m_run.str(), error_kind::None, "switch to version " + std::to_string(m_switchVersion) });
         }
     }
     switchServers();
--- a/weights/weight_rollout.h
+++ b/weights/weight_rollout.h
@@ -7,8 +7,8 @@
  *     perform(rollout.onEvent(now, rollout_input::ownership_gained{epoch, leaseUntil}));
  *     perform(rollout.onEvent(now, rollout_input::version_published{42}));
  *
- * Orders go to one deputy a zone (weights/zone_weights.h) and are idempotent and monotone: repeating one, or a late older one, does no harm. What a sample says of its versions
- * never depends on any of this; it comes from the engines' own words.
+ * Orders go to one deputy a zone (weights/zone_weights.h) and are idempotent and monotone: repeating one, or a late older one, does no harm. What a sample says
+ * of its versions never depends on any of this; it comes from the engines' own words.
  */
 #pragma once
 
--- a/weights/zone_weights.cpp
+++ b/weights/zone_weights.cpp
@@ -1,7 +1,8 @@
-// One deputy a zone keeps cross-zone traffic at one message an operation, and lets a cut-off zone go on with what it was last told. A second deputy for the same zone, for as long
-// as two nodes disagree about who it is, does no harm: orders are idempotent and servers count what they are told.
+// One deputy a zone keeps cross-zone traffic at one message an operation, and lets a cut-off zone go on with what it was last told. A second deputy for the
+// same zone, for as long as two nodes disagree about who it is, does no harm: orders are idempotent and servers count what they are told.
 //
-// Cost: one load read a server each 3 s (each 0.5 s during a switch), one report a run each 5 s or at a change. Memory: about 300 bytes for each pair of server and run.
+// Cost: one load read a server each 3 s (each 0.5 s during a switch), one report a run each 5 s or at a change. Memory: about 300 bytes for each pair of server
+// and run.
 
 #include "weights/zone_weights.h"
 
--- a/weights/zone_weights.h
+++ b/weights/zone_weights.h
@@ -84,7 +84,8 @@
 } // namespace deputy_input
 
 /** Everything a deputy can be told. */
-using deputy_event = std::variant<deputy_input::servers_changed, deputy_input::order_received, deputy_input::order_answered, deputy_input::load_read, deputy_input::timer>;
+using deputy_event =
+    std::variant<deputy_input::servers_changed, deputy_input::order_received, deputy_input::order_answered, deputy_input::load_read, deputy_input::timer>;
 
 namespace deputy_action {
 
