Peer links over TLS with roles in the certificates

Cause: nothing told a process of the system from any other program that can reach its peer address. Change: a second websocketpp engine over TLS in both directions; the role is the certificate's organizational unit and is checked before a link opens; contexts are made anew when a file changes, so certificates are replaced without a restart.

--- /dev/null
+++ b/net/testing/peer_tls_test.cpp
@@ -0,0 +1,91 @@
+#include "net/peer_bus.h"
+#include "net/testing/test_certificates.h"
+
+#include <gtest/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::test_authority;
+
+constexpr std::uint16_t tlsPort = 29873;
+
+peer_bus_options optionsWith(const tls_files &files)
+{
+    peer_bus_options options;
+    options.transport.tls = files;
+    return options;
+}
+
+/** Runs a listener and a caller with the given files. @return whether a link came up at the caller and at the listener's message handler */
+struct probe
+{
+    static constexpr std::string_view messageName = "probe";
+    int number = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(probe, number)
+};
+
+bool messagePasses(const tls_files &listenerFiles, const tls_files &callerFiles)
+{
+    boost::asio::io_context io;
+    const endpoint where{ "127.0.0.1", tlsPort };
+    peer_bus listener(io, optionsWith(listenerFiles));
+    peer_bus caller(io, optionsWith(callerFiles));
+    bool received = false;
+    listener.onMessage<probe>([&](link_id, probe) {
+        received = true;
+        io.stop();
+    });
+    EXPECT_TRUE(listener.listen(where));
+    int downs = 0;
+    caller.keepConnected(where,
+                         { [&](link_id link) {
+                              caller.send(link, probe{ 1 });
+                          },
+                           [&] {
+                               if (++downs == 3) {
+                                   io.stop();
+                               }
+                           } });
+    io.run_for(20s);
+    return received;
+}
+
+TEST(peer_tls, passesMessagesOnlyBetweenNodesOfOneAuthority)
+{
+    test_authority ours;
+    test_authority foreign;
+    const tls_files first = ours.issue("first", "node");
+    const tls_files second = ours.issue("second", "node");
+    EXPECT_TRUE(messagePasses(first, second));
+    EXPECT_FALSE(messagePasses(first, foreign.issue("second", "node"))) << "foreign authority";
+    EXPECT_FALSE(messagePasses(first, ours.issue("person", "operator"))) << "other role";
+    EXPECT_FALSE(messagePasses(first, tls_files{})) << "no TLS at all";
+    EXPECT_FALSE(messagePasses(first, tls_files{ "", "", first.authorityFile })) << "no certificate";
+}
+
+TEST(tls_context_source, takesUpReplacedFilesAndKeepsTheLastGoodOnes)
+{
+    test_authority ours;
+    const tls_files files = ours.issue("node", "node");
+    tls_context_source source(files, tls_side::Server);
+    std::string error;
+    const auto first = source.current(error);
+    ASSERT_TRUE(first) << error;
+    EXPECT_EQ(source.current(error), first);
+
+    ours.issue("node", "node");
+    const auto second = source.current(error);
+    EXPECT_TRUE(second);
+    EXPECT_NE(second, first);
+
+    std::FILE *broken = std::fopen(files.certificateFile.c_str(), "w");
+    std::fputs("broken", broken);
+    std::fclose(broken);
+    EXPECT_EQ(source.current(error), second);
+    EXPECT_NE(error, "");
+}
+
+} // namespace
+} // namespace reedtrail
--- a/net/transport/peer_transport.cpp
+++ b/net/transport/peer_transport.cpp
@@ -1,330 +1,53 @@
-// websocketpp gives framing, pings and close handshakes; this adds the table of links, the proof of life and the bounds. TCP alone does not notice a
-// connection whose state was lost on the way (it stays open and silent), so each link pings and is given up after silenceTimeout without any frame.
-// Cost: one timer for all links, one pass over them each half ping interval. Memory: maximumQueuedBytes a link.
+// Chooses the engine by whether TLS files were given. The engines stand in files of their own since each compiles websocketpp once more.
 
 #include "net/transport/peer_transport.h"
 
-#define ASIO_STANDALONE_UNUSED
-#include <map>
-#include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls.hpp>
-#include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
+#include "net/transport/transport_engine.h"
 
 namespace reedtrail {
-namespace {
-
-using clock_type = std::chrono::steady_clock;
-using server_type = websocketpp::server<websocketpp::config::asio>;
-using client_type = websocketpp::client<websocketpp::config::asio_client>;
-using websocketpp::connection_hdl;
-
-constexpr int listenBacklog = 256;
-
-struct link_state
-{
-    connection_hdl handle;
-    bool isAccepted = false;
-    bool isOpen = false;
-    clock_type::time_point lastHeard;
-    clock_type::time_point lastPing;
-};
-
-} // namespace
-
-struct peer_transport::implementation
-{
-    boost::asio::io_context &io;
-    peer_transport_options options;
-    peer_transport_handlers handlers;
-    server_type server;
-    client_type client;
-    std::map<link_id, link_state> links;
-    std::map<connection_hdl, link_id, std::owner_less<connection_hdl>> byHandle;
-    boost::asio::steady_timer timer;
-    link_id nextLink = 1;
-    std::size_t accepted = 0;
-    std::uint64_t sentBytes = 0;
-    std::uint64_t receivedBytes = 0;
-    bool stopped = false;
-
-    implementation(boost::asio::io_context &context, peer_transport_options theOptions, peer_transport_handlers theHandlers)
-        : io(context)
-        , options(theOptions)
-        , handlers(std::move(theHandlers))
-        , timer(context)
-    {
-        prepare(server);
-        prepare(client);
-        server.set_reuse_addr(true);
-        server.set_validate_handler([this](connection_hdl) {
-            return accepted < options.maximumLinks;
-        });
-        server.set_open_handler([this](connection_hdl handle) {
-            ++accepted;
-            const link_id link = add(handle, true);
-            opened(link);
-        });
-        client.set_open_handler([this](connection_hdl handle) {
-            const auto found = byHandle.find(handle);
-            if (found != byHandle.end()) {
-                opened(found->second);
-            }
-        });
-        scheduleCheck();
-    }
-
-    template<class Endpoint>
-    void prepare(Endpoint &endpoint)
-    {
-        endpoint.clear_access_channels(websocketpp::log::alevel::all);
-        endpoint.clear_error_channels(websocketpp::log::elevel::all);
-        endpoint.init_asio(&io);
-        endpoint.set_max_message_size(options.maximumMessageBytes);
-        endpoint.set_open_handshake_timeout(options.connectTimeout.count());
-        endpoint.set_close_handshake_timeout(options.connectTimeout.count());
-        endpoint.set_pong_timeout(options.silenceTimeout.count());
-        endpoint.set_message_handler([this](connection_hdl handle, auto message) {
-            received(handle, message->get_payload());
-        });
-        endpoint.set_pong_handler([this](connection_hdl handle, std::string) {
-            heard(handle);
-        });
-        endpoint.set_ping_handler([this](connection_hdl handle, std::string) {
-            heard(handle);
-            return true;
-        });
-        endpoint.set_close_handler([this](connection_hdl handle) {
-            remove(handle, "closed");
-        });
-        endpoint.set_fail_handler([this](connection_hdl handle) {
-            remove(handle, "could not connect");
-        });
-    }
-
-    link_id add(const connection_hdl &handle, bool isAccepted)
-    {
-        const link_id link = nextLink++;
-        links[link] = { handle, isAccepted, false, clock_type::now(), clock_type::now() };
-        byHandle[handle] = link;
-        return link;
-    }
-
-    void opened(link_id link)
-    {
-        links[link].isOpen = true;
-        links[link].lastHeard = clock_type::now();
-        handlers.onOpen(link);
-    }
-
-    void heard(const connection_hdl &handle)
-    {
-        const auto found = byHandle.find(handle);
-        if (found != byHandle.end()) {
-            links[found->second].lastHeard = clock_type::now();
-        }
-    }
-
-    void received(const connection_hdl &handle, const std::string &bytes)
-    {
-        heard(handle);
-        receivedBytes += bytes.size();
-        const auto found = byHandle.find(handle);
-        if (found != byHandle.end()) {
-            handlers.onMessage(found->second, bytes);
-        }
-    }
-
-    void remove(const connection_hdl &handle, const std::string &reason)
-    {
-        const auto found = byHandle.find(handle);
-        if (found != byHandle.end()) {
-            forget(found->second, reason);
-        }
-    }
-
-    /** Takes the link out of the tables first, so that late frames on its connection reach nobody. */
-    void forget(link_id link, const std::string &reason)
-    {
-        const auto found = links.find(link);
-        if (found == links.end()) {
-            return;
-        }
-        accepted -= found->second.isAccepted ? 1 : 0;
-        byHandle.erase(found->second.handle);
-        links.erase(found);
-        if (!stopped) {
-            handlers.onClose(link, reason);
-        }
-    }
-
-    template<class Action>
-    void onConnection(const link_state &state, Action action)
-    {
-        websocketpp::lib::error_code error;
-        if (state.isAccepted) {
-            const auto connection = server.get_con_from_hdl(state.handle, error);
-            if (!error && connection) {
-                action(*connection);
-            }
-        } else {
-            const auto connection = client.get_con_from_hdl(state.handle, error);
-            if (!error && connection) {
-                action(*connection);
-            }
-        }
-    }
-
-    void closeConnection(const link_state &state, const std::string &reason)
-    {
-        onConnection(state, [&](auto &connection) {
-            websocketpp::lib::error_code ignored;
-            if (state.isOpen) {
-                connection.close(websocketpp::close::status::going_away, reason, ignored);
-            } else {
-                connection.terminate(websocketpp::lib::error_code());
-            }
-        });
-    }
-
-    void closeLink(link_id link, const std::string &reason)
-    {
-        const auto found = links.find(link);
-        if (found == links.end()) {
-            return;
-        }
-        const link_state state = found->second;
-        forget(link, reason);
-        closeConnection(state, reason);
-    }
-
-    void scheduleCheck()
-    {
-        timer.expires_after(options.pingInterval / 2);
-        timer.async_wait([this](const boost::system::error_code &error) {
-            if (error || stopped) {
-                return;
-            }
-            checkLinks();
-            scheduleCheck();
-        });
-    }
-
-    void checkLinks()
-    {
-        const auto now = clock_type::now();
-        std::vector<link_id> silent;
-        for (auto &[link, state] : links) {
-            if (!state.isOpen) {
-                continue;
-            }
-            if (now - state.lastHeard > options.silenceTimeout) {
-                silent.push_back(link);
-            } else if (now - state.lastPing >= options.pingInterval) {
-                state.lastPing = now;
-                onConnection(state, [](auto &connection) {
-                    websocketpp::lib::error_code ignored;
-                    connection.ping("", ignored);
-                });
-            }
-        }
-        for (const link_id link : silent) {
-            closeLink(link, "silent");
-        }
-    }
-};
 
 peer_transport::peer_transport(boost::asio::io_context &io, peer_transport_options options, peer_transport_handlers handlers)
-    : m_implementation(std::make_unique<implementation>(io, options, std::move(handlers)))
 {
+    const bool usesTls = !options.tls.isEmpty();
+    m_engine =
+        usesTls ? detail::makeTlsEngine(io, std::move(options), std::move(handlers)) : detail::makePlainEngine(io, std::move(options), std::move(handlers));
 }
 
-peer_transport::~peer_transport()
-{
-    stop();
-}
+peer_transport::~peer_transport() = default;
 
 std::string peer_transport::listen(const std::string &ip, std::uint16_t port)
 {
-    websocketpp::lib::error_code error;
-    boost::system::error_code addressError;
-    const auto address = boost::asio::ip::make_address(ip, addressError);
-    if (addressError) {
-        return ip + " is no IP number";
-    }
-    m_implementation->server.set_listen_backlog(listenBacklog);
-    m_implementation->server.listen(boost::asio::ip::tcp::endpoint(address, port), error);
-    if (!error) {
-        m_implementation->server.start_accept(error);
-    }
-    return error ? error.message() : "";
+    return m_engine->listen(ip, port);
 }
 
 link_id peer_transport::connect(const std::string &ip, std::uint16_t port)
 {
-    const std::string host = ip.find(':') == std::string::npos ? ip : "[" + ip + "]";
-    websocketpp::lib::error_code error;
-    const auto connection = m_implementation->client.get_connection("ws://" + host + ":" + std::to_string(port) + "/", error);
-    if (error) {
-        const link_id link = m_implementation->nextLink++;
-        boost::asio::post(m_implementation->io, [this, link, reason = error.message()] {
-            m_implementation->handlers.onClose(link, reason);
-        });
-        return link;
-    }
-    const link_id link = m_implementation->add(connection->get_handle(), false);
-    m_implementation->client.connect(connection);
-    return link;
+    return m_engine->connect(ip, port);
 }
 
 bool peer_transport::send(link_id link, const std::string &bytes)
 {
-    const auto found = m_implementation->links.find(link);
-    if (found == m_implementation->links.end() || !found->second.isOpen) {
-        return false;
-    }
-    bool isSent = false;
-    bool isFull = false;
-    m_implementation->onConnection(found->second, [&](auto &connection) {
-        isFull = connection.get_buffered_amount() + bytes.size() > m_implementation->options.maximumQueuedBytes;
-        isSent = !isFull && !connection.send(bytes, websocketpp::frame::opcode::binary);
-    });
-    if (isFull) {
-        m_implementation->closeLink(link, "queue full");
-    }
-    m_implementation->sentBytes += isSent ? bytes.size() : 0;
-    return isSent;
+    return m_engine->send(link, bytes);
 }
 
 void peer_transport::close(link_id link)
 {
-    m_implementation->closeLink(link, "closed here");
+    m_engine->close(link);
 }
 
 void peer_transport::stop()
 {
-    if (m_implementation->stopped) {
-        return;
-    }
-    m_implementation->stopped = true;
-    m_implementation->timer.cancel();
-    websocketpp::lib::error_code ignored;
-    if (m_implementation->server.is_listening()) {
-        m_implementation->server.stop_listening(ignored);
-    }
-    while (!m_implementation->links.empty()) {
-        m_implementation->closeLink(m_implementation->links.begin()->first, "stopping");
-    }
+    m_engine->stop();
 }
 
 std::uint64_t peer_transport::bytesSent() const
 {
-    return m_implementation->sentBytes;
+    return m_engine->bytesSent();
 }
 
 std::uint64_t peer_transport::bytesReceived() const
 {
-    return m_implementation->receivedBytes;
+    return m_engine->bytesReceived();
 }
 
 } // namespace reedtrail
--- a/net/transport/peer_transport.h
+++ b/net/transport/peer_transport.h
@@ -7,6 +7,8 @@
  */
 #pragma once
 
+#include "net/transport/tls_context.h"
+
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
@@ -17,6 +19,10 @@
 
 namespace reedtrail {
 
+namespace detail {
+class transport_engine;
+}
+
 /** One link of this process, never reused: a message on an old link cannot be taken for one on the new. */
 using link_id = std::uint64_t;
 
@@ -29,6 +35,8 @@
     std::size_t maximumMessageBytes = std::size_t{ 4 } << 20U;
     std::size_t maximumQueuedBytes = std::size_t{ 8 } << 20U; ///< A link with more waiting is closed: its peer does not read.
     std::size_t maximumLinks = 2048; ///< Links accepted from others.
+    tls_files tls; ///< Empty: links are not encrypted.
+    std::string tlsRole = "node"; ///< Role that the other end's certificate must name.
 };
 
 /** What a transport reports. */
@@ -63,8 +71,7 @@
     std::uint64_t bytesReceived() const;
 
 private:
-    struct implementation;
-    std::unique_ptr<implementation> m_implementation;
+    std::unique_ptr<detail::transport_engine> m_engine;
 };
 
 } // namespace reedtrail
--- /dev/null
+++ b/net/transport/tls_context.cpp
@@ -0,0 +1,97 @@
+// OpenSSL reads files only when a context is made, so replacing a certificate needs a new context; connections that are open keep theirs. The files are
+// looked at for each new connection (three stat calls), which needs no timer and no signal. A pair that does not fit together (the certificate was
+// replaced and the key not yet) leaves the last good context in use.
+// The role stands in the certificate's organizational unit: "node" for processes of the system, "operator" for people's tools.
+
+#include "net/transport/tls_context.h"
+
+#include <boost/asio/error.hpp>
+#include <openssl/x509.h>
+#include <sys/stat.h>
+
+namespace reedtrail {
+namespace {
+
+constexpr int longestRole = 64;
+
+std::string stampOf(const std::string &file)
+{
+    struct stat state
+    {
+    };
+    if (::stat(file.c_str(), &state) != 0) {
+        return file + " missing;";
+    }
+    return std::to_string(state.st_mtim.tv_sec) + "." + std::to_string(state.st_mtim.tv_nsec) + "/" + std::to_string(state.st_ino) + "/"
+        + std::to_string(state.st_size) + ";";
+}
+
+} // namespace
+
+tls_context_source::tls_context_source(tls_files files, tls_side side, tls_peer_check check)
+    : m_files(std::move(files))
+    , m_side(side)
+    , m_check(check)
+{
+}
+
+std::string tls_context_source::stampOfFiles() const
+{
+    return stampOf(m_files.certificateFile) + stampOf(m_files.keyFile) + stampOf(m_files.authorityFile);
+}
+
+std::shared_ptr<boost::asio::ssl::context> tls_context_source::current(std::string &error)
+{
+    error.clear();
+    const std::string stamp = stampOfFiles();
+    if (m_context && stamp == m_stamp) {
+        return m_context;
+    }
+    const std::shared_ptr<boost::asio::ssl::context> made = make(error);
+    if (made) {
+        m_context = made;
+        m_stamp = stamp;
+    }
+    return m_context;
+}
+
+std::shared_ptr<boost::asio::ssl::context> tls_context_source::make(std::string &error) const
+{
+    namespace ssl = boost::asio::ssl;
+    const auto method = m_side == tls_side::Server ? ssl::context::tls_server : ssl::context::tls_client;
+    auto context = std::make_shared<ssl::context>(method);
+    boost::system::error_code failure;
+    const auto attempt = [&](const std::string &file, auto action) {
+        if (error.empty() && !file.empty()) {
+            action();
+            error = failure ? file + ": " + failure.message() : "";
+        }
+    };
+    context->set_options(ssl::context::default_workarounds | ssl::context::no_tlsv1 | ssl::context::no_tlsv1_1, failure);
+    attempt(m_files.certificateFile, [&] {
+        context->use_certificate_chain_file(m_files.certificateFile, failure);
+    });
+    attempt(m_files.keyFile, [&] {
+        context->use_private_key_file(m_files.keyFile, ssl::context::pem, failure);
+    });
+    attempt(m_files.authorityFile, [&] {
+        context->load_verify_file(m_files.authorityFile, failure);
+    });
+    const bool demandsCertificate = m_side == tls_side::Client || m_check == tls_peer_check::Required;
+    context->set_verify_mode(demandsCertificate ? ssl::verify_peer | ssl::verify_fail_if_no_peer_cert : ssl::verify_none, failure);
+    return error.empty() ? context : nullptr;
+}
+
+std::string peerRole(SSL *ssl)
+{
+    X509 *certificate = SSL_get1_peer_certificate(ssl);
+    if (certificate == nullptr) {
+        return "";
+    }
+    char role[longestRole] = {};
+    X509_NAME_get_text_by_NID(X509_get_subject_name(certificate), NID_organizationalUnitName, role, sizeof(role));
+    X509_free(certificate);
+    return role;
+}
+
+} // namespace reedtrail
