HTTP over TLS for operators, and TLS files in the node file

Cause: operators' tokens crossed the network in the clear. Change: server sessions and client calls over a TLS stream; node file groups peerTls and operatorTls.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -6,6 +6,7 @@
 #include "net/http_client.h"
 
 #include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
 #include <boost/beast.hpp>
 #include <deque>
 #include <map>
@@ -28,6 +29,7 @@
 struct connection_pool
 {
     http_client_options options;
+    std::optional<tls_context_source> tlsContexts;
     std::map<endpoint, std::deque<idle_connection>> idle;
 };
 
@@ -39,6 +41,9 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/**
+ * A call over plain TCP, or over TLS when its pool has a context. TLS connections are not kept: only operators' tools use them, for a call each.
+ */
 class client_call : public http_call, public std::enable_shared_from_this<client_call>
 {
 public:
@@ -110,14 +115,48 @@
             }
             beast::error_code ignored;
             self->m_socket->set_option(tcp::no_delay(true), ignored);
-            self->sendRequest();
+            self->connected();
         });
     }
 
+    void connected()
+    {
+        const auto pool = m_pool.lock();
+        if (!pool || !pool->tlsContexts) {
+            sendRequest();
+            return;
+        }
+        std::string error;
+        m_context = pool->tlsContexts->current(error);
+        if (!m_context) {
+            end(error_kind::NoServer, error);
+            return;
+        }
+        m_tls.emplace(*m_socket, *m_context);
+        m_tls->async_handshake(asio::ssl::stream_base::client, [self = shared_from_this()](const beast::error_code &handshakeError) {
+            if (handshakeError) {
+                self->end(error_kind::NoServer, "TLS handshake failed: " + handshakeError.message());
+            } else {
+                self->sendRequest();
+            }
+        });
+    }
+
+    /** Runs @p action on the stream in use, plain or TLS. */
+    template<class Action>
+    void onStream(Action action)
+    {
+        if (m_tls) {
+            action(*m_tls);
+        } else {
+            action(*m_socket);
+        }
+    }
+
     bool takeIdle()
     {
         const auto pool = m_pool.lock();
-        if (!pool) {
+        if (!pool || pool->tlsContexts) {
             return false;
         }
         std::deque<idle_connection> &kept = pool->idle[m_where];
@@ -139,12 +178,14 @@
         }
         m_isHandedOver = true;
         watchSilence(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
-        http::async_write(*m_socket, m_message, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
-            if (error) {
-                self->end(error_kind::ServerFailed, "write failed: " + error.message());
-            } else {
-                self->readHead();
-            }
+        onStream([this](auto &stream) {
+            http::async_write(stream, m_message, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+                if (error) {
+                    self->end(error_kind::ServerFailed, "write failed: " + error.message());
+                } else {
+                    self->readHead();
+                }
+            });
         });
     }
 
@@ -158,8 +199,10 @@
         m_parser->body_limit(pool ? pool->options.maximumBodyBytes : 0);
         m_parser->skip(m_isHeadRequest);
         watchSilence(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
-        http::async_read_header(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
-            self->gotHead(error);
+        onStream([this](auto &stream) {
+            http::async_read_header(stream, m_buffer, *m_parser, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+                self->gotHead(error);
+            });
         });
     }
 
@@ -197,8 +240,10 @@
         m_parser->get().body().data = m_part.data();
         m_parser->get().body().size = m_part.size();
         watchSilence(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
-        http::async_read_some(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
-            self->gotBody(error);
+        onStream([this](auto &stream) {
+            http::async_read_some(stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+                self->gotBody(error);
+            });
         });
     }
 
@@ -224,7 +269,7 @@
     void keepConnection()
     {
         const auto pool = m_pool.lock();
-        if (!pool || !m_parser->keep_alive() || m_buffer.size() > 0) {
+        if (!pool || m_tls || !m_parser->keep_alive() || m_buffer.size() > 0) {
             return;
         }
         std::deque<idle_connection> &kept = pool->idle[m_where];
@@ -270,6 +315,8 @@
     asio::steady_timer m_silenceTimer;
     asio::steady_timer m_deadlineTimer;
     std::unique_ptr<tcp::socket> m_socket;
+    std::shared_ptr<asio::ssl::context> m_context;
+    std::optional<asio::ssl::stream<tcp::socket &>> m_tls;
     http::request<http::string_body> m_message;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
@@ -291,7 +338,10 @@
 http_client::http_client(asio::io_context &io, http_client_options options)
     : m_implementation(std::make_shared<implementation>(implementation{ io }))
 {
-    m_implementation->pool->options = options;
+    if (!options.tls.isEmpty()) {
+        m_implementation->pool->tlsContexts.emplace(options.tls, tls_side::Client);
+    }
+    m_implementation->pool->options = std::move(options);
 }
 
 http_client::~http_client() = default;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -18,6 +18,7 @@
 #include "base/time.h"
 #include "net/endpoint.h"
 #include "net/http_message.h"
+#include "net/transport/tls_context.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -67,6 +68,7 @@
     std::size_t maximumIdlePerEndpoint = 16;
     duration idleTimeout = std::chrono::seconds(30); ///< Kept connections unused for longer are closed when next looked at.
     std::size_t maximumBodyBytes = 64U << 20U; ///< Of a response.
+    tls_files tls; ///< Empty: plain HTTP. With an authority the server must show a certificate signed by it.
 };
 
 /** The client. */
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -6,9 +6,12 @@
 #include "net/http_server.h"
 
 #include "base/check.h"
+#include "kernel/log.h"
 
 #include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
 #include <boost/beast.hpp>
+#include <boost/beast/ssl.hpp>
 #include <deque>
 #include <set>
 
@@ -20,7 +23,21 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-class http_session;
+/** One connection, over plain TCP or TLS. */
+class http_session
+{
+public:
+    virtual ~http_session() = default;
+    virtual void begin() = 0;
+    virtual void close() = 0;
+    virtual bool isCurrent(std::uint64_t number) const = 0;
+    virtual void respond(http_response response) = 0;
+    virtual void startStream(const http_response &head) = 0;
+    virtual void write(std::string_view data) = 0;
+    virtual void finishStream() = 0;
+
+    std::function<void()> goneAction;
+};
 
 /** What the sessions share with their server. */
 struct server_state
@@ -65,45 +82,64 @@
     bool m_isAnswered = false;
 };
 
-class http_session : public std::enable_shared_from_this<http_session>
+using plain_stream = beast::tcp_stream;
+using tls_stream = beast::ssl_stream<beast::tcp_stream>;
+
+template<class Stream>
+class basic_session : public http_session, public std::enable_shared_from_this<basic_session<Stream>>
 {
 public:
-    http_session(tcp::socket socket, std::shared_ptr<server_state> server)
-        : m_stream(std::move(socket))
+    /** @param streamArguments the socket, and for TLS the context @param context kept alive as long as the session */
+    template<class... StreamArguments>
+    basic_session(std::shared_ptr<server_state> server, std::shared_ptr<asio::ssl::context> context, StreamArguments &&...streamArguments)
+        : m_context(std::move(context))
+        , m_stream(std::forward<StreamArguments>(streamArguments)...)
         , m_server(std::move(server))
     {
     }
 
+    void begin() override
+    {
+        if constexpr (std::is_same_v<Stream, tls_stream>) {
+            lowest().expires_after(m_server->options.idleTimeout);
+            m_stream.async_handshake(asio::ssl::stream_base::server, [self = this->shared_from_this()](const beast::error_code &error) {
+                error ? self->close() : self->readNext();
+            });
+        } else {
+            readNext();
+        }
+    }
+
     void readNext()
     {
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->options.maximumHeaderBytes));
         m_parser->body_limit(m_server->options.maximumBodyBytes);
-        m_stream.expires_after(m_server->options.idleTimeout);
-        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+        lowest().expires_after(m_server->options.idleTimeout);
+        http::async_read(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
             self->received(error);
         });
     }
 
-    void close()
+    void close() override
     {
         if (m_isClosed) {
             return;
         }
         m_isClosed = true;
         beast::error_code ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-        m_stream.socket().close(ignored);
+        lowest().socket().shutdown(tcp::socket::shutdown_both, ignored);
+        lowest().socket().close(ignored);
         endExchange(true);
-        m_server->sessions.erase(shared_from_this());
+        m_server->sessions.erase(this->shared_from_this());
     }
 
-    bool isCurrent(std::uint64_t number) const
+    bool isCurrent(std::uint64_t number) const override
     {
         return m_isAnswering && number == m_exchangeNumber && !m_isClosed;
     }
 
-    void respond(http_response response)
+    void respond(http_response response) override
     {
         const auto message = std::make_shared<http::response<http::string_body>>(static_cast<http::status>(response.status), m_version);
         for (const http_field &field : response.fields.all()) {
@@ -112,13 +148,13 @@
         message->body() = std::move(response.body);
         message->keep_alive(mayKeepAlive());
         message->prepare_payload();
-        m_stream.expires_after(m_server->options.writeTimeout);
-        http::async_write(m_stream, *message, [self = shared_from_this(), message](const beast::error_code &error, std::size_t) {
+        lowest().expires_after(m_server->options.writeTimeout);
+        http::async_write(m_stream, *message, [self = this->shared_from_this(), message](const beast::error_code &error, std::size_t) {
             self->answered(error);
         });
     }
 
-    void startStream(const http_response &head)
+    void startStream(const http_response &head) override
     {
         http::response<http::empty_body> message(static_cast<http::status>(head.status), m_version);
         for (const http_field &field : head.fields.all()) {
@@ -132,7 +168,7 @@
         enqueue(text.str());
     }
 
-    void write(std::string_view data)
+    void write(std::string_view data) override
     {
         if (data.empty()) {
             return;
@@ -146,15 +182,18 @@
         enqueue(std::string(size).append(data).append("\r\n"));
     }
 
-    void finishStream()
+    void finishStream() override
     {
         m_isStreamEnded = true;
         enqueue(m_isChunked ? "0\r\n\r\n" : "");
     }
 
-    std::function<void()> goneAction;
-
 private:
+    plain_stream &lowest()
+    {
+        return beast::get_lowest_layer(m_stream);
+    }
+
     bool mayKeepAlive() const
     {
         return m_wantsKeepAlive && !m_server->isStopping;
@@ -207,20 +246,20 @@
         m_isStreamEnded = false;
         m_isChunked = false;
         ++m_server->inFlight;
-        m_stream.expires_never();
+        lowest().expires_never();
         watchForHangUp();
-        m_server->handle(std::make_shared<session_exchange>(weak_from_this(), ++m_exchangeNumber, std::move(request)));
+        m_server->handle(std::make_shared<session_exchange>(this->weak_from_this(), ++m_exchangeNumber, std::move(request)));
     }
 
     /** Waits until the caller's side shows something while its answer is pending: the end of the connection, or (ignored) a further request. */
     void watchForHangUp()
     {
-        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), number = m_exchangeNumber + 1](const beast::error_code &error) {
+        lowest().socket().async_wait(tcp::socket::wait_read, [self = this->shared_from_this(), number = m_exchangeNumber + 1](const beast::error_code &error) {
             if (error || !self->isCurrent(number)) {
                 return;
             }
             char byte = 0;
-            const ssize_t count = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            const ssize_t count = ::recv(self->lowest().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             const bool hasEnded = count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
             if (hasEnded) {
                 self->close();
@@ -243,8 +282,8 @@
 
     void writeQueued()
     {
-        m_stream.expires_after(m_server->options.writeTimeout);
-        asio::async_write(m_stream, asio::buffer(m_queue.front()), [self = shared_from_this()](const beast::error_code &error, std::size_t) {
+        lowest().expires_after(m_server->options.writeTimeout);
+        asio::async_write(m_stream, asio::buffer(m_queue.front()), [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
             self->wroteQueued(error);
         });
     }
@@ -263,7 +302,7 @@
             m_wantsKeepAlive = m_wantsKeepAlive && m_isChunked;
             answered({});
         } else {
-            m_stream.expires_never();
+            lowest().expires_never();
         }
     }
 
@@ -279,7 +318,7 @@
         }
         endExchange(false);
         beast::error_code ignored;
-        m_stream.socket().cancel(ignored);
+        lowest().socket().cancel(ignored);
         readNext();
     }
 
@@ -290,13 +329,14 @@
         }
         m_isAnswering = false;
         --m_server->inFlight;
-        const std::function<void()> action = std::exchange(goneAction, nullptr);
+        const std::function<void()> action = std::exchange(this->goneAction, nullptr);
         if (isGone && action) {
             action();
         }
     }
 
-    beast::tcp_stream m_stream;
+    std::shared_ptr<asio::ssl::context> m_context;
+    Stream m_stream;
     std::shared_ptr<server_state> m_server;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -383,6 +423,7 @@
     asio::io_context &io;
     tcp::acceptor acceptor;
     std::shared_ptr<server_state> state = std::make_shared<server_state>();
+    std::optional<tls_context_source> tlsContexts;
 
     explicit implementation(asio::io_context &context)
         : io(context)
@@ -392,7 +433,7 @@
 
     void acceptNext()
     {
-        acceptor.async_accept([self = shared_from_this()](const beast::error_code &error, tcp::socket socket) {
+        acceptor.async_accept([self = this->shared_from_this()](const beast::error_code &error, tcp::socket socket) {
             if (error == asio::error::operation_aborted || !self->acceptor.is_open()) {
                 return;
             }
@@ -410,15 +451,34 @@
         }
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        const auto session = std::make_shared<http_session>(std::move(socket), state);
-        state->sessions.insert(session);
-        session->readNext();
+        const std::shared_ptr<http_session> session = makeSession(std::move(socket));
+        if (session) {
+            state->sessions.insert(session);
+            session->begin();
+        }
+    }
+
+    /** Returns a session, or none if TLS is asked for and its files cannot be used. */
+    std::shared_ptr<http_session> makeSession(tcp::socket socket)
+    {
+        if (!tlsContexts) {
+            return std::make_shared<basic_session<plain_stream>>(state, nullptr, std::move(socket));
+        }
+        std::string error;
+        const std::shared_ptr<asio::ssl::context> context = tlsContexts->current(error);
+        if (!error.empty()) {
+            logLine(log_level::Error, "tls-files-unusable", { { "reason", error } });
+        }
+        return context ? std::make_shared<basic_session<tls_stream>>(state, context, std::move(socket), *context) : nullptr;
     }
 };
 
 http_server::http_server(asio::io_context &io, http_server_options options, handler handle)
     : m_implementation(std::make_shared<implementation>(io))
 {
+    if (!options.tls.isEmpty()) {
+        m_implementation->tlsContexts.emplace(options.tls, tls_side::Server, tls_peer_check::NotAsked);
+    }
     m_implementation->state->options = std::move(options);
     m_implementation->state->handle = std::move(handle);
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 #include "net/endpoint.h"
 #include "net/http_message.h"
+#include "net/transport/tls_context.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -34,6 +35,7 @@
     std::size_t maximumQueuedBytes = 4U << 20U; ///< A caller that does not read its stream is cut beyond this.
     duration idleTimeout = std::chrono::seconds(75); ///< Between requests, and while a request is being received.
     duration writeTimeout = std::chrono::seconds(30); ///< For each write to make progress.
+    tls_files tls; ///< Empty: plain HTTP. Callers are known by their tokens, so they show no certificate.
 };
 
 /** One request and the way to answer it. */
--- a/net/testing/peer_tls_test.cpp
+++ b/net/testing/peer_tls_test.cpp
@@ -1,3 +1,5 @@
+#include "net/http_client.h"
+#include "net/http_server.h"
 #include "net/peer_bus.h"
 #include "net/testing/test_certificates.h"
 
@@ -87,5 +89,40 @@
     EXPECT_NE(error, "");
 }
 
+/** Calls a TLS server with a client of @p clientFiles. @return the error kind of the call */
+error_kind callOverTls(const tls_files &serverFiles, const tls_files &clientFiles)
+{
+    boost::asio::io_context io;
+    const endpoint where{ "127.0.0.1", tlsPort };
+    http_server_options options;
+    options.address = where;
+    options.tls = serverFiles;
+    http_server server(io, options, [](std::shared_ptr<http_exchange> exchange) {
+        exchange->respond(textResponse(200, exchange->request().body));
+    });
+    EXPECT_TRUE(server.start());
+    http_client_options clientOptions;
+    clientOptions.tls = clientFiles;
+    http_client client(io, clientOptions);
+    error_kind ended = error_kind::Internal;
+    client.call(where, { "POST", "/", {}, std::string(100000, 'x') }, {}, [&](const http_call_end &end, const http_response &response) {
+        ended = end.error;
+        EXPECT_EQ(response.body.size(), end.error == error_kind::None ? 100000U : 0U);
+        EXPECT_EQ(end.isHandedOver, end.error == error_kind::None);
+        io.stop();
+    });
+    io.run_for(20s);
+    return ended;
+}
+
+TEST(http_tls, answersOnlyClientsThatTrustItsAuthority)
+{
+    test_authority ours;
+    test_authority foreign;
+    const tls_files server = ours.issue("server", "node");
+    EXPECT_EQ(callOverTls(server, { "", "", server.authorityFile }), error_kind::None);
+    EXPECT_EQ(callOverTls(server, { "", "", foreign.issue("other", "node").authorityFile }), error_kind::NoServer);
+}
+
 } // namespace
 } // namespace reedtrail
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -66,6 +66,19 @@
     return limits;
 }
 
+/** Reads an optional group of TLS files; where it is present, all of it must be. */
+tls_files readTls(settings_reader &reader, std::string_view key)
+{
+    tls_files files;
+    if (reader.has(key)) {
+        settings_reader group = reader.object(key);
+        files.certificateFile = group.text("certificateFile");
+        files.keyFile = group.text("keyFile");
+        files.authorityFile = group.text("authorityFile");
+    }
+    return files;
+}
+
 } // namespace
 
 result<node_settings> parseNodeSettings(const nlohmann::json &object, const std::string &file)
@@ -81,6 +94,8 @@
     settings.dataFolder = reader.text("dataFolder", "");
     settings.dataFolderLimitMiB = reader.integer("dataFolderLimitMiB", { 1, 1 << 30 }, settings.dataFolderLimitMiB);
     settings.limits = readLimits(reader.object("limits", false));
+    settings.peerTls = readTls(reader, "peerTls");
+    settings.operatorTls = readTls(reader, "operatorTls");
     settings.bootstrapOperatorHash = reader.text("bootstrapOperatorHash", "");
     if (settings.node.empty()) {
         reader.reject("node", "must not be empty");
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -8,6 +8,7 @@
 
 #include "base/ids.h"
 #include "net/endpoint.h"
+#include "net/transport/tls_context.h"
 
 #include <optional>
 #include <string>
@@ -49,6 +50,8 @@
     std::string dataFolder; ///< Empty on a VM without a disk.
     std::int64_t dataFolderLimitMiB = 1024;
     node_limits limits;
+    tls_files peerTls; ///< For links between the system's processes; empty: not encrypted.
+    tls_files operatorTls; ///< For operators' HTTP; empty: plain.
     std::string bootstrapOperatorHash; ///< Token hash of the operator who may confirm while no fleet document names any.
 };
 
