Request scheduler: first whole path

Cause: a gate needs its decisions before it can serve. Change: queues by customer and run, choice of a server by lagging load, prefix and zone, ejection with a floor, retry budget, deadlines, usage sums of the fleet. Credits are only declared so far.

--- /dev/null
+++ b/routing/fair_queue.cpp
@@ -0,0 +1,225 @@
+// Theory. The fleet's capacity is shared by weighted max-min over what all customers run and want, through whichever gates. Each gate gets the fleet's sums a
+// little late, replaces its own part in them by its present numbers, and solves the same small problem (fair_share.h). From the shares follow:
+//  * whose turn it is: customers below their fair share of the fleet go before those above it, and among equals the one that was sent least work for its weight
+//    (start-time fair queueing, Goyal, Vin and Cheng, SIGCOMM 1996), which stays exact when a gate has fewer slots than customers;
+//  * a limit for each customer that is above its fair share while the pool is contended: the customer's share times this gate's part of its demand. So the
+//    gates' limits add up to the share though no gate asks another (flow proportional share, Raghavan et al., "Cloud control with distributed rate limiting",
+//    SIGCOMM 2007).
+// A customer below its fair share has no limit: its new requests never wait for a sum to come round. A limit of 1.3 requests is met on average over time by a
+// balance of slot-seconds, so that 400 gates with fractional limits do not all round up.
+//
+// Cost: a turn looks at each customer once; share() at each customer a few times. Nothing is allocated but for a new customer or run.
+
+#include "routing/fair_queue.h"
+
+#include "base/check.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace reedtrail {
+
+namespace {
+constexpr double unlimited = std::numeric_limits<double>::infinity();
+constexpr double balanceSeconds = 1.0; ///< Most balance saved up or owed, as seconds of one slot.
+} // namespace
+
+fair_queue::fair_queue(request_links &links, double reservedShare)
+    : m_links(links)
+    , m_reservedShare(reservedShare)
+{
+}
+
+std::uint32_t fair_queue::flowOf(std::uint32_t customer)
+{
+    if (m_flowByCustomer.size() <= customer) {
+        m_flowByCustomer.resize(customer + 1, noIndex);
+    }
+    if (m_flowByCustomer[customer] == noIndex) {
+        m_flowByCustomer[customer] = static_cast<std::uint32_t>(m_flows.size());
+        m_flows.emplace_back().customer = customer;
+        m_rounds.emplace_back();
+        m_demands.reserve(m_flows.size());
+    }
+    return m_flowByCustomer[customer];
+}
+
+std::uint32_t fair_queue::runOf(std::uint32_t flow, std::uint32_t run)
+{
+    std::vector<run_queue> &runs = m_flows[flow].runs;
+    for (std::uint32_t index = 0; index < runs.size(); ++index) {
+        if (runs[index].run == run) {
+            return index;
+        }
+    }
+    runs.emplace_back().run = run;
+    return static_cast<std::uint32_t>(runs.size() - 1);
+}
+
+void fair_queue::setWeight(std::uint32_t flow, double weight)
+{
+    m_flows[flow].weight = weight;
+}
+
+void fair_queue::setRunWeight(std::uint32_t flow, std::uint32_t run, double weight)
+{
+    m_flows[flow].runs[run].weight = weight;
+}
+
+request_list &fair_queue::listOf(std::uint32_t flow, std::uint32_t run)
+{
+    return run == noIndex ? m_flows[flow].interactive : m_flows[flow].runs[run].waiting;
+}
+
+void fair_queue::push(std::uint32_t flow, std::uint32_t run, std::uint32_t request, bool isFirst)
+{
+    customer_flow &owner = m_flows[flow];
+    if (owner.waiting == 0) {
+        owner.virtualTime = std::max(owner.virtualTime, m_virtualTime);
+    }
+    if (run != noIndex && owner.runs[run].waiting.size == 0) {
+        owner.runs[run].virtualTime = std::max(owner.runs[run].virtualTime, owner.runVirtualTime);
+    }
+    if (isFirst) {
+        m_links.pushFront(listOf(flow, run), request);
+    } else {
+        m_links.pushBack(listOf(flow, run), request);
+    }
+    ++owner.waiting;
+    ++m_waiting;
+}
+
+void fair_queue::remove(std::uint32_t flow, std::uint32_t run, std::uint32_t request)
+{
+    m_links.remove(listOf(flow, run), request);
+    --m_flows[flow].waiting;
+    --m_waiting;
+    REEDTRAIL_CHECK(m_flows[flow].waiting >= 0, "a customer's waiting requests are counted");
+}
+
+void fair_queue::onSent(std::uint32_t flow, std::uint32_t run, double work)
+{
+    customer_flow &owner = m_flows[flow];
+    ++owner.running;
+    m_virtualTime = std::max(m_virtualTime, owner.virtualTime);
+    owner.virtualTime += work / owner.weight;
+    if (run != noIndex) {
+        owner.runVirtualTime = std::max(owner.runVirtualTime, owner.runs[run].virtualTime);
+        owner.runs[run].virtualTime += work / owner.runs[run].weight;
+    }
+}
+
+void fair_queue::onOver(std::uint32_t flow)
+{
+    --m_flows[flow].running;
+    REEDTRAIL_CHECK(m_flows[flow].running >= 0, "a customer's running requests are counted");
+}
+
+void fair_queue::beginRound()
+{
+    std::ranges::fill(m_rounds, round_state{});
+}
+
+bool fair_queue::mayGo(const customer_flow &flow) const
+{
+    if (flow.limit == unlimited || !flow.isOverShare()) {
+        return true;
+    }
+    const double whole = std::floor(flow.limit);
+    return flow.running < whole || (flow.running < whole + 1 && flow.balance > 0);
+}
+
+queue_turn fair_queue::turnOf(std::uint32_t index) const
+{
+    const customer_flow &flow = m_flows[index];
+    if (flow.interactive.size > 0 && !m_rounds[index].skipsInteractive) {
+        return { index, noIndex, flow.interactive.head };
+    }
+    queue_turn turn;
+    double least = unlimited;
+    if (m_rounds[index].skipsDrafts) {
+        return turn;
+    }
+    for (std::uint32_t run = 0; run < flow.runs.size(); ++run) {
+        const run_queue &queue = flow.runs[run];
+        if (queue.waiting.size > 0 && queue.virtualTime < least) {
+            least = queue.virtualTime;
+            turn = { index, run, queue.waiting.head };
+        }
+    }
+    return turn;
+}
+
+bool fair_queue::goesBefore(const customer_flow &left, const customer_flow &right) const
+{
+    if (left.isOverShare() != right.isOverShare()) {
+        return right.isOverShare();
+    }
+    return left.virtualTime < right.virtualTime;
+}
+
+queue_turn fair_queue::next() const
+{
+    queue_turn best;
+    for (std::uint32_t index = 0; index < m_flows.size(); ++index) {
+        const customer_flow &flow = m_flows[index];
+        if (flow.waiting == 0 || (best.flow != noIndex && !goesBefore(flow, m_flows[best.flow])) || !mayGo(flow)) {
+            continue;
+        }
+        const queue_turn turn = turnOf(index);
+        best = turn.flow == noIndex ? best : turn;
+    }
+    return best;
+}
+
+void fair_queue::skip(const queue_turn &turn)
+{
+    (turn.run == noIndex ? m_rounds[turn.flow].skipsInteractive : m_rounds[turn.flow].skipsDrafts) = true;
+}
+
+void fair_queue::setTotal(std::uint32_t flow, double running, double waiting)
+{
+    m_flows[flow].othersRunning = std::max(0.0, running - m_flows[flow].reportedRunning);
+    m_flows[flow].othersWaiting = std::max(0.0, waiting - m_flows[flow].reportedWaiting);
+}
+
+void fair_queue::clearTotals()
+{
+    for (customer_flow &flow : m_flows) {
+        flow.othersRunning = 0;
+        flow.othersWaiting = 0;
+    }
+}
+
+void fair_queue::noteReported(std::uint32_t flow)
+{
+    m_flows[flow].reportedRunning = m_flows[flow].running;
+    m_flows[flow].reportedWaiting = m_flows[flow].waiting;
+}
+
+void fair_queue::share(double capacity, duration elapsed)
+{
+    m_demands.clear();
+    double wanted = 0;
+    double activeWeight = 0;
+    for (const customer_flow &flow : m_flows) {
+        const double demand = flow.fleetRunning() + flow.waiting + flow.othersWaiting;
+        m_demands.push_back({ flow.weight, demand, 0 });
+        wanted += demand;
+        activeWeight += demand > 0 ? flow.weight : 0;
+    }
+    const double usable = capacity * (1 - m_reservedShare);
+    m_isContended = wanted > usable;
+    shareMaxMin(usable, m_demands);
+    for (std::size_t index = 0; index < m_flows.size(); ++index) {
+        customer_flow &flow = m_flows[index];
+        const share_demand &share = m_demands[index];
+        flow.fairShare = activeWeight > 0 ? usable * flow.weight / std::max(activeWeight, flow.weight) : unlimited;
+        flow.limit = m_isContended && share.demand > 0 ? share.share * (flow.running + flow.waiting) / share.demand : unlimited;
+        if (flow.limit != unlimited) {
+            flow.balance = std::clamp(flow.balance + (flow.limit - flow.running) * toSeconds(elapsed), -balanceSeconds, balanceSeconds);
+        }
+    }
+}
+
+} // namespace reedtrail
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -34,6 +34,7 @@
     double prefixSavingSeconds = 0.004; ///< Prefill time that one cached prefix block saves, until measured otherwise.
     double otherZoneSeconds = 0.003; ///< Cost of a call into another availability zone, as seconds of wait.
     double queueAllowance = 0.25; ///< Requests sent to a server beyond its slots, as a share of the slots.
+    duration reportLag = std::chrono::seconds(1); ///< Age of a load report when it arrives.
     duration reportLifetime = std::chrono::seconds(10); ///< A load report older than this says nothing more.
 
     // Health of servers.
@@ -54,9 +55,9 @@
     std::uint32_t maximumAttempts = 3; ///< Of one request, with the first.
     double retryShare = 0.08; ///< Retries allowed, as a share of successes.
     double retryReserve = 10; ///< Retries allowed before any success.
+    duration interactiveWait = std::chrono::seconds(2); ///< Longest wait of an interactive request before it is sent.
     duration retryAfterBase = std::chrono::milliseconds(500); ///< Least Retry-After of a refusal.
     duration retryAfterMaximum = std::chrono::seconds(20);
-    duration timerPeriod = std::chrono::milliseconds(20); ///< How often waiting requests are looked at again without other events.
 };
 
 } // namespace reedtrail
--- /dev/null
+++ b/routing/scheduler_sharing.cpp
@@ -0,0 +1,137 @@
+// How the scheduler learns of the fleet's usage and what it makes of it. A total older than its lifetime is forgotten, and the gate shares by what it sees
+// itself: its part of the pool is then the part of one gate among those last counted, or what the load reports say the others leave free, whichever is more.
+
+#include "routing/scheduler_implementation.h"
+
+#include <algorithm>
+
+namespace reedtrail {
+
+void request_scheduler::implementation::applyCustomers(const fleet_document &document)
+{
+    for (scheduler_customer &customer : customers) {
+        customer.isListed = false;
+    }
+    for (const customer_settings &settings : document.customers) {
+        if (!customerIndex.contains(settings.id) && customers.size() >= options.maximumCustomers) {
+            continue;
+        }
+        const auto [found, isNew] = customerIndex.try_emplace(settings.id, static_cast<std::uint32_t>(customers.size()));
+        if (isNew) {
+            customers.emplace_back();
+        }
+        customers[found->second] = { settings.id, settings.weight, settings.maximumQueued, true };
+        for (const std::unique_ptr<scheduler_pool> &pool : pools) {
+            pool->queue.setWeight(pool->queue.flowOf(found->second), settings.weight);
+        }
+    }
+    for (const run_settings &settings : document.runs) {
+        runWeights[runOf(settings.id)] = settings.weight;
+    }
+}
+
+std::uint32_t request_scheduler::implementation::customerOf(const customer_id &id) const
+{
+    const auto found = customerIndex.find(id);
+    return found == customerIndex.end() ? noIndex : found->second;
+}
+
+std::uint32_t request_scheduler::implementation::runOf(const run_id &id)
+{
+    const auto [found, isNew] = runIndex.try_emplace(id, static_cast<std::uint32_t>(runWeights.size()));
+    if (isNew) {
+        runWeights.push_back(1);
+    }
+    return found->second;
+}
+
+std::uint32_t request_scheduler::implementation::runQueueOf(std::uint32_t pool, std::uint32_t flow, const run_id &id)
+{
+    const std::uint32_t run = runOf(id);
+    const std::uint32_t queue = pools[pool]->queue.runOf(flow, run);
+    pools[pool]->queue.setRunWeight(flow, queue, runWeights[run]);
+    return queue;
+}
+
+std::uint32_t request_scheduler::implementation::flowOf(std::uint32_t pool, std::uint32_t customer)
+{
+    return pools[pool]->queue.flowOf(customer);
+}
+
+double request_scheduler::implementation::capacityOf(time_point now, std::uint32_t pool) const
+{
+    const pool_row &row = servers.pool(pool);
+    const bool knowsFleet = hasTotal && now - totalAt <= options.usageLifetime;
+    if (knowsFleet || gates <= 1) {
+        return row.usableSlots;
+    }
+    const double others = row.meanOthers * row.usable;
+    return std::max(row.usableSlots / gates, row.usableSlots - others);
+}
+
+void request_scheduler::implementation::shareAll(time_point now)
+{
+    const duration elapsed = now - sharedAt;
+    sharedAt = now;
+    const bool isOld = hasTotal && now - totalAt > options.usageLifetime;
+    for (std::uint32_t pool = 0; pool < pools.size(); ++pool) {
+        if (isOld) {
+            pools[pool]->queue.clearTotals();
+        }
+        pools[pool]->queue.share(capacityOf(now, pool), elapsed);
+    }
+}
+
+usage_report request_scheduler::makeUsageReport(const node_id &node)
+{
+    implementation &self = *m_implementation;
+    usage_report report{ node, ++self.reportSequence, {} };
+    for (std::uint32_t pool = 0; pool < self.pools.size(); ++pool) {
+        fair_queue &queue = self.pools[pool]->queue;
+        for (std::uint32_t index = 0; index < queue.flowCount(); ++index) {
+            const customer_flow &flow = queue.flow(index);
+            queue.noteReported(index);
+            if (flow.running > 0 || flow.waiting > 0) {
+                report.usage.push_back(
+                    { self.servers.pool(pool).id, self.customers[flow.customer].id, static_cast<double>(flow.running), static_cast<double>(flow.waiting) });
+            }
+        }
+    }
+    return report;
+}
+
+void request_scheduler::onUsageTotal(time_point now, const usage_total &total, actions &out)
+{
+    implementation &self = *m_implementation;
+    if (self.options.sharing == sharing_way::LocalOnly) {
+        return;
+    }
+    self.hasTotal = true;
+    self.totalAt = now;
+    self.gates = std::max(1U, total.gates);
+    for (const std::unique_ptr<scheduler_pool> &pool : self.pools) {
+        pool->queue.clearTotals();
+    }
+    for (const customer_usage &usage : total.usage) {
+        const std::uint32_t pool = self.servers.findPool(usage.pool);
+        const std::uint32_t customer = self.customerOf(usage.customer);
+        if (pool != noIndex && customer != noIndex) {
+            self.pools[pool]->queue.setTotal(self.flowOf(pool, customer), usage.running, usage.waiting);
+        }
+    }
+    self.shareAll(now);
+    for (std::uint32_t pool = 0; pool < self.pools.size(); ++pool) {
+        self.pump(now, pool, out);
+    }
+}
+
+std::vector<credit_request> request_scheduler::makeCreditRequests(time_point, const node_id &)
+{
+    return {};
+}
+
+void request_scheduler::onCreditGrant(time_point, const credit_grant &, actions &)
+{
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/routing/server_choice.h
@@ -0,0 +1,66 @@
+/**
+ * @file
+ * Chooses a server for one request.
+ *
+ *     server_choice choice(options, seed);
+ *     std::uint32_t server = choice.choose(now, servers, prefixes, wish);      // noIndex if none has room
+ */
+#pragma once
+
+#include "base/random.h"
+#include "routing/prefix_index.h"
+#include "routing/server_table.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace reedtrail {
+
+/** What a request needs of a server. */
+struct server_wish
+{
+    std::uint32_t pool = noIndex;
+    weight_version minimumVersion = 0;
+    std::span<const std::uint64_t> prefixHashes; ///< Longest last.
+    std::span<const std::uint32_t> tried; ///< Servers that already refused or failed it.
+    bool leavesReserve = false; ///< Whether a server's reserve must stay free.
+};
+
+/** The choice, with its own seeded random source and a ring for each pool. */
+class server_choice
+{
+public:
+    server_choice(const scheduler_options &options, std::uint64_t seed);
+
+    /** Rebuilds the rings after the pools' servers changed. */
+    void rebuild(const server_table &servers);
+    /** Chooses a server. @return its index, or noIndex if no server that may serve the request has room */
+    std::uint32_t choose(time_point now, const server_table &servers, prefix_index &prefixes, const server_wish &wish);
+
+private:
+    struct ring_point
+    {
+        std::uint64_t hash;
+        std::uint32_t server;
+    };
+    struct candidate
+    {
+        std::uint32_t server = noIndex;
+        double cost = 0;
+    };
+    bool fits(const server_table &servers, const server_row &row, const server_wish &wish) const;
+    double cost(const server_table &servers, const server_row &row, std::uint32_t cachedBlocks) const;
+    void consider(candidate &best, const server_table &servers, std::uint32_t server, std::uint32_t cachedBlocks) const;
+    std::uint32_t sample(time_point now, const server_table &servers, const server_wish &wish);
+    void considerHolders(time_point now, candidate &best, const server_table &servers, prefix_index &prefixes, const server_wish &wish);
+    void considerRing(time_point now, candidate &best, const server_table &servers, const server_wish &wish);
+    bool isWithinBound(time_point now, const server_table &servers, const server_row &row, const server_wish &wish) const;
+    std::uint32_t scan(const server_table &servers, const server_wish &wish);
+
+    const scheduler_options &m_options;
+    random_source m_random;
+    std::vector<std::vector<ring_point>> m_rings; ///< By pool.
+};
+
+} // namespace reedtrail
