--- a/steward/run_service.cpp
+++ b/steward/run_service.cpp
@@ -28,6 +28,9 @@
 /** Longest wait for successors at a graceful shutdown. */
 constexpr duration handoverPatience = std::chrono::seconds(4);
 
+/** How often an owner announces itself while nothing changes. */
+constexpr duration announceInterval = std::chrono::seconds(5);
+
 constexpr duration forwardMargin = std::chrono::seconds(2);
 
 pull_answer refusedPull(const pull_question &question, error_kind kind)
@@ -55,6 +58,8 @@
         run_settings settings;
         store_watch_id watch = 0;
         bool isHandedOver = false;
+        time_point announceAt{};
+        std::uint64_t announcedStep = 0;
     };
     struct open_pull
     {
@@ -78,6 +83,7 @@
     void setGates(run_unit &unit);
     void review();
     void tellNeeds();
+    void announce(const run_id &run, run_unit &unit);
 
     void tellClaim(const run_id &run, const ownership_input &event);
     void perform(const run_id &run, run_unit &unit, const ownership_action_item &action);
@@ -371,12 +377,24 @@
     for (auto &[run, unit] : units) {
         setRank(unit);
         setGates(unit);
+        announce(run, unit);
     }
     tellNeeds();
     finishDrainIfDone();
     armTimer();
 }
 
+void run_service::implementation::announce(const run_id &run, run_unit &unit)
+{
+    const bool isNews = unit.announcedStep != unit.owner.trainerStep();
+    if (!unit.claim.isOwning() || (!isNews && monotonicNow() < unit.announceAt)) {
+        return;
+    }
+    unit.announceAt = monotonicNow() + announceInterval;
+    unit.announcedStep = unit.owner.trainerStep();
+    fleet->announceOwner({ run, fleet->self(), unit.claim.epoch(), context.settings.listen.stewardPeer.text(), unit.announcedStep });
+}
+
 void run_service::implementation::tellNeeds()
 {
     for (const auto &[run, unit] : units) {
@@ -453,6 +471,8 @@
         tellOwner(run, run_event::ownership_gained{ gained->epoch, gained->batches });
         tellOwner(run, run_event::settings_changed{ unit.settings });
         setGates(unit);
+        unit.announceAt = {};
+        announce(run, unit);
         tellListeners(run, unit, gained->batches.empty());
     } else if (std::holds_alternative<ownership_action::lost>(item)) {
         logLine(log_level::Info, "run-lost", { { "run", run.str() } });
