--- /dev/null
+++ b/gate/completion_stream.cpp
@@ -0,0 +1,106 @@
+// Each event carries the number of tokens so far, so an event is new exactly if its offset is past what was taken: one that was seen before a resume is
+// dropped. An event does not say where it begins. It begins where the one before it on the same connection ended, and the first of a resumed connection
+// begins at the offset that was asked for, which is the one reached here.
+
+#include "gate/completion_stream.h"
+
+#include <nlohmann/json.hpp>
+
+namespace reedtrail {
+namespace {
+
+constexpr std::string_view dataPrefix = "data:";
+constexpr std::string_view endMark = "[DONE]";
+
+std::string textOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::uint64_t numberOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) {
+        text.remove_suffix(1);
+    }
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<completion_chunk> completion_stream::feed(std::string_view bytes)
+{
+    std::vector<completion_chunk> chunks;
+    m_pending.append(bytes);
+    std::size_t begin = 0;
+    for (std::size_t end = m_pending.find('\n', begin); end != std::string::npos; end = m_pending.find('\n', begin)) {
+        const std::string_view line = std::string_view(m_pending).substr(begin, end - begin);
+        begin = end + 1;
+        if (line.starts_with(dataPrefix)) {
+            takeEvent(trimmed(line.substr(dataPrefix.size())), chunks);
+        }
+    }
+    m_pending.erase(0, begin);
+    m_isBroken = m_isBroken || m_pending.size() > maximumEventBytes;
+    return chunks;
+}
+
+void completion_stream::beginResume()
+{
+    m_pending.clear();
+}
+
+void completion_stream::takeEvent(std::string_view data, std::vector<completion_chunk> &out)
+{
+    if (m_isWhole || m_isBroken) {
+        return;
+    }
+    if (data == endMark) {
+        m_isWhole = true;
+        return;
+    }
+    const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
+    if (!event.is_object() || event.contains("error")) {
+        m_isBroken = true;
+        return;
+    }
+    completion_chunk chunk;
+    const auto choices = event.find("choices");
+    if (choices != event.end() && choices->is_array() && !choices->empty() && choices->front().is_object()) {
+        chunk.text = textOf(choices->front(), "text");
+        chunk.finishReason = textOf(choices->front(), "finish_reason");
+    }
+    chunk.offset = numberOf(event, "offset");
+    chunk.version = numberOf(event, "weight_version");
+    const bool hasNews = chunk.offset > m_offset;
+    const bool isLastWithoutTokens = chunk.offset == m_offset && !chunk.finishReason.empty() && chunk.text.empty();
+    if (!hasNews && !isLastWithoutTokens) {
+        return;
+    }
+    chunk.tokens = chunk.offset - m_offset;
+    if (hasNews) {
+        noteVersion(m_offset, chunk.offset, chunk.version);
+    }
+    m_offset = chunk.offset;
+    out.push_back(std::move(chunk));
+}
+
+void completion_stream::noteVersion(std::uint64_t from, std::uint64_t to, weight_version version)
+{
+    if (!m_versions.empty() && m_versions.back().version == version) {
+        m_versions.back().to = to;
+    } else {
+        m_versions.push_back({ from, to, version });
+    }
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/gate/control_service.h
@@ -0,0 +1,84 @@
+/**
+ * @file
+ * The control side of a gate: links to the steward of its node, to spools, to owners of runs and to other gates.
+ *
+ *     auto control = std::make_unique<control_service>(context);
+ *     control->setTraffic({.useSnapshot = ..., .makeDraft = ..., .takeForwarded = ...});
+ *     control->pull(question, [](http_response response) { ... });     // on the control thread
+ */
+#pragma once
+
+#include "gate/draft_maker.h"
+#include "gate/fleet_snapshot.h"
+#include "gate/gate_messages.h"
+#include "gate/link_pool.h"
+#include "kernel/service.h"
+#include "net/http_message.h"
+#include "net/peer_bus.h"
+#include "node/process_host.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace reedtrail {
+
+/** What the control side hands to the traffic side. The functions run on the control thread, and so must what they are given to call back. */
+struct traffic_entry
+{
+    std::function<void(snapshot_pointer snapshot)> useSnapshot;
+    std::function<void(draft_order order, draft_maker::draft_handler onDone)> makeDraft;
+    std::function<void(forwarded_request request, std::function<void(forwarded_answer answer)> onAnswer)> takeForwarded;
+};
+
+/** The service; everything runs on the control thread. */
+class control_service : public service
+{
+public:
+    explicit control_service(process_context &context);
+
+    /** Sets where snapshots, orders and forwarded requests go; must be called before the loop runs. */
+    void setTraffic(traffic_entry traffic)
+    {
+        m_traffic = std::move(traffic);
+    }
+    /** Passes a trainer's pull to the owner of its run and gathers the payloads. */
+    void pull(const pull_question &question, std::function<void(http_response response)> onResponse);
+    /** Passes a named request to the gate of @p node. @param onAnswer gets nothing if no answer came, in which case it may have run */
+    void forward(const node_id &node, forwarded_request request, std::function<void(std::optional<forwarded_answer> answer)> onAnswer);
+
+    result<void> start(kernel &process) override;
+    void drain(std::function<void()> done) override;
+    void stop() override;
+    nlohmann::json dump() const override;
+
+private:
+    struct pull_state;
+
+    void linkToSteward();
+    void takeView(link_id from, const fleet_view &view);
+    void takeOrder(link_id from, draft_order order);
+    void draftMade(link_id from, const draft_result &result, std::string payload);
+    void storePayload(const draft_result &result, std::string payload, std::vector<spool_view> candidates, std::function<void(draft_result)> onStored);
+    void readPayloads(const std::shared_ptr<pull_state> &state);
+    void readPayload(const std::shared_ptr<pull_state> &state, std::size_t index);
+    void finishPull(const std::shared_ptr<pull_state> &state);
+    void sweepLater();
+
+    process_context &m_context;
+    peer_bus m_bus;
+    link_pool m_links;
+    boost::asio::steady_timer m_sweepTimer;
+    traffic_entry m_traffic;
+    snapshot_pointer m_snapshot = std::make_shared<const fleet_snapshot>();
+    std::set<std::pair<run_id, std::uint64_t>> m_ordersOpen; ///< By run and draft number.
+    std::uint64_t m_viewsRefused = 0;
+    std::function<void()> m_onDrained;
+};
+
+/** Returns the spools to try for a payload: those of @p zone first, each part in an order that differs by @p key. */
+std::vector<spool_view> spoolsInOrder(const std::vector<spool_view> &spools, const zone_id &zone, std::string_view key);
+
+} // namespace reedtrail
--- /dev/null
+++ b/gate/token_directory.cpp
@@ -0,0 +1,53 @@
+// Salted hashes cannot be looked up by token, so an unseen token is tried against each; a hit is cached. Misses are not cached: an attacker could fill
+// the cache with them. A full cache is emptied, which costs one search per live token.
+
+#include "gate/token_directory.h"
+
+#include "fleet/token_hash.h"
+
+namespace reedtrail {
+namespace {
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+} // namespace
+
+token_directory::token_directory(std::size_t cacheCapacity)
+    : m_cacheCapacity(cacheCapacity)
+{
+}
+
+void token_directory::load(const fleet_document &document)
+{
+    m_tokens.clear();
+    m_cache.clear();
+    for (const customer_settings &customer : document.customers) {
+        for (const std::string &hash : customer.tokenHashes) {
+            m_tokens.push_back({ hash, customer.id });
+        }
+    }
+}
+
+std::optional<customer_id> token_directory::customerOf(std::string_view authorization)
+{
+    if (!authorization.starts_with(bearerPrefix)) {
+        return std::nullopt;
+    }
+    const std::string token(authorization.substr(bearerPrefix.size()));
+    const auto cached = m_cache.find(token);
+    if (cached != m_cache.end()) {
+        return cached->second;
+    }
+    for (const known_token &known : m_tokens) {
+        if (tokenMatches(token, known.hash)) {
+            if (m_cache.size() >= m_cacheCapacity) {
+                m_cache.clear();
+            }
+            m_cache.emplace(token, known.customer);
+            return known.customer;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/gate/traffic_service.h
@@ -0,0 +1,45 @@
+/**
+ * @file
+ * The traffic side of a gate: one thread with its own loop, on which callers are served and backend servers are called.
+ *
+ *     auto control = std::make_unique<control_service>(context);
+ *     auto traffic = std::make_unique<traffic_service>(context, *control);
+ *     context.services.add("control", std::move(control));
+ *     context.services.add("traffic", std::move(traffic));       // drained before the control side
+ */
+#pragma once
+
+#include "gate/control_service.h"
+#include "kernel/service.h"
+#include "node/process_host.h"
+
+#include <memory>
+
+namespace reedtrail {
+
+/** Times of the traffic side. */
+struct traffic_options
+{
+    duration announceTime = std::chrono::milliseconds(500); ///< How long a draining gate still accepts connections, to refuse them with its reason.
+    duration lingerTime = std::chrono::milliseconds(250); ///< How long kept connections stay open after the last answer.
+    duration metricsPeriod = std::chrono::seconds(1);
+};
+
+/** The service; its functions run on the control thread. */
+class traffic_service : public service
+{
+public:
+    traffic_service(process_context &context, control_service &control, traffic_options options = {});
+    ~traffic_service() override;
+
+    result<void> start(kernel &process) override;
+    void drain(std::function<void()> done) override;
+    void stop() override;
+    nlohmann::json dump() const override;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace reedtrail
--- /dev/null
+++ b/once/request_life.cpp
@@ -0,0 +1,131 @@
+// The promise "not run" is the shape of this machine: NotRun has no way in from Dispatched. A dispatched request comes back to Admitted only on the word of
+// the server, or of the connection, that nothing of it ran; from there it may be refused or dispatched again. Answered, NotRun and Unknown are final, so
+// what a caller was told once stays true: a request told "not run" can never run later.
+
+#include "once/request_life.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+
+namespace reedtrail {
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+using msm::front::none;
+using msm::front::Row;
+
+struct admit
+{
+};
+struct dispatch
+{
+};
+struct answer
+{
+};
+struct refuse
+{
+};
+struct server_did_not_start
+{
+};
+struct lose
+{
+};
+
+/** The transition table. */
+struct life_definition : msm::front::state_machine_def<life_definition>
+{
+    using no_message_queue = int;
+    using no_exception_thrown = int;
+
+    struct received : msm::front::state<>
+    {
+    };
+    struct admitted : msm::front::state<>
+    {
+    };
+    struct dispatched : msm::front::state<>
+    {
+    };
+    struct answered : msm::front::state<>
+    {
+    };
+    struct not_run : msm::front::state<>
+    {
+    };
+    struct unknown : msm::front::state<>
+    {
+    };
+    using initial_state = received;
+
+    // The order of first appearance numbers the states as in life_state.
+    struct transition_table
+        : mpl::vector<Row<received, admit, admitted, none, none>, Row<admitted, dispatch, dispatched, none, none>, Row<dispatched, answer, answered, none, none>,
+                      Row<received, refuse, not_run, none, none>, Row<dispatched, lose, unknown, none, none>, Row<admitted, refuse, not_run, none, none>,
+                      Row<dispatched, server_did_not_start, admitted, none, none>>
+    {
+    };
+
+    template<class Machine, class Event>
+    void no_transition(const Event &, Machine &, int)
+    {
+    }
+};
+
+using life_machine = msm::back::state_machine<life_definition>;
+
+constexpr std::array<std::string_view, 6> stateNames{ "received", "admitted", "dispatched", "answered", "not-run", "unknown" };
+
+} // namespace
+
+struct request_life::machine
+{
+    life_machine states;
+};
+
+std::string_view lifeStateName(life_state state)
+{
+    return stateNames[static_cast<std::size_t>(state)];
+}
+
+request_life::request_life()
+    : m_machine(std::make_unique<machine>())
+{
+    m_machine->states.start();
+}
+
+request_life::~request_life() = default;
+request_life::request_life(request_life &&other) noexcept = default;
+request_life &request_life::operator=(request_life &&other) noexcept = default;
+
+bool request_life::apply(life_event event)
+{
+    life_machine &states = m_machine->states;
+    switch (event) {
+    case life_event::Admit:
+        return states.process_event(admit{}) == msm::back::HANDLED_TRUE;
+    case life_event::Dispatch:
+        return states.process_event(dispatch{}) == msm::back::HANDLED_TRUE;
+    case life_event::Answer:
+        return states.process_event(answer{}) == msm::back::HANDLED_TRUE;
+    case life_event::Refuse:
+        return states.process_event(refuse{}) == msm::back::HANDLED_TRUE;
+    case life_event::ServerDidNotStart:
+        return states.process_event(server_did_not_start{}) == msm::back::HANDLED_TRUE;
+    case life_event::Lose:
+        return states.process_event(lose{}) == msm::back::HANDLED_TRUE;
+    }
+    return false;
+}
+
+life_state request_life::state() const
+{
+    return static_cast<life_state>(m_machine->states.current_state()[0]);
+}
+
+} // namespace reedtrail
