--- a/gate/control_service.cpp
+++ b/gate/control_service.cpp
@@ -15,6 +15,7 @@
 constexpr duration pullMargin = std::chrono::seconds(5); ///< Beyond the wait that the trainer asked for.
 constexpr duration forwardMargin = std::chrono::milliseconds(500);
 constexpr duration sweepPeriod = std::chrono::seconds(10);
+constexpr duration progressPeriod = std::chrono::seconds(1);
 
 std::string jsonText(const nlohmann::json &body)
 {
@@ -25,6 +26,7 @@
 {
     peer_bus_options options;
     options.seed = context.processIncarnation;
+    options.transport.tls = context.settings.peerTls;
     return options;
 }
 
@@ -42,6 +44,7 @@
 
 struct control_service::pull_state
 {
+    link_id owner = 0; ///< Link to the steward that answered.
     pull_answer answer;
     std::vector<nlohmann::json> payloads;
     std::size_t missing = 0;
@@ -66,6 +69,7 @@
     , m_bus(context.control, busOptions(context))
     , m_links(context.control, m_bus, {})
     , m_sweepTimer(context.control)
+    , m_progressTimer(context.control)
 {
 }
 
@@ -77,12 +81,20 @@
     m_bus.onMessage<draft_order>([this](link_id from, draft_order order) {
         takeOrder(from, std::move(order));
     });
+    m_bus.onMessage<draft_cancel>([this](link_id, const draft_cancel &message) {
+        m_ordersOpen.erase({ message.run, message.draft });
+        m_traffic.cancelDraft(message.run, message.draft);
+    });
+    m_bus.onMessage<draft_move>([this](link_id, const draft_move &message) {
+        m_traffic.moveDraft(message.run, message.draft);
+    });
     m_bus.onQuestion<forwarded_request, forwarded_answer>([this](link_id, forwarded_request request, peer_bus::reply<forwarded_answer> reply) {
         m_traffic.takeForwarded(std::move(request), std::move(reply));
     });
     BOOST_LEAF_CHECK(m_bus.listen(m_context.settings.listen.gatePeer));
     linkToSteward();
     sweepLater();
+    reportProgressLater();
     return {};
 }
 
@@ -116,7 +128,8 @@
 
 void control_service::takeOrder(link_id from, draft_order order)
 {
-    if (!m_ordersOpen.emplace(order.slot.run, order.draft).second) {
+    const open_order opened{ from, { order.slot, order.draft, 0 } };
+    if (!m_ordersOpen.try_emplace({ order.slot.run, order.draft }, opened).second) {
         return;
     }
     m_traffic.makeDraft(std::move(order), [this, from](const draft_result &result, std::string payload) {
@@ -198,6 +211,7 @@
             return;
         }
         const duration timeout = std::chrono::milliseconds(question.waitMs) + pullMargin;
+        state->owner = *link;
         m_bus.ask<pull_answer>(*link, question, timeout, [this, state](const std::optional<failure> &error, pull_answer answer) {
             const error_kind kind = error ? error->kind : errorKindNamed(answer.error);
             if (kind != error_kind::None) {
@@ -246,8 +260,12 @@
             done(error_kind::PeerUnreachable, "a spool cannot be reached");
             return;
         }
-        m_bus.ask<payload_read>(*link, read_payload{ key }, spoolTimeout, [state, index, done](const std::optional<failure> &error, const payload_read &answer) {
+        m_bus.ask<payload_read>(*link, read_payload{ key }, spoolTimeout, [this, state, index, done](const std::optional<failure> &error, const payload_read &answer) {
             const error_kind kind = error ? error->kind : errorKindNamed(answer.error);
+            if (kind == error_kind::NotFound || kind == error_kind::Corrupt) {
+                const sealed_sample &lost = state->answer.samples[index];
+                m_bus.send(state->owner, payload_missing{ lost.slot, lost.draft });
+            }
             state->payloads[index] = nlohmann::json::parse(answer.bytes, nullptr, false);
             const bool isBad = kind == error_kind::None && !state->payloads[index].is_object();
             done(isBad ? error_kind::Corrupt : kind, "a payload cannot be read");
@@ -265,15 +283,16 @@
     for (std::size_t index = 0; index < state->payloads.size(); ++index) {
         const sealed_sample &sample = state->answer.samples[index];
         samples.push_back({ { "slot", sample.slot },
+                            { "draft", sample.draft },
                             { "versions", sample.versions },
                             { "score", sample.score },
                             { "tokens", sample.tokens },
-                            { "text", state->payloads[index].value("text", "") } });
+                            { "payload", state->payloads[index] } });
     }
     const nlohmann::json body{ { "number", state->answer.number },
                                { "step", state->answer.step },
-                               { "samples", std::move(samples) },
-                               { "stepComplete", state->answer.isStepComplete } };
+                               { "isStepComplete", state->answer.isStepComplete },
+                               { "samples", std::move(samples) } };
     state->onResponse(jsonResponse(200, jsonText(body)));
 }
 
@@ -308,6 +327,57 @@
     });
 }
 
+void control_service::reportProgressLater()
+{
+    m_progressTimer.expires_after(progressPeriod);
+    m_progressTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (!m_ordersOpen.empty() || !m_reported.empty()) {
+            m_traffic.askProgress([this](const std::vector<draft_progress_item> &items) {
+                reportProgress(items);
+            });
+        }
+        reportProgressLater();
+    });
+}
+
+/** Tells whoever ordered drafts how far they are. A draft whose payload is being stored is reported as it was last seen. */
+void control_service::reportProgress(const std::vector<draft_progress_item> &items)
+{
+    for (const draft_progress_item &item : items) {
+        const auto found = m_ordersOpen.find({ item.slot.run, item.draft });
+        if (found != m_ordersOpen.end()) {
+            found->second.progress = item;
+        }
+    }
+    std::map<std::pair<run_id, link_id>, draft_progress> messages;
+    for (const auto &reported : m_reported) {
+        messages[reported] = {};
+    }
+    for (const auto &[key, order] : m_ordersOpen) {
+        messages[{ key.first, order.from }].drafts.push_back(order.progress);
+    }
+    m_reported.clear();
+    for (auto &[reported, message] : messages) {
+        message.run = reported.first;
+        message.gate = m_context.settings.node;
+        sendToOrderer(reported.second, message);
+        if (!message.drafts.empty()) {
+            m_reported.insert(reported);
+        }
+    }
+}
+
+void control_service::sendToOrderer(link_id from, const draft_progress &message)
+{
+    const std::optional<link_id> steward = m_bus.linkTo(m_context.settings.listen.stewardPeer);
+    if (!m_bus.send(from, message) && steward) {
+        m_bus.send(*steward, message);
+    }
+}
+
 void control_service::drain(std::function<void()> done)
 {
     if (m_ordersOpen.empty()) {
@@ -320,6 +390,7 @@
 void control_service::stop()
 {
     m_sweepTimer.cancel();
+    m_progressTimer.cancel();
     m_bus.stop();
 }
 
--- a/gate/control_service.h
+++ b/gate/control_service.h
@@ -19,6 +19,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <utility>
@@ -30,6 +31,9 @@
 {
     std::function<void(snapshot_pointer snapshot)> useSnapshot;
     std::function<void(draft_order order, draft_maker::draft_handler onDone)> makeDraft;
+    std::function<void(run_id run, std::uint64_t draft)> cancelDraft;
+    std::function<void(run_id run, std::uint64_t draft)> moveDraft;
+    std::function<void(std::function<void(std::vector<draft_progress_item> items)> onProgress)> askProgress;
     std::function<void(forwarded_request request, std::function<void(forwarded_answer answer)> onAnswer)> takeForwarded;
 };
 
@@ -56,6 +60,11 @@
 
 private:
     struct pull_state;
+    struct open_order
+    {
+        link_id from = 0;
+        draft_progress_item progress;
+    };
 
     void linkToSteward();
     void takeView(link_id from, const fleet_view &view);
@@ -66,14 +75,19 @@
     void readPayload(const std::shared_ptr<pull_state> &state, std::size_t index);
     void finishPull(const std::shared_ptr<pull_state> &state);
     void sweepLater();
+    void reportProgressLater();
+    void reportProgress(const std::vector<draft_progress_item> &items);
+    void sendToOrderer(link_id from, const draft_progress &message);
 
     process_context &m_context;
     peer_bus m_bus;
     link_pool m_links;
     boost::asio::steady_timer m_sweepTimer;
+    boost::asio::steady_timer m_progressTimer;
     traffic_entry m_traffic;
     snapshot_pointer m_snapshot = std::make_shared<const fleet_snapshot>();
-    std::set<std::pair<run_id, std::uint64_t>> m_ordersOpen; ///< By run and draft number.
+    std::map<std::pair<run_id, std::uint64_t>, open_order> m_ordersOpen; ///< By run and draft number.
+    std::set<std::pair<run_id, link_id>> m_reported; ///< Runs with a draft in the last progress report, and to whom.
     std::uint64_t m_viewsRefused = 0;
     std::function<void()> m_onDrained;
 };
--- a/gate/draft_maker.cpp
+++ b/gate/draft_maker.cpp
@@ -1,8 +1,10 @@
 // The weight versions of a draft are those the engine named with its chunks, never those that were ordered. A draft with a token whose version the engine
-// did not name is dropped: its versions would be in doubt.
+// did not name is dropped: its versions would be in doubt. A draft that is moved goes on from the tokens it has, sent as part of the prompt, so that a slow
+// server costs what is left and not all of it, and a long answer is not given up in favour of a short one.
 
 #include "gate/draft_maker.h"
 
+#include "gate/caller_request.h"
 #include "node/process_host.h"
 
 #include <algorithm>
@@ -19,6 +21,18 @@
         + std::to_string(order.epoch) + "-" + std::to_string(order.draft);
 }
 
+/** Adds @p more, which begins at token @p base, to @p versions. */
+void appendVersions(std::vector<version_range> &versions, const std::vector<version_range> &more, std::uint64_t base)
+{
+    for (const version_range &range : more) {
+        if (!versions.empty() && versions.back().version == range.version) {
+            versions.back().to = base + range.to;
+        } else {
+            versions.push_back({ base + range.from, base + range.to, range.version });
+        }
+    }
+}
+
 } // namespace
 
 struct draft_maker::draft_state
@@ -26,7 +40,15 @@
     draft_order order;
     draft_handler onDone;
     draft_result result;
-    std::string text;
+    request_id request; ///< Of the completion or the score, whichever is under way.
+    bool isCompleting = true;
+    std::string text; ///< Of all tokens so far.
+    std::uint64_t tokens = 0;
+    std::vector<version_range> versions; ///< Of the tokens of the current attempt.
+    // What earlier attempts made before the draft was moved.
+    std::string movedText;
+    std::uint64_t movedTokens = 0;
+    std::vector<version_range> movedVersions;
     time_point deadline;
 };
 
@@ -50,12 +72,21 @@
         draft->onDone(draft->result, "");
         return;
     }
-    ++m_underWay;
+    m_underWay[{ draft->order.slot.run, draft->order.draft }] = draft;
+    askCompletion(draft);
+}
+
+void draft_maker::askCompletion(const std::shared_ptr<draft_state> &draft)
+{
     const request_ids ids = m_nextIds();
+    const std::uint64_t tokensLeft = draft->order.maximumTokens - std::min(draft->order.maximumTokens, draft->movedTokens);
     broker_request request;
     request.publicId = ids.publicId;
     request.isCompletion = true;
-    request.completion = { { "model", draft->order.pool }, { "prompt", draft->order.prompt }, { "max_tokens", draft->order.maximumTokens } };
+    request.completion = { { "model", draft->order.pool },
+                           { "prompt", draft->order.prompt + draft->movedText },
+                           { "max_tokens", tokensLeft },
+                           { "run", draft->order.slot.run } };
     request.routing.id = ids.local;
     request.routing.customer = draft->order.customer;
     request.routing.pool = draft->order.pool;
@@ -63,14 +94,20 @@
     request.routing.deadline = draft->deadline;
     request.routing.minimumVersion = draft->order.minimumVersion;
     request.routing.run = draft->order.slot.run;
-    request.routing.expectedTokens = static_cast<double>(draft->order.maximumTokens);
+    request.routing.expectedTokens = static_cast<double>(tokensLeft);
+    request.routing.prefixHashes = prefixHashes(draft->order.prompt);
+    draft->request = ids.local;
     broker_receiver receiver;
     receiver.keepsTokens = true;
     receiver.onChunk = [draft](const server_id &, const completion_chunk &chunk) {
         draft->text += chunk.text;
+        draft->tokens = draft->movedTokens + chunk.offset;
+        appendVersions(draft->versions, { { chunk.offset - chunk.tokens, chunk.offset, chunk.version } }, 0);
     };
     receiver.onRestart = [draft] {
-        draft->text.clear();
+        draft->text = draft->movedText;
+        draft->tokens = draft->movedTokens;
+        draft->versions.clear();
     };
     receiver.onEnd = [this, draft](const broker_answer &answer) {
         completed(draft, answer);
@@ -78,21 +115,58 @@
     m_broker.submit(std::move(request), std::move(receiver));
 }
 
+void draft_maker::cancel(const run_id &run, std::uint64_t draft)
+{
+    const auto found = m_underWay.find({ run, draft });
+    if (found != m_underWay.end()) {
+        const request_id request = found->second->request;
+        m_underWay.erase(found);
+        m_broker.cancel(request);
+    }
+}
+
+void draft_maker::move(const run_id &run, std::uint64_t draft)
+{
+    const auto found = m_underWay.find({ run, draft });
+    if (found == m_underWay.end() || !found->second->isCompleting || found->second->tokens == found->second->movedTokens) {
+        return;
+    }
+    const std::shared_ptr<draft_state> moved = found->second;
+    appendVersions(moved->movedVersions, moved->versions, moved->movedTokens);
+    moved->movedText = moved->text;
+    moved->movedTokens = moved->tokens;
+    moved->versions.clear();
+    m_broker.cancel(moved->request);
+    askCompletion(moved);
+}
+
+std::vector<draft_progress_item> draft_maker::progress() const
+{
+    std::vector<draft_progress_item> items;
+    for (const auto &[key, draft] : m_underWay) {
+        items.push_back({ draft->order.slot, draft->order.draft, draft->tokens });
+    }
+    return items;
+}
+
 void draft_maker::completed(const std::shared_ptr<draft_state> &draft, const broker_answer &answer)
 {
     if (answer.error != error_kind::None || !answer.isStream) {
         end(draft, answer.error == error_kind::None ? error_kind::ServerFailed : answer.error);
         return;
     }
-    const bool isInDoubt = std::ranges::any_of(answer.versions, [](const version_range &range) {
+    draft->isCompleting = false;
+    std::vector<version_range> versions = draft->movedVersions;
+    appendVersions(versions, answer.versions, draft->movedTokens);
+    const bool isInDoubt = std::ranges::any_of(versions, [](const version_range &range) {
         return range.version == 0;
     });
-    if (isInDoubt || answer.versions.empty()) {
+    if (isInDoubt || versions.empty()) {
         end(draft, error_kind::Stale);
         return;
     }
-    draft->result.versions = answer.versions;
-    draft->result.tokens = answer.versions.back().to;
+    draft->result.versions = versions;
+    draft->result.tokens = versions.back().to;
     draft->result.server = answer.server;
     askScore(draft);
 }
@@ -113,6 +187,7 @@
     request.routing.isInteractive = false;
     request.routing.deadline = std::min(draft->deadline, monotonicNow() + scoreDeadline);
     request.routing.run = draft->order.slot.run;
+    draft->request = ids.local;
     broker_receiver receiver;
     receiver.onEnd = [this, draft](const broker_answer &answer) {
         scored(draft, answer);
@@ -137,12 +212,12 @@
 
 void draft_maker::end(const std::shared_ptr<draft_state> &draft, error_kind error)
 {
-    --m_underWay;
+    m_underWay.erase({ draft->order.slot.run, draft->order.draft });
     draft->result.error = answerFor(error).name;
     std::string payload;
     if (error == error_kind::None) {
         draft->result.payloadKey = payloadKeyOf(draft->order);
-        payload = nlohmann::json{ { "text", draft->text }, { "tokens", draft->result.tokens } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        payload = nlohmann::json{ { "prompt", draft->order.prompt }, { "text", draft->text } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
     draft->onDone(draft->result, std::move(payload));
 }
--- a/gate/draft_maker.h
+++ b/gate/draft_maker.h
@@ -11,7 +11,10 @@
 #include "gate/request_broker.h"
 
 #include <functional>
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace reedtrail {
 
@@ -34,6 +37,12 @@
 
     /** Makes a draft. @param order not one that is being carried out already */
     void make(draft_order order, draft_handler onDone);
+    /** Gives a draft up; its handler is not called. */
+    void cancel(const run_id &run, std::uint64_t draft);
+    /** Continues a draft on another attempt, from the tokens it has; does nothing if its completion is whole or not begun. */
+    void move(const run_id &run, std::uint64_t draft);
+    /** Returns how far each draft is. */
+    std::vector<draft_progress_item> progress() const;
     /** Refuses orders from now on; drafts under way are finished. */
     void beginDrain()
     {
@@ -42,12 +51,14 @@
     /** Returns how many drafts are being made. */
     std::size_t inFlight() const
     {
-        return m_underWay;
+        return m_underWay.size();
     }
 
 private:
     struct draft_state;
+    using draft_key = std::pair<run_id, std::uint64_t>;
 
+    void askCompletion(const std::shared_ptr<draft_state> &draft);
     void completed(const std::shared_ptr<draft_state> &draft, const broker_answer &answer);
     void askScore(const std::shared_ptr<draft_state> &draft);
     void scored(const std::shared_ptr<draft_state> &draft, const broker_answer &answer);
@@ -55,7 +66,7 @@
 
     request_broker &m_broker;
     id_source m_nextIds;
-    std::size_t m_underWay = 0;
+    std::map<draft_key, std::shared_ptr<draft_state>> m_underWay;
     bool m_isDraining = false;
 };
 
--- a/gate/traffic_service.cpp
+++ b/gate/traffic_service.cpp
@@ -182,6 +182,23 @@
                 });
             });
         };
+        entry.cancelDraft = [this](const run_id &run, std::uint64_t draft) {
+            boost::asio::post(io, [this, run, draft] {
+                drafts.cancel(run, draft);
+            });
+        };
+        entry.moveDraft = [this](const run_id &run, std::uint64_t draft) {
+            boost::asio::post(io, [this, run, draft] {
+                drafts.move(run, draft);
+            });
+        };
+        entry.askProgress = [this](std::function<void(std::vector<draft_progress_item>)> onProgress) {
+            boost::asio::post(io, [this, onProgress = std::move(onProgress)]() mutable {
+                boost::asio::post(context.control, [onProgress = std::move(onProgress), items = drafts.progress()]() mutable {
+                    onProgress(std::move(items));
+                });
+            });
+        };
         entry.takeForwarded = [this](forwarded_request request, std::function<void(forwarded_answer)> onAnswer) {
             boost::asio::post(io, [this, request = std::move(request), onAnswer = std::move(onAnswer)]() mutable {
                 api.takeForwarded(std::move(request), [this, onAnswer = std::move(onAnswer)](forwarded_answer answer) {
