--- a/routing/request_scheduler.cpp
+++ b/routing/request_scheduler.cpp
@@ -9,6 +9,7 @@
 #include "routing/scheduler_implementation.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -217,7 +218,9 @@
     for (queue_turn turn = queue.next(); turn.flow != noIndex && !servers.pool(pool).open.empty(); turn = queue.next()) {
         request_row &row = requests[turn.request];
         row.isOverShare = queue.isContended() && queue.flow(turn.flow).isOverShare();
-        const server_wish wish{ pool, row.request.minimumVersion, row.request.prefixHashes, row.tried, row.isOverShare };
+        const double secondsLeft = row.request.deadline == timeNever ? std::numeric_limits<double>::infinity() : toSeconds(row.request.deadline - now);
+        const server_wish wish{ pool,       row.request.minimumVersion,      row.request.prefixHashes, row.tried, row.isOverShare,
+                                toSeconds(expectedService(row)), secondsLeft };
         const std::uint32_t server = choice.choose(now, servers, prefixes, wish);
         if (server == noIndex) {
             queue.skip(turn);
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -31,9 +31,9 @@
     // Choice of a server.
     std::uint32_t choices = 4; ///< Servers compared for each decision, besides those that hold the prefix.
     double affinityLoadBound = 1.25; ///< A server that holds the prefix is preferred while its load is at most this many times the pool's mean.
-    double prefixSavingSeconds = 0.004; ///< Prefill time that one cached prefix block saves, until measured otherwise.
+    double prefixSavingSeconds = 0.02; ///< Prefill time that one cached prefix block saves.
     double otherZoneSeconds = 0.003; ///< Cost of a call into another availability zone, as seconds of wait.
-    double queueAllowance = 0.25; ///< Requests sent to a server beyond its slots, as a share of the slots.
+    double queueAllowance = 0.1; ///< Requests sent to a server beyond its slots, as a share of the slots.
     duration reportLag = std::chrono::seconds(1); ///< Age of a load report when it arrives.
     duration reportLifetime = std::chrono::seconds(10); ///< A load report older than this says nothing more.
 
--- a/routing/scheduler_sharing.cpp
+++ b/routing/scheduler_sharing.cpp
@@ -85,7 +85,7 @@
 usage_report request_scheduler::makeUsageReport(const node_id &node)
 {
     implementation &self = *m_implementation;
-    usage_report report{ node, ++self.reportSequence, {} };
+    usage_report report{ node, ++self.reportSequence, 1, {} };
     for (std::uint32_t pool = 0; pool < self.pools.size(); ++pool) {
         fair_queue &queue = self.pools[pool]->queue;
         for (std::uint32_t index = 0; index < queue.flowCount(); ++index) {
--- a/routing/server_choice.cpp
+++ b/routing/server_choice.cpp
@@ -25,6 +25,20 @@
 constexpr double firstTokenSeconds = 0.1; ///< Time to the first token of a prompt on an idle server of normal speed.
 constexpr double loadSeconds = 0.02; ///< Cost of a full batch against an empty one.
 
+/** Returns the mean of max(0, x) for x spread by @p deviation around @p mean: a parabola between two deviations below and above, which is within a tenth of the
+ * normal distribution's. */
+double expectedExcess(double mean, double deviation)
+{
+    if (mean >= 2 * deviation) {
+        return std::max(0.0, mean);
+    }
+    if (mean <= -2 * deviation) {
+        return 0;
+    }
+    const double above = mean + 2 * deviation;
+    return above * above / (8 * deviation);
+}
+
 } // namespace
 
 server_choice::server_choice(const scheduler_options &options, std::uint64_t seed)
@@ -58,20 +72,26 @@
         && std::ranges::find(wish.tried, static_cast<std::uint32_t>(&row - &servers.server(0))) == wish.tried.end();
 }
 
-double server_choice::cost(const server_table &servers, const server_row &row, std::uint32_t cachedBlocks) const
+double server_choice::cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const
 {
     const pool_row &pool = servers.pool(row.pool);
-    const double ahead = std::max(0.0, row.load() + 1 - row.slots);
+    const double ahead = expectedExcess(row.load() + 1 - row.slots, servers.uncertainty(now, row));
     const double wait = ahead * pool.serviceSeconds / row.slots;
     const double batch = loadSeconds * row.load() / row.slots;
     const double saving = cachedBlocks * m_options.prefixSavingSeconds;
     const double zone = row.isOwnZone ? 0 : m_options.otherZoneSeconds;
-    return (wait + batch + firstTokenSeconds - saving) / row.speed + zone;
+    const double late = std::max(0.0, wish.expectedSeconds / row.speed - wish.secondsLeft);
+    return (wait + batch + firstTokenSeconds - saving) / row.speed + zone + late;
 }
 
-void server_choice::consider(candidate &best, const server_table &servers, std::uint32_t server, std::uint32_t cachedBlocks) const
+void server_choice::consider(time_point now,
+                             candidate &best,
+                             const server_table &servers,
+                             const server_wish &wish,
+                             std::uint32_t server,
+                             std::uint32_t cachedBlocks) const
 {
-    const double value = cost(servers, servers.server(server), cachedBlocks);
+    const double value = cost(now, servers, servers.server(server), wish, cachedBlocks);
     if (best.server == noIndex || value < best.cost) {
         best = { server, value };
     }
@@ -113,7 +133,7 @@
             }
             isKnown = true;
             if (isWithinBound(now, servers, servers.server(server), wish)) {
-                consider(best, servers, server, static_cast<std::uint32_t>(blocks));
+                consider(now, best, servers, wish, server, static_cast<std::uint32_t>(blocks));
             }
         }
         if (isKnown) {
@@ -138,7 +158,7 @@
         previous = point->server;
         ++found;
         if (isWithinBound(now, servers, servers.server(previous), wish)) {
-            consider(best, servers, previous, 1);
+            consider(now, best, servers, wish, previous, 1);
         }
     }
 }
@@ -165,7 +185,7 @@
     for (std::uint32_t choice = 0; choice < m_options.choices; ++choice) {
         const std::uint32_t server = sample(now, servers, wish);
         if (server != noIndex) {
-            consider(best, servers, server, 0);
+            consider(now, best, servers, wish, server, 0);
         }
     }
     considerHolders(now, best, servers, prefixes, wish);
--- a/routing/server_choice.h
+++ b/routing/server_choice.h
@@ -25,6 +25,8 @@
     std::span<const std::uint64_t> prefixHashes; ///< Longest last.
     std::span<const std::uint32_t> tried; ///< Servers that already refused or failed it.
     bool leavesReserve = false; ///< Whether a server's reserve must stay free.
+    double expectedSeconds = 0; ///< Time to answer on a server of normal speed; 0 if not known.
+    double secondsLeft = 0; ///< Until the deadline.
 };
 
 /** The choice, with its own seeded random source and a ring for each pool. */
@@ -50,8 +52,13 @@
         double cost = 0;
     };
     bool fits(const server_table &servers, const server_row &row, const server_wish &wish) const;
-    double cost(const server_table &servers, const server_row &row, std::uint32_t cachedBlocks) const;
-    void consider(candidate &best, const server_table &servers, std::uint32_t server, std::uint32_t cachedBlocks) const;
+    double cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const;
+    void consider(time_point now,
+                  candidate &best,
+                  const server_table &servers,
+                  const server_wish &wish,
+                  std::uint32_t server,
+                  std::uint32_t cachedBlocks) const;
     std::uint32_t sample(time_point now, const server_table &servers, const server_wish &wish);
     void considerHolders(time_point now, candidate &best, const server_table &servers, prefix_index &prefixes, const server_wish &wish);
     void considerRing(time_point now, candidate &best, const server_table &servers, const server_wish &wish);
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -271,6 +271,14 @@
     return isQuiet(now, row) ? leastTrust : share;
 }
 
+double server_table::uncertainty(time_point now, const server_row &row) const
+{
+    const double age = toSeconds(now - row.reportedAt + m_options.reportLag);
+    const double service = m_pools[row.pool].serviceSeconds;
+    const double renewed = service > 0 ? std::min(1.0, age / service) : 1.0;
+    return std::sqrt(2 * row.othersLoad * renewed);
+}
+
 void server_table::refreshSpeeds(pool_row &pool)
 {
     m_paces.clear();
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -143,6 +143,8 @@
     }
     /** Returns the share of its normal work that a server gets: below 1 after a return, and while its reports stay away. */
     double trust(time_point now, const server_row &row) const;
+    /** Returns the standard deviation of the real load around load(): what others' arrivals and ends since the report may have changed. */
+    double uncertainty(time_point now, const server_row &row) const;
     /** Returns how many requests the server may hold before it counts as full. */
     double limit(const server_row &row) const
     {
--- a/routing/sharing_messages.h
+++ b/routing/sharing_messages.h
@@ -15,24 +15,37 @@
 
 namespace reedtrail {
 
-/** What one customer uses and wants of one pool, in slots. */
+/** What one customer uses and wants of one pool, in slots. Written as an array to keep messages small. */
 struct customer_usage
 {
     pool_id pool;
     customer_id customer;
     double running = 0; ///< Requests handed to backend servers.
     double waiting = 0; ///< Requests that wait for one.
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(customer_usage, pool, customer, running, waiting)
+    template<class Json>
+    friend void to_json(Json &out, const customer_usage &usage)
+    {
+        out = Json::array({ usage.pool, usage.customer, usage.running, usage.waiting });
+    }
+    template<class Json>
+    friend void from_json(const Json &in, customer_usage &usage)
+    {
+        usage.pool = in.at(0).template get<pool_id>();
+        usage.customer = in.at(1).template get<customer_id>();
+        usage.running = in.at(2).template get<double>();
+        usage.waiting = in.at(3).template get<double>();
+    }
 };
 
-/** A gate tells the node that adds usage up for its zone what its customers use. */
+/** What the gates below a node of the usage tree use, told to its parent; see usage_tree.h. */
 struct usage_report
 {
     static constexpr std::string_view messageName = "usage-report";
     node_id node;
     std::uint64_t sequence = 0; ///< Rises; an older report that arrives late is dropped.
+    std::uint32_t gates = 1; ///< Gates in the sum.
     std::vector<customer_usage> usage;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(usage_report, node, sequence, usage)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(usage_report, node, sequence, gates, usage)
 };
 
 /** The sum over a zone, exchanged between zones. */
