--- a/gate/traffic_service.cpp
+++ b/gate/traffic_service.cpp
@@ -99,16 +99,12 @@
         , claims(client, context.settings.stores, {})
         , desk(io, broker, { context.settings.node, context.processIncarnation }, drawSecret(), deskOptions(context.settings), deskLinks())
         , drafts(broker, idSource())
-        , poller(io,
-                 client,
-                 context.processIncarnation,
-                 {},
+        , poller(io, client, context.processIncarnation, {},
                  [this](const server_load &load) {
                      broker.takeLoad(load);
                  })
         , api(io, broker, desk, {}, apiLinks())
-        , server(io,
-                 callerServerOptions(context.settings),
+        , server(io, callerServerOptions(context.settings),
                  [this](std::shared_ptr<http_exchange> exchange) {
                      api.handle(std::move(exchange));
                  })
@@ -186,6 +182,23 @@
                 });
             });
         };
+        entry.cancelDraft = [this](const run_id &run, std::uint64_t draft) {
+            boost::asio::post(io, [this, run, draft] {
+                drafts.cancel(run, draft);
+            });
+        };
+        entry.moveDraft = [this](const run_id &run, std::uint64_t draft) {
+            boost::asio::post(io, [this, run, draft] {
+                drafts.move(run, draft);
+            });
+        };
+        entry.askProgress = [this](std::function<void(std::vector<draft_progress_item>)> onProgress) {
+            boost::asio::post(io, [this, onProgress = std::move(onProgress)]() mutable {
+                boost::asio::post(context.control, [onProgress = std::move(onProgress), items = drafts.progress()]() mutable {
+                    onProgress(std::move(items));
+                });
+            });
+        };
         entry.takeForwarded = [this](forwarded_request request, std::function<void(forwarded_answer)> onAnswer) {
             boost::asio::post(io, [this, request = std::move(request), onAnswer = std::move(onAnswer)]() mutable {
                 api.takeForwarded(std::move(request), [this, onAnswer = std::move(onAnswer)](forwarded_answer answer) {
@@ -211,23 +224,18 @@
 
     void handOverMetrics()
     {
-        boost::asio::post(context.control,
-                          [this,
-                           batch = std::exchange(latencies, {}),
-                           well = std::exchange(answeredWell, 0),
-                           badly = std::exchange(answeredBadly, 0),
-                           inFlight = server.exchangesInFlight(),
-                           connections = server.connections()] {
-                              metric_registry &metrics = context.metrics;
-                              metric_latency &latency = metrics.latency("reedtrail_request_seconds", "Time from a caller's request to the head of its answer");
-                              for (const duration each : batch) {
-                                  latency.record(each);
-                              }
-                              metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="below-500")").add(well);
-                              metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="5xx")").add(badly);
-                              metrics.gauge("reedtrail_requests_in_flight", "Callers' requests without an answer").set(static_cast<double>(inFlight));
-                              metrics.gauge("reedtrail_caller_connections", "Open connections of callers").set(static_cast<double>(connections));
-                          });
+        boost::asio::post(context.control, [this, batch = std::exchange(latencies, {}), well = std::exchange(answeredWell, 0), badly = std::exchange(answeredBadly, 0),
+                                            inFlight = server.exchangesInFlight(), connections = server.connections()] {
+            metric_registry &metrics = context.metrics;
+            metric_latency &latency = metrics.latency("reedtrail_request_seconds", "Time from a caller's request to the head of its answer");
+            for (const duration each : batch) {
+                latency.record(each);
+            }
+            metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="below-500")").add(well);
+            metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="5xx")").add(badly);
+            metrics.gauge("reedtrail_requests_in_flight", "Callers' requests without an answer").set(static_cast<double>(inFlight));
+            metrics.gauge("reedtrail_caller_connections", "Open connections of callers").set(static_cast<double>(connections));
+        });
     }
 
     void beginDrain(std::function<void()> done)
