--- a/fleet/membership.cpp
+++ b/fleet/membership.cpp
@@ -296,9 +296,9 @@
     }
     record.sum = sum;
     record.roseAt = now;
-    if (!record.isReachable) {
+    if (isFirst || !record.isReachable) {
         record.isReachable = true;
-        step.changes.push_back({ {}, sum.zone, member_state::Alive, true, "zone counter rises again" });
+        step.changes.push_back({ {}, sum.zone, member_state::Alive, true, isFirst ? "zone is new" : "zone counter rises again" });
         step.hasNewView = true;
         touchView();
     }
