--- /dev/null
+++ b/bench/membership_bench.cpp
@@ -0,0 +1,115 @@
+// Time until a death is known on every node, and false deaths under pauses and loss, in virtual time. Baseline: every node sends a heartbeat to every other,
+// with the same interval, and declares dead whoever was silent for as long as suspicion takes here.
+
+#include "bench/benchmark.h"
+
+#include "base/check.h"
+#include "fleet/testing/fleet_world.h"
+
+#include <algorithm>
+#include <array>
+
+namespace reedtrail::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::fleet_world;
+using testing::fleet_world_options;
+
+constexpr std::array<std::size_t, 3> sizes{ 8, 100, 400 };
+constexpr int deaths = 5;
+constexpr duration sampleInterval = 20ms;
+constexpr duration longestWait = 20s;
+constexpr duration settleTime = 20s;
+constexpr duration pauseWindow = 20s;
+constexpr double loss = 0.01;
+constexpr double targetSeconds = 5;
+constexpr double allToAllMessageBytes = 150;
+
+fleet_world_options optionsFor(std::size_t nodes)
+{
+    fleet_world_options options;
+    options.nodes = nodes;
+    options.zones = nodes < 20 ? 4 : 5;
+    options.regions = nodes < 20 ? 1 : 2;
+    options.loss = loss;
+    return options;
+}
+
+/** Returns the seconds until nobody believes in @p victim any more. */
+double timeToKnow(fleet_world &world, std::size_t victim)
+{
+    world.kill(victim);
+    const time_point killedAt = world.now();
+    while (world.believersIn(victim) > 0 && world.now() - killedAt < longestWait) {
+        world.run(sampleInterval);
+    }
+    return toSeconds(world.now() - killedAt);
+}
+
+/** Returns the seconds until the last of all nodes notes a death with all-to-all heartbeats. */
+double allToAllTime(std::size_t nodes, random_source &random)
+{
+    const membership_options gossip;
+    const double interval = toSeconds(gossip.heartbeatInterval);
+    const double patience = toSeconds(gossip.suspectAfter + gossip.suspicionTimeout);
+    double latest = 0;
+    for (std::size_t i = 1; i < nodes; ++i) {
+        double lastHeard = -random.unit() * interval;
+        while (random.chance(loss)) {
+            lastHeard -= interval;
+        }
+        latest = std::max(latest, lastHeard + patience);
+    }
+    return latest;
+}
+
+void measure(std::size_t nodes, const bench_options &options, bench_report &report)
+{
+    const std::string suffix = "At" + std::to_string(nodes);
+    progress("membership: " + std::to_string(nodes) + " nodes");
+    random_source random(options.seed + nodes);
+    fleet_world world(optionsFor(nodes), random.next());
+    world.run(settleTime);
+    const bool isAgreed = world.isAgreed();
+    std::vector<double> times;
+    std::vector<double> baseline;
+    for (int i = 0; i < deaths; ++i) {
+        const std::size_t victim = random.below(nodes);
+        times.push_back(timeToKnow(world, victim));
+        baseline.push_back(allToAllTime(nodes, random));
+        world.start(victim);
+        world.run(settleTime / 2);
+    }
+    std::ranges::sort(times);
+    std::ranges::sort(baseline);
+    report.figure("agreedAtStart" + suffix, isAgreed ? 1 : 0, "bool", exactly(1));
+    report.figure("deathKnownMedian" + suffix, times[deaths / 2], "s").baseline("allToAll", baseline[deaths / 2]);
+    report.figure("deathKnownMax" + suffix, times.back(), "s", atMost(targetSeconds)).baseline("allToAll", baseline.back());
+    const std::uint64_t deathsBefore = world.falseDeaths();
+    for (std::size_t i = 0; i < nodes; ++i) {
+        const auto at = duration(static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(pauseWindow.count()))));
+        world.after(at, [&world, i, span = std::chrono::milliseconds(200 + random.below(800))] {
+            world.pause(i, span);
+        });
+    }
+    world.run(pauseWindow + 10s);
+    report.figure("falseDeaths" + suffix, static_cast<double>(world.falseDeaths() - deathsBefore), "deaths", exactly(0));
+    const double perSecond = static_cast<double>(nodes - 1) / toSeconds(membership_options{}.heartbeatInterval);
+    report.figure("agreedAtEnd" + suffix, world.isAgreed() ? 1 : 0, "bool", exactly(1))
+        .baseline("allToAllBytesPerSecond", perSecond * allToAllMessageBytes * 2);
+}
+
+void runMembership(const bench_options &options, bench_report &report)
+{
+    const std::uint64_t failedBefore = failedChecks();
+    for (const std::size_t nodes : sizes) {
+        measure(nodes, options, report);
+    }
+    report.figure("failedChecks", static_cast<double>(failedChecks() - failedBefore), "checks", exactly(0));
+}
+
+const registered_benchmark membershipBench("membership", "Time to know a death everywhere, and false deaths", {}, runMembership);
+
+} // namespace
+} // namespace reedtrail::bench
--- a/fleet/membership.cpp
+++ b/fleet/membership.cpp
@@ -104,10 +104,9 @@
 time_point membership::deadline() const
 {
     time_point earliest = std::min({ m_nextBeat, m_nextProbe, m_newsAt });
-    for (const node_id &node : m_neighbours) {
-        const member_record &record = m_known.at(node);
-        if (record.state == member_state::Alive) {
-            earliest = std::min(earliest, std::max(record.heardAt + m_options.suspectAfter, record.mutedUntil) + duration(1));
+    for (const member_record *record : m_neighbours) {
+        if (record->state == member_state::Alive) {
+            earliest = std::min(earliest, std::max(record->heardAt + m_options.suspectAfter, record->mutedUntil) + duration(1));
         }
     }
     for (const node_id &node : m_suspects) {
@@ -195,6 +194,7 @@
 {
     membership_step step;
     m_hasLeft = true;
+    touchView();
     m_selfSendsLeft = sendsOfNews;
     sendNews(now, step);
     return step;
@@ -277,6 +277,9 @@
 
 void membership::noteNews(time_point now, member_record &record)
 {
+    if (record.sendsLeft == 0) {
+        m_news.push_back(record.card.node);
+    }
     record.sendsLeft = sendsOfNews;
     m_newsAt = std::min(m_newsAt, now + m_options.newsDelay);
 }
@@ -285,6 +288,7 @@
 {
     m_viewIsOld = true;
     m_neighboursAreOld = true;
+    m_digests.clear();
 }
 
 void membership::applySum(time_point now, const zone_sum &sum, membership_step &step)
@@ -325,11 +329,10 @@
 /** Suspects neighbours that have been silent. */
 void membership::checkNeighbours(time_point now, membership_step &step)
 {
-    for (const node_id &node : m_neighbours) {
-        member_record &record = m_known.at(node);
-        if (record.state == member_state::Alive && now > record.mutedUntil && now - record.heardAt > m_options.suspectAfter) {
-            record.isMySuspicion = true;
-            setState(now, record, member_state::Suspect, "silent", step);
+    for (member_record *record : m_neighbours) {
+        if (record->state == member_state::Alive && now > record->mutedUntil && now - record->heardAt > m_options.suspectAfter) {
+            record->isMySuspicion = true;
+            setState(now, *record, member_state::Suspect, "silent", step);
         }
     }
 }
@@ -365,13 +368,14 @@
         return;
     }
     m_nextCount = now + m_options.zoneCountInterval / 4;
-    const std::vector<node_id> deputies = rankedDeputies(m_self.zone, countersOfAZone);
+    const std::vector<node_id> &deputies = digestOf(m_self.zone).rankedDeputies;
     const auto place = std::ranges::find(deputies, m_self.node);
     zone_record &record = m_zones.at(m_self.zone);
     const duration patience = m_options.zoneCountInterval + (place - deputies.begin()) * m_options.zoneCountInterval / 2;
     if (place != deputies.end() && (record.sum.counter == 0 || now - record.roseAt >= patience)) {
         ++record.sum.counter;
-        record.sum.digest = digestOf(m_self.zone, record.sum.alive);
+        record.sum.digest = digestOf(m_self.zone).digest;
+        record.sum.alive = digestOf(m_self.zone).alive;
         record.roseAt = now;
     }
 }
@@ -380,8 +384,7 @@
 void membership::checkDigests(time_point now, membership_step &step)
 {
     for (auto &[zone, record] : m_zones) {
-        std::uint64_t alive = 0;
-        if (record.sum.counter == 0 || !record.isReachable || digestOf(zone, alive) == record.sum.digest) {
+        if (record.sum.counter == 0 || !record.isReachable || digestOf(zone).digest == record.sum.digest) {
             record.differsSince.reset();
             continue;
         }
@@ -411,9 +414,10 @@
 
 void membership::forgetTombstones(time_point now)
 {
+    refreshNeighbours(now); // so that no neighbour is among the dead
     std::size_t dead = 0;
     for (auto entry = m_known.begin(); entry != m_known.end();) {
-        const bool isDead = !isLive(entry->second.state);
+        const bool isDead = !isLive(entry->second.state) && entry->second.sendsLeft == 0;
         const bool isOld = isDead && (now - entry->second.changedAt > m_options.tombstoneTime || dead >= m_options.maximumTombstones);
         dead += isDead ? 1 : 0;
         entry = isOld ? m_known.erase(entry) : std::next(entry);
@@ -425,18 +429,21 @@
 {
     m_nextProbe = now + duration(static_cast<std::int64_t>(static_cast<double>(m_options.probeInterval.count()) * m_random.uniform(0.8, 1.2)));
     forgetTombstones(now);
-    std::set<std::string> candidates(m_hints.begin(), m_hints.end());
-    std::set<std::string> answered;
+    std::vector<std::string> open;
+    for (const std::string &hint : m_hints) {
+        const bool isAnswered = std::ranges::any_of(reachable(), [&](const member_card &member) {
+            return member.stewardAddress == hint;
+        });
+        if (!isAnswered) {
+            open.push_back(hint);
+        }
+    }
     for (const auto &[node, record] : m_known) {
         const bool isReachable = isLive(record.state) && isZoneReachable(record.card.zone);
-        if (isReachable) {
-            answered.insert(record.card.stewardAddress);
-        } else if (record.state != member_state::Left) {
-            candidates.insert(record.card.stewardAddress);
+        if (!isReachable && record.state != member_state::Left) {
+            open.push_back(record.card.stewardAddress);
         }
     }
-    std::vector<std::string> open;
-    std::ranges::set_difference(candidates, answered, std::back_inserter(open));
     m_probes.clear();
     for (std::size_t i = 0; i < probesAtOnce && !open.empty(); ++i) {
         const std::size_t chosen = m_random.below(open.size());
@@ -463,8 +470,8 @@
     message->facts = m_facts.takeNews();
     const bool hasNews = !message->rumors.empty() || !message->facts.empty() || m_hasNewRevision;
     m_hasNewRevision = false;
-    for (const node_id &node : m_neighbours) {
-        step.sends.push_back({ m_known.at(node).card.stewardAddress, message });
+    for (const member_record *neighbour : m_neighbours) {
+        step.sends.push_back({ neighbour->card.stewardAddress, message });
     }
     if (!isNewsOnly || hasNews) {
         for (const std::string &address : m_crossZonePeers) {
@@ -484,8 +491,8 @@
         return;
     }
     m_hasNewRevision = false;
-    for (const node_id &node : m_neighbours) {
-        step.sends.push_back({ m_known.at(node).card.stewardAddress, message });
+    for (const member_record *neighbour : m_neighbours) {
+        step.sends.push_back({ neighbour->card.stewardAddress, message });
     }
     for (const std::string &address : m_crossZonePeers) {
         step.sends.push_back({ address, message });
@@ -499,12 +506,15 @@
         --m_selfSendsLeft;
         news.push_back({ m_self, m_hasLeft ? member_state::Left : member_state::Alive });
     }
-    for (auto &[node, record] : m_known) {
-        if (record.sendsLeft > 0) {
-            --record.sendsLeft;
-            news.push_back({ record.card, record.state });
+    std::vector<node_id> unfinished;
+    for (const node_id &node : m_news) {
+        member_record &record = m_known.at(node);
+        news.push_back({ record.card, record.state });
+        if (--record.sendsLeft > 0) {
+            unfinished.push_back(node);
         }
     }
+    m_news = std::move(unfinished);
     return news;
 }
 
@@ -561,17 +571,19 @@
         return;
     }
     m_neighboursAreOld = false;
-    const std::set<node_id> before = std::move(m_neighbours);
-    m_neighbours.clear();
+    std::set<node_id> chosen;
     const std::vector<const member_record *> zoneMembers = membersOf(m_self.zone);
     for (std::size_t ring = 0; ring < m_options.rings && !zoneMembers.empty(); ++ring) {
-        m_neighbours.insert(ringNeighbour(zoneMembers, ring, true)->card.node);
-        m_neighbours.insert(ringNeighbour(zoneMembers, ring, false)->card.node);
+        chosen.insert(ringNeighbour(zoneMembers, ring, true)->card.node);
+        chosen.insert(ringNeighbour(zoneMembers, ring, false)->card.node);
     }
-    for (const node_id &node : m_neighbours) {
-        if (!before.contains(node)) {
-            member_record &record = m_known.at(node);
-            record.heardAt = std::max(record.heardAt, now + m_options.neighbourGrace - m_options.suspectAfter);
+    const std::vector<member_record *> before = std::move(m_neighbours);
+    m_neighbours.clear();
+    for (const node_id &node : chosen) {
+        member_record *record = &m_known.at(node);
+        m_neighbours.push_back(record);
+        if (std::ranges::find(before, record) == before.end()) {
+            record->heardAt = std::max(record->heardAt, now + m_options.neighbourGrace - m_options.suspectAfter);
         }
     }
     m_crossZonePeers.clear();
@@ -586,19 +598,27 @@
     }
 }
 
-std::uint64_t membership::digestOf(const zone_id &zone, std::uint64_t &alive) const
+const membership::zone_digest &membership::digestOf(const zone_id &zone) const
 {
-    std::uint64_t digest = 0;
-    alive = 0;
+    const auto known = m_digests.find(zone);
+    if (known != m_digests.end()) {
+        return known->second;
+    }
+    zone_digest &made = m_digests[zone];
+    std::vector<std::string> names;
     for (const member_record *member : membersOf(zone)) {
-        digest ^= stableHash(member->card.node.view(), member->card.number);
-        ++alive;
+        made.digest ^= stableHash(member->card.node.view(), member->card.number);
+        names.push_back(member->card.node.str());
     }
     if (zone == m_self.zone && !m_hasLeft) {
-        digest ^= stableHash(m_self.node.view(), m_self.number);
-        ++alive;
+        made.digest ^= stableHash(m_self.node.view(), m_self.number);
+        names.push_back(m_self.node.str());
+    }
+    made.alive = names.size();
+    for (const std::size_t chosen : rendezvousChoose("zone-deputy/" + zone.str(), names, countersOfAZone)) {
+        made.rankedDeputies.emplace_back(names[chosen]);
     }
-    return digest;
+    return made;
 }
 
 const std::vector<member_card> &membership::reachable() const
@@ -645,32 +665,16 @@
 
 std::optional<node_id> membership::deputyOf(const zone_id &zone) const
 {
-    const std::vector<node_id> ranked = rankedDeputies(zone, 1);
+    const std::vector<node_id> &ranked = digestOf(zone).rankedDeputies;
     return ranked.empty() ? std::nullopt : std::optional(ranked.front());
 }
 
-std::vector<node_id> membership::rankedDeputies(const zone_id &zone, std::size_t count) const
-{
-    std::vector<std::string> candidates;
-    for (const member_record *member : membersOf(zone)) {
-        candidates.push_back(member->card.node.str());
-    }
-    if (zone == m_self.zone && !m_hasLeft) {
-        candidates.push_back(m_self.node.str());
-    }
-    std::vector<node_id> ranked;
-    for (const std::size_t chosen : rendezvousChoose("zone-deputy/" + zone.str(), candidates, count)) {
-        ranked.emplace_back(candidates[chosen]);
-    }
-    return ranked;
-}
-
 std::vector<std::string> membership::wantedPeers() const
 {
     std::set<std::string> wanted(m_crossZonePeers.begin(), m_crossZonePeers.end());
     wanted.insert(m_probes.begin(), m_probes.end());
-    for (const node_id &node : m_neighbours) {
-        wanted.insert(m_known.at(node).card.stewardAddress);
+    for (const member_record *neighbour : m_neighbours) {
+        wanted.insert(neighbour->card.stewardAddress);
     }
     return { wanted.begin(), wanted.end() };
 }
--- a/fleet/membership.h
+++ b/fleet/membership.h
@@ -162,10 +162,16 @@
     void applyFacts(time_point now, const heartbeat &received, std::shared_ptr<heartbeat> &answer, membership_step &step);
     void addZoneMembers(const zone_id &zone, heartbeat &message) const;
     void refreshNeighbours(time_point now);
+    /** What follows from the members alive in one zone; made anew when the view has changed. */
+    struct zone_digest
+    {
+        std::uint64_t digest = 0;
+        std::uint64_t alive = 0;
+        std::vector<node_id> rankedDeputies;
+    };
+    const zone_digest &digestOf(const zone_id &zone) const;
     std::vector<const member_record *> membersOf(const zone_id &zone) const;
     const member_record *ringNeighbour(const std::vector<const member_record *> &candidates, std::size_t ring, bool isSuccessor) const;
-    std::vector<node_id> rankedDeputies(const zone_id &zone, std::size_t count) const;
-    std::uint64_t digestOf(const zone_id &zone, std::uint64_t &alive) const;
     void touchView();
 
     membership_options m_options;
@@ -176,7 +182,8 @@
     shared_facts m_facts;
     std::optional<time_point> m_factsDifferSince;
     std::vector<std::string> m_hints;
-    std::set<node_id> m_neighbours; ///< In the own zone: observed and observing.
+    std::vector<member_record *> m_neighbours; ///< In the own zone, by id: observed and observing. Points into m_known.
+    std::vector<node_id> m_news; ///< Members with sendsLeft.
     std::set<node_id> m_suspects;
     std::vector<std::string> m_crossZonePeers;
     std::vector<std::string> m_probes;
@@ -188,6 +195,7 @@
     bool m_neighboursAreOld = true;
     mutable bool m_viewIsOld = true;
     mutable std::vector<member_card> m_view;
+    mutable std::map<zone_id, zone_digest> m_digests; ///< Emptied when the view changes.
     time_point m_lastTimer{};
     time_point m_nextBeat{};
     time_point m_nextProbe{};
