--- /dev/null
+++ b/bench/settings_bench.cpp
@@ -0,0 +1,114 @@
+// Time from the moment a change is accepted until it is in force on the last node, in virtual time: at three sizes, with 1 % loss, and with the store going
+// down right after it accepted. Baseline: each node watches the store itself; its calls are counted, and its time is the same way of a change through a watch.
+
+#include "bench/benchmark.h"
+
+#include "base/check.h"
+#include "fleet/testing/fleet_world.h"
+
+#include <algorithm>
+#include <array>
+
+namespace reedtrail::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::fleet_world;
+using testing::fleet_world_options;
+
+constexpr std::array<std::size_t, 3> sizes{ 8, 100, 400 };
+constexpr int changes = 12;
+constexpr duration sampleInterval = 2ms;
+constexpr duration longestWait = 20s;
+constexpr duration settleTime = 12s;
+constexpr double loss = 0.01;
+constexpr double targetMs = 4000;
+
+/** Returns the milliseconds until revision @p revision is in force everywhere. */
+double timeToForce(fleet_world &world, std::uint64_t revision, time_point acceptedAt)
+{
+    while (world.lowestRevision() < revision && world.now() - acceptedAt < longestWait) {
+        world.run(sampleInterval);
+    }
+    return toSeconds(world.now() - acceptedAt) * 1000;
+}
+
+/** Confirms a change at a random node and returns the milliseconds until it is in force everywhere. */
+double change(fleet_world &world, random_source &random, std::uint64_t revision, bool storeGoesDown)
+{
+    std::optional<time_point> acceptedAt;
+    world.confirm(random.below(world.size()), "change", [&](const settings_confirm_end &end) {
+        if (!end.error) {
+            acceptedAt = world.now();
+            world.store().setDown(storeGoesDown);
+        }
+    });
+    const time_point start = world.now();
+    while (!acceptedAt && world.now() - start < longestWait) {
+        world.run(1ms);
+    }
+    return acceptedAt ? timeToForce(world, revision, *acceptedAt) : toSeconds(longestWait) * 1000;
+}
+
+/** Returns the milliseconds of one change seen by a watch on each node. */
+double watchOnEachNode(std::size_t nodes, std::uint64_t seed)
+{
+    harness::virtual_time time;
+    harness::fake_store store(time, random_source(seed), {});
+    time_point latest{};
+    std::size_t seen = 0;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        store.client("node-" + std::to_string(i))
+            .watch({ settings_keys::revision, false, 0 },
+                   { [&](const store_watch_report &report) {
+                        if (!report.events.empty()) {
+                            latest = time.now();
+                            ++seen;
+                        }
+                    },
+                     [](const store_watch_end &) {} });
+    }
+    time.runUntil(time_point(1s));
+    const time_point writtenAt = time.now();
+    store.put(settings_keys::revision, "1");
+    time.runUntil(time_point(3s));
+    return seen == nodes ? toSeconds(latest - writtenAt) * 1000 : toSeconds(longestWait) * 1000;
+}
+
+void measure(std::size_t nodes, bool storeGoesDown, const bench_options &options, bench_report &report)
+{
+    const std::string suffix = (storeGoesDown ? "StoreDownAt" : "At") + std::to_string(nodes);
+    progress("settings: " + std::to_string(nodes) + " nodes" + (storeGoesDown ? ", the store down after each accept" : ""));
+    random_source random(options.seed * 1000 + nodes);
+    fleet_world_options setup;
+    setup.nodes = nodes;
+    setup.zones = nodes < 20 ? 4 : 5;
+    setup.loss = loss;
+    fleet_world world(setup, random.next());
+    world.run(settleTime);
+    std::vector<double> times;
+    for (std::uint64_t revision = 1; revision <= changes; ++revision) {
+        times.push_back(change(world, random, revision, storeGoesDown));
+        world.store().setDown(false);
+        world.run(1s);
+    }
+    std::ranges::sort(times);
+    report.figure("inForceMedian" + suffix, times[changes / 2], "ms").baseline("watchOnEachNode", watchOnEachNode(nodes, options.seed));
+    report.figure("inForceMax" + suffix, times.back(), "ms", atMost(targetMs));
+    report.figure("watchesOpen" + suffix, static_cast<double>(world.store().watches()), "watches").baseline("watchOnEachNode", static_cast<double>(nodes));
+}
+
+void runSettings(const bench_options &options, bench_report &report)
+{
+    const std::uint64_t failedBefore = failedChecks();
+    for (const std::size_t nodes : sizes) {
+        measure(nodes, false, options, report);
+        measure(nodes, true, options, report);
+    }
+    report.figure("reverts", static_cast<double>(failedChecks() - failedBefore), "checks failed", exactly(0));
+}
+
+const registered_benchmark settingsBench("settings", "Time from accepted to in force on the last node", {}, runSettings);
+
+} // namespace
+} // namespace reedtrail::bench
--- a/fleet/testing/fleet_world.cpp
+++ b/fleet/testing/fleet_world.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t frameBytes = 6 + 40; // WebSocket header with mask, TCP and IP headers
 constexpr std::uint64_t questionBytes = 60;
 constexpr std::size_t seedNodes = 3;
+constexpr std::size_t longestSummary = 60;
 
 } // namespace
 
@@ -166,7 +167,7 @@
     change.baseRevision = node.settings->revision();
     change.operation = node.name + "/" + std::to_string(node.generation) + "/" + std::to_string(number);
     change.operatorName = "operator";
-    change.summary = text;
+    change.summary = text.substr(0, longestSummary);
     change.document = { { "text", text } };
     perform(index, node.settings->confirm(m_time.now(), number, std::move(change)));
 }
@@ -223,13 +224,19 @@
     });
 }
 
-std::uint64_t fleet_world::sizeOf(const std::shared_ptr<const heartbeat> &message)
+/** Encodes and decodes a message as two processes would, and counts it. */
+std::shared_ptr<const heartbeat> fleet_world::throughCodec(std::size_t from, std::size_t to, const heartbeat &message)
 {
-    if (m_lastSized != message) {
-        m_lastSized = message;
-        m_lastSize = encodeMessage(*message).size() + frameBytes;
-    }
-    return m_lastSize;
+    const std::vector<std::uint8_t> bytes = encodeMessage(message);
+    countSent(from, to, bytes.size() + frameBytes);
+    auto decoded = std::make_shared<heartbeat>();
+    const std::optional<failure> error = failureOf([&]() -> result<void> {
+        BOOST_LEAF_AUTO(received, decodeEnvelope(bytes));
+        BOOST_LEAF_ASSIGN(*decoded, decodeBody<heartbeat>(received));
+        return {};
+    });
+    REEDTRAIL_CHECK(!error, "a heartbeat must pass through its codec");
+    return decoded;
 }
 
 void fleet_world::countSent(std::size_t from, std::size_t to, std::uint64_t bytes)
@@ -245,10 +252,8 @@
     if (!to) {
         return;
     }
-    if (m_options.countsBytes) {
-        countSent(from, *to, sizeOf(send.message));
-    }
-    m_network.send(m_nodes[from].address, send.address, [this, to = *to, message = send.message] {
+    const std::shared_ptr<const heartbeat> carried = m_isCounting ? throughCodec(from, *to, *send.message) : send.message;
+    m_network.send(m_nodes[from].address, send.address, [this, to = *to, message = carried] {
         deliver(to, m_nodes[to].generation, [this, to, message] {
             perform(to, m_nodes[to].gossip->onHeartbeat(m_time.now(), *message));
             if (message->revision > m_nodes[to].settings->revision()) {
@@ -288,7 +293,7 @@
         return;
     }
     const std::uint64_t asker = m_nodes[index].generation;
-    if (m_options.countsBytes) {
+    if (m_isCounting) {
         countSent(index, *to, questionBytes);
     }
     m_network.send(m_nodes[index].address, action.address, [this, index, asker, to = *to] {
@@ -297,7 +302,7 @@
             if (!record) {
                 return;
             }
-            if (m_options.countsBytes) {
+            if (m_isCounting) {
                 countSent(to, index, encodeMessage(*record).size() + frameBytes);
             }
             m_network.send(m_nodes[to].address, m_nodes[index].address, [this, index, asker, record] {
@@ -397,6 +402,17 @@
     }
 }
 
+node_traffic fleet_world::totalTraffic() const
+{
+    node_traffic total;
+    for (const world_node &node : m_nodes) {
+        total.sentBytes += node.traffic.sentBytes;
+        total.receivedBytes += node.traffic.receivedBytes;
+        total.sentMessages += node.traffic.sentMessages;
+    }
+    return total;
+}
+
 std::size_t fleet_world::believersIn(std::size_t index) const
 {
     std::size_t believers = 0;
--- a/fleet/testing/fleet_world.h
+++ b/fleet/testing/fleet_world.h
@@ -37,7 +37,6 @@
     std::size_t regions = 1;
     double loss = 0;
     bool hasDisk = false; ///< Whether nodes keep their settings over a restart.
-    bool countsBytes = false; ///< Whether sent messages are encoded and counted.
     membership_options gossip{};
     settings_options settings{};
     harness::fake_store_options store{};
@@ -91,6 +90,13 @@
 
     /** Confirms a change at @p node, planned on what that node has in force. @param onEnd may be empty */
     void confirm(std::size_t node, const std::string &text, std::function<void(const settings_confirm_end &end)> onEnd = {});
+    /** Sets whether messages are encoded, counted and decoded as between processes. */
+    void setCounting(bool isCounting)
+    {
+        m_isCounting = isCounting;
+    }
+    /** Returns bytes sent and received by all nodes so far, with the headers of WebSocket, TCP and IP. */
+    node_traffic totalTraffic() const;
 
     /** Returns how many running nodes, other than itself, count @p node among the reachable. */
     std::size_t believersIn(std::size_t node) const;
@@ -178,7 +184,7 @@
     void schedule(std::size_t node);
     void refreshDuties(std::size_t node);
     void countSent(std::size_t from, std::size_t to, std::uint64_t bytes);
-    std::uint64_t sizeOf(const std::shared_ptr<const heartbeat> &message);
+    std::shared_ptr<const heartbeat> throughCodec(std::size_t from, std::size_t to, const heartbeat &message);
     std::optional<std::size_t> indexOf(const std::string &address) const;
 
     fleet_world_options m_options;
@@ -188,9 +194,8 @@
     harness::fake_store m_store;
     std::vector<world_node> m_nodes;
     std::map<std::string, std::size_t> m_byAddress;
-    std::shared_ptr<const heartbeat> m_lastSized;
-    std::uint64_t m_lastSize = 0;
     std::uint64_t m_nextConfirm = 1;
+    bool m_isCounting = false;
     std::uint64_t m_falseDeaths = 0;
 };
 
