Steward runs the services of runs and weights

Cause: the services were built but not part of the process. Change: registered in the order of need; admin pages use the operators' TLS files. Conclusion: the whole path can be tried on real processes.

--- a/node/process_host.cpp
+++ b/node/process_host.cpp
@@ -69,6 +69,7 @@
         }
         http_server_options options;
         options.address = *address;
+        options.tls = m_settings.operatorTls;
         m_admin = std::make_unique<http_server>(m_control, options, [this](std::shared_ptr<http_exchange> exchange) {
             dispatch(std::move(exchange));
         });
--- a/steward/main.cpp
+++ b/steward/main.cpp
@@ -3,7 +3,9 @@
 #include "node/process_host.h"
 #include "steward/fleet_service.h"
 #include "steward/operators_service.h"
+#include "steward/run_service.h"
 #include "steward/store_service.h"
+#include "steward/weight_service.h"
 
 int main(int argc, char **argv)
 {
@@ -14,6 +16,8 @@
     return runNodeProcess(description, argc, argv, [](process_context &context) {
         context.services.add("store", std::make_unique<store_service>(context, store_service_options{}));
         context.services.add("fleet", std::make_unique<fleet_service>(context));
+        context.services.add("runs", std::make_unique<run_service>(context));
+        context.services.add("weights", std::make_unique<weight_service>(context));
         context.services.add("operators", std::make_unique<operators_service>(context));
     });
 }
