--- a/routing/request_scheduler.cpp
+++ b/routing/request_scheduler.cpp
@@ -28,7 +28,7 @@
     : options(wanted)
     , ownZone(std::move(zone))
     , random(seed)
-    , servers(options)
+    , servers(options, random.next())
     , choice(options, random.next())
     , prefixes(options.maximumPrefixes)
     , requests(options.maximumRequests)
@@ -220,7 +220,7 @@
         row.isOverShare = queue.isContended() && queue.flow(turn.flow).isOverShare();
         const double secondsLeft = row.request.deadline == timeNever ? std::numeric_limits<double>::infinity() : toSeconds(row.request.deadline - now);
         const server_wish wish{ pool,       row.request.minimumVersion,      row.request.prefixHashes, row.tried, row.isOverShare,
-                                toSeconds(expectedService(row)), secondsLeft };
+                                row.arrivedAt != now, toSeconds(expectedService(row)), secondsLeft };
         const std::uint32_t server = choice.choose(now, servers, prefixes, wish);
         if (server == noIndex) {
             queue.skip(turn);
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -29,8 +29,9 @@
     std::size_t decisionLogCapacity = 4096;
 
     // Choice of a server.
-    std::uint32_t choices = 4; ///< Servers compared for each decision, besides those that hold the prefix.
-    double affinityLoadBound = 1.25; ///< A server that holds the prefix is preferred while its load is at most this many times the pool's mean.
+    std::uint32_t choices = 2; ///< Servers compared for each decision, besides those for the prefix.
+    double affinityRateBound = 1.25; ///< Requests sent to a server for its prefixes are at most this many times its part of the gate's rate.
+    double affinityBurst = 4; ///< Requests it may get at once for its prefixes.
     double prefixSavingSeconds = 0.02; ///< Prefill time that one cached prefix block saves.
     double otherZoneSeconds = 0.003; ///< Cost of a call into another availability zone, as seconds of wait.
     double queueAllowance = 0.1; ///< Requests sent to a server beyond its slots, as a share of the slots.
--- a/routing/scheduler_sharing.cpp
+++ b/routing/scheduler_sharing.cpp
@@ -109,6 +109,7 @@
     self.hasTotal = true;
     self.totalAt = now;
     self.gates = std::max(1U, total.gates);
+    self.servers.setGates(self.gates);
     for (const std::unique_ptr<scheduler_pool> &pool : self.pools) {
         pool->queue.clearTotals();
     }
--- a/routing/server_choice.cpp
+++ b/routing/server_choice.cpp
@@ -1,12 +1,18 @@
 // Theory. All gates see the same reports, a second old. If each sent to the least loaded server, the one that last reported idle would get everything
-// (herding). So servers are drawn at random with a probability that falls with their load (load interpretation, Dahlin, "Interpreting stale load information",
-// ICDCS 1999) and rises with their speed, and the best of a few draws is taken (power of d choices, Mitzenmacher 1996).
+// (herding), and the pool's load would swing with a period of a few lags. So no choice follows the reported load steeply: a server accepts a request with a
+// probability that falls over a width as large as the load that the pool renews within the age of a report (server_table::acceptance; load interpretation,
+// Dahlin, "Interpreting stale load information", ICDCS 1999). Of a few servers that accept, the cheapest is taken (power of d choices, Mitzenmacher 1996); load
+// enters the cost only where it would make the request wait.
 //
-// Prompts that share a prefix should meet on a server that has it cached. Servers known to hold the longest known prefix join the draws as long as their load
-// stays near the pool's mean (consistent hashing with bounded loads, Mirrokni et al. 2016). If no holder is known, a ring names the same server on each gate,
-// so that gates agree without a message.
+// Prompts that share a prefix should meet on a server that has it cached. A ring names the same few servers on each gate in the same order, so that gates agree
+// without a message, and a prefix spreads over as many of them as its load needs (consistent hashing with bounded loads, Mirrokni et al. 2016). Servers known
+// from cache events to hold the prefix stand in when none of those accepts.
 //
-// Cost of a choice: a constant number of draws, a search in a ring (logarithmic) and a few entries of the prefix index; no memory is allocated.
+// A request that has waited competes with all other gates' waiting requests for the same little room: there every gate takes only its own part of the room that
+// a report shows (server_table::hasOwnRoom).
+//
+// Cost of a choice: a constant number of draws, a search in a ring (logarithmic) and a few entries of the prefix index; no memory is allocated. Only a request
+// that has waited looks through all servers with room.
 
 #include "routing/server_choice.h"
 
@@ -19,9 +25,8 @@
 namespace {
 
 constexpr std::uint32_t pointsPerServer = 32;
-constexpr std::uint32_t drawsPerChoice = 6; ///< Draws until one is accepted; the last is taken anyway.
-constexpr std::uint32_t ringCandidates = 2;
-constexpr double leastAcceptance = 0.05;
+constexpr std::uint32_t drawsPerChoice = 6;
+constexpr std::uint32_t ringCandidates = 6; ///< Servers of the ring that are asked for one prefix.
 constexpr double firstTokenSeconds = 0.1; ///< Time to the first token of a prompt on an idle server of normal speed.
 constexpr double loadSeconds = 0.02; ///< Cost of a full batch against an empty one.
 
@@ -67,9 +72,13 @@
     if (wish.minimumVersion > 0 && (row.isVersionUnknown || row.version < wish.minimumVersion)) {
         return false;
     }
-    const double limit = wish.leavesReserve ? row.slots * (1 - m_options.reservedShare) : servers.limit(row);
-    return row.openPosition != noIndex && row.load() + 1 <= limit
-        && std::ranges::find(wish.tried, static_cast<std::uint32_t>(&row - &servers.server(0))) == wish.tried.end();
+    if (row.openPosition == noIndex || (wish.leavesReserve && row.load() + 1 > row.slots * (1 - m_options.reservedShare))) {
+        return false;
+    }
+    if (wish.hasWaited && !servers.hasOwnRoom(row)) {
+        return false;
+    }
+    return std::ranges::find(wish.tried, static_cast<std::uint32_t>(&row - &servers.server(0))) == wish.tried.end();
 }
 
 double server_choice::cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const
@@ -97,58 +106,45 @@
     }
 }
 
-std::uint32_t server_choice::sample(time_point now, const server_table &servers, const server_wish &wish)
+bool server_choice::accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish)
+{
+    const server_row &row = servers.server(server);
+    return fits(servers, row, wish) && m_random.unit() < servers.acceptance(now, row);
+}
+
+void server_choice::considerDraws(time_point now, candidate &best, const server_table &servers, const server_wish &wish)
 {
     const std::vector<std::uint32_t> &open = servers.pool(wish.pool).open;
-    std::uint32_t last = noIndex;
-    for (std::uint32_t draw = 0; draw < drawsPerChoice; ++draw) {
+    std::uint32_t accepted = 0;
+    for (std::uint32_t draw = 0; draw < m_options.choices * drawsPerChoice && accepted < m_options.choices; ++draw) {
         const std::uint32_t server = open[m_random.below(open.size())];
-        const server_row &row = servers.server(server);
-        if (!fits(servers, row, wish)) {
-            continue;
-        }
-        last = server;
-        const double headroom = 1 - row.load() / servers.limit(row);
-        const double acceptance = std::max(leastAcceptance, headroom) * servers.trust(now, row) * row.speed;
-        if (m_random.unit() < acceptance) {
-            return server;
+        if (accepts(now, servers, server, wish)) {
+            ++accepted;
+            consider(now, best, servers, wish, server, 0);
         }
     }
-    return last;
 }
 
-bool server_choice::isWithinBound(time_point now, const server_table &servers, const server_row &row, const server_wish &wish) const
+server_choice::known_prefix server_choice::findKnown(prefix_index &prefixes, const server_wish &wish) const
 {
-    const double bound = std::max(m_options.affinityLoadBound * servers.pool(row.pool).meanLoad * row.slots, 1.0);
-    return fits(servers, row, wish) && row.load() < bound && servers.trust(now, row) >= 1;
-}
-
-void server_choice::considerHolders(time_point now, candidate &best, const server_table &servers, prefix_index &prefixes, const server_wish &wish)
-{
-    for (std::size_t blocks = wish.prefixHashes.size(); blocks > 0; --blocks) {
-        bool isKnown = false;
-        for (const std::uint32_t server : prefixes.find(wish.prefixHashes[blocks - 1])) {
-            if (server == noIndex || servers.server(server).pool != wish.pool) {
-                continue;
-            }
-            isKnown = true;
-            if (isWithinBound(now, servers, servers.server(server), wish)) {
-                consider(now, best, servers, wish, server, static_cast<std::uint32_t>(blocks));
-            }
-        }
-        if (isKnown) {
-            return;
+    known_prefix known;
+    for (std::size_t blocks = wish.prefixHashes.size(); blocks > 0 && known.blocks == 0; --blocks) {
+        known.holders = prefixes.find(wish.prefixHashes[blocks - 1]);
+        if (std::ranges::any_of(known.holders, [](std::uint32_t server) {
+                return server != noIndex;
+            })) {
+            known.blocks = static_cast<std::uint32_t>(blocks);
         }
     }
+    return known;
 }
 
-void server_choice::considerRing(time_point now, candidate &best, const server_table &servers, const server_wish &wish)
+void server_choice::considerRing(time_point now, candidate &best, server_table &servers, const server_wish &wish, const known_prefix &known)
 {
     const std::vector<ring_point> &ring = m_rings[wish.pool];
-    if (ring.empty() || wish.prefixHashes.empty()) {
-        return;
-    }
-    auto point = std::ranges::lower_bound(ring, wish.prefixHashes.front(), {}, &ring_point::hash);
+    const bool isDeep = known.blocks * 2 > wish.prefixHashes.size();
+    const std::size_t blocks = isDeep ? known.blocks : wish.prefixHashes.size();
+    auto point = std::ranges::lower_bound(ring, wish.prefixHashes[blocks - 1], {}, &ring_point::hash);
     std::uint32_t previous = noIndex;
     for (std::uint32_t found = 0, steps = 0; found < ringCandidates && steps < pointsPerServer; ++steps, ++point) {
         point = point == ring.end() ? ring.begin() : point;
@@ -157,8 +153,26 @@
         }
         previous = point->server;
         ++found;
-        if (isWithinBound(now, servers, servers.server(previous), wish)) {
-            consider(now, best, servers, wish, previous, 1);
+        if (servers.hasAffinityToken(now, previous) && accepts(now, servers, previous, wish)) {
+            consider(now, best, servers, wish, previous, static_cast<std::uint32_t>(blocks));
+            return;
+        }
+    }
+}
+
+void server_choice::considerPrefix(time_point now, candidate &best, server_table &servers, prefix_index &prefixes, const server_wish &wish)
+{
+    if (wish.prefixHashes.empty() || m_rings[wish.pool].empty()) {
+        return;
+    }
+    const known_prefix known = findKnown(prefixes, wish);
+    considerRing(now, best, servers, wish, known);
+    if (best.server != noIndex || known.blocks == 0) {
+        return;
+    }
+    for (const std::uint32_t server : known.holders) {
+        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server) && accepts(now, servers, server, wish)) {
+            consider(now, best, servers, wish, server, known.blocks);
         }
     }
 }
@@ -176,20 +190,17 @@
     return noIndex;
 }
 
-std::uint32_t server_choice::choose(time_point now, const server_table &servers, prefix_index &prefixes, const server_wish &wish)
+std::uint32_t server_choice::choose(time_point now, server_table &servers, prefix_index &prefixes, const server_wish &wish)
 {
     if (servers.pool(wish.pool).open.empty()) {
         return noIndex;
     }
-    candidate best;
-    for (std::uint32_t choice = 0; choice < m_options.choices; ++choice) {
-        const std::uint32_t server = sample(now, servers, wish);
-        if (server != noIndex) {
-            consider(now, best, servers, wish, server, 0);
-        }
+    if (wish.hasWaited) {
+        return scan(servers, wish);
     }
-    considerHolders(now, best, servers, prefixes, wish);
-    considerRing(now, best, servers, wish);
+    candidate best;
+    considerPrefix(now, best, servers, prefixes, wish);
+    considerDraws(now, best, servers, wish);
     return best.server != noIndex ? best.server : scan(servers, wish);
 }
 
--- a/routing/server_choice.h
+++ b/routing/server_choice.h
@@ -25,6 +25,7 @@
     std::span<const std::uint64_t> prefixHashes; ///< Longest last.
     std::span<const std::uint32_t> tried; ///< Servers that already refused or failed it.
     bool leavesReserve = false; ///< Whether a server's reserve must stay free.
+    bool hasWaited = false; ///< Whether other gates' requests wait for the same room.
     double expectedSeconds = 0; ///< Time to answer on a server of normal speed; 0 if not known.
     double secondsLeft = 0; ///< Until the deadline.
 };
@@ -38,7 +39,7 @@
     /** Rebuilds the rings after the pools' servers changed. */
     void rebuild(const server_table &servers);
     /** Chooses a server. @return its index, or noIndex if no server that may serve the request has room */
-    std::uint32_t choose(time_point now, const server_table &servers, prefix_index &prefixes, const server_wish &wish);
+    std::uint32_t choose(time_point now, server_table &servers, prefix_index &prefixes, const server_wish &wish);
 
 private:
     struct ring_point
@@ -51,6 +52,12 @@
         std::uint32_t server = noIndex;
         double cost = 0;
     };
+    /** What the index knows of a request's prefix. */
+    struct known_prefix
+    {
+        std::uint32_t blocks = 0; ///< Of the longest prefix that some server holds.
+        prefix_index::holders holders{ noIndex, noIndex, noIndex, noIndex };
+    };
     bool fits(const server_table &servers, const server_row &row, const server_wish &wish) const;
     double cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const;
     void consider(time_point now,
@@ -59,10 +66,11 @@
                   const server_wish &wish,
                   std::uint32_t server,
                   std::uint32_t cachedBlocks) const;
-    std::uint32_t sample(time_point now, const server_table &servers, const server_wish &wish);
-    void considerHolders(time_point now, candidate &best, const server_table &servers, prefix_index &prefixes, const server_wish &wish);
-    void considerRing(time_point now, candidate &best, const server_table &servers, const server_wish &wish);
-    bool isWithinBound(time_point now, const server_table &servers, const server_row &row, const server_wish &wish) const;
+    bool accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish);
+    known_prefix findKnown(prefix_index &prefixes, const server_wish &wish) const;
+    void considerPrefix(time_point now, candidate &best, server_table &servers, prefix_index &prefixes, const server_wish &wish);
+    void considerRing(time_point now, candidate &best, server_table &servers, const server_wish &wish, const known_prefix &known);
+    void considerDraws(time_point now, candidate &best, const server_table &servers, const server_wish &wish);
     std::uint32_t scan(const server_table &servers, const server_wish &wish);
 
     const scheduler_options &m_options;
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -20,7 +20,10 @@
 constexpr double paceGain = 0.1; ///< Weight of a new sample in the mean pace.
 constexpr std::uint32_t paceSamplesNeeded = 5;
 constexpr double meanGain = 0.02; ///< Weight of a new sample in a pool's mean service time.
+constexpr double rateGain = 0.03; ///< Weight of the rate since the last refresh in the gate's mean rate.
+constexpr double leastAffinityFactor = 1.02;
 constexpr double leastTrust = 0.1;
+constexpr duration reportAgeMargin = std::chrono::milliseconds(250); ///< Mean time since the last report, on top of its age on arrival.
 constexpr double leastSpeed = 0.05;
 constexpr duration quietAfter = std::chrono::seconds(3); ///< A server whose reports stay away this long, while others' arrive, is suspected.
 
@@ -48,8 +51,9 @@
     return m_samples[place].open;
 }
 
-server_table::server_table(const scheduler_options &options)
+server_table::server_table(const scheduler_options &options, std::uint64_t seed)
     : m_options(options)
+    , m_random(seed)
 {
 }
 
@@ -125,6 +129,10 @@
                 continue;
             }
             server_row &row = m_servers[index];
+            if (row.pool == noIndex) {
+                row.affinityTokens = m_options.affinityBurst * m_random.unit();
+                row.affinityAt = now;
+            }
             row.pool = poolIndex;
             row.isListed = true;
             row.isOwnZone = settings.zone == ownZone;
@@ -175,7 +183,9 @@
     row.version = load.version;
     row.isVersionUnknown = load.isVersionUnknown;
     const auto total = static_cast<double>(load.waiting + load.running);
-    row.othersLoad = std::max(0.0, total - row.history.at(now - reportLag));
+    row.ownReported = row.history.at(now - reportLag);
+    row.othersLoad = std::max(0.0, total - row.ownReported);
+    row.drawnPart = m_random.unit();
     const bool isBack = wasQuiet && row.isEjected;
     if (wasQuiet) {
         row.isEjected = false;
@@ -196,6 +206,9 @@
     server_row &row = m_servers[index];
     ++row.ownOpen;
     row.history.note(now, row.ownOpen);
+    refillAffinity(now, row);
+    row.affinityTokens = std::max(-m_options.affinityBurst, row.affinityTokens - 1);
+    ++m_pools[row.pool].sentSinceRefresh;
     updateOpen(index);
 }
 
@@ -279,6 +292,43 @@
     return std::sqrt(2 * row.othersLoad * renewed);
 }
 
+double server_table::renewedLoad(const server_row &row) const
+{
+    const double age = toSeconds(m_options.reportLag + reportAgeMargin);
+    const double service = m_pools[row.pool].serviceSeconds;
+    return row.slots * (service > 0 ? std::min(1.0, age / service) : 1.0);
+}
+
+double server_table::acceptance(time_point now, const server_row &row) const
+{
+    const double width = std::max(1.0, renewedLoad(row));
+    const double ceiling = std::min(row.slots, m_pools[row.pool].meanLoad * row.slots + width);
+    const double byLoad = std::clamp((ceiling - row.load()) / width, 0.0, 1.0);
+    return byLoad * row.speed * row.speed * row.speed * trust(now, row);
+}
+
+void server_table::refillAffinity(time_point now, server_row &row) const
+{
+    const pool_row &pool = m_pools[row.pool];
+    const double headroom = std::clamp(1 / std::max(pool.meanLoad, 0.01), leastAffinityFactor, m_options.affinityRateBound);
+    const double rate = pool.usableSpeed > 0 ? headroom * pool.sendRate * row.slots * row.speed / pool.usableSpeed : 0;
+    row.affinityTokens = std::min(m_options.affinityBurst, row.affinityTokens + rate * toSeconds(now - row.affinityAt));
+    row.affinityAt = now;
+}
+
+bool server_table::hasAffinityToken(time_point now, std::uint32_t index)
+{
+    refillAffinity(now, m_servers[index]);
+    return m_servers[index].affinityTokens >= 1;
+}
+
+bool server_table::hasOwnRoom(const server_row &row) const
+{
+    const double room = limit(row) - row.othersLoad - row.ownReported;
+    const double taken = row.ownOpen - row.ownReported;
+    return taken + row.drawnPart < room / m_gates;
+}
+
 void server_table::refreshSpeeds(pool_row &pool)
 {
     m_paces.clear();
@@ -303,6 +353,10 @@
 {
     pool.usable = 0;
     pool.usableSlots = 0;
+    pool.usableSpeed = 0;
+    pool.sendRate += rateGain * (pool.sentSinceRefresh / std::max(toSeconds(now - pool.refreshedAt), 1e-3) - pool.sendRate);
+    pool.sentSinceRefresh = 0;
+    pool.refreshedAt = now;
     double load = 0;
     double others = 0;
     double reports = 0;
@@ -319,6 +373,7 @@
         if (isUsable(row)) {
             ++pool.usable;
             pool.usableSlots += row.slots;
+            pool.usableSpeed += row.slots * row.speed;
             load += row.load();
         }
     }
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/random.h"
 #include "base/time.h"
 #include "fleet/fleet_document.h"
 #include "routing/request_list.h"
@@ -57,6 +58,8 @@
     double slots = 1;
     double othersLoad = 0; ///< Requests of other gates on it, as far as the last report says.
     std::int32_t ownOpen = 0; ///< Own requests open on it.
+    std::int32_t ownReported = 0; ///< Own requests that were open when the last report was made.
+    double drawnPart = 0; ///< In [0, 1), drawn anew with each report: which part of the room left over by whole numbers is this gate's.
     open_history history;
     std::uint64_t sequence = 0; ///< Of the last report.
     time_point reportedAt;
@@ -68,6 +71,8 @@
     double pace = 0; ///< Mean service time over expected service time; 0 while unknown.
     std::uint32_t paceSamples = 0;
     double speed = 1; ///< Pace of the pool's median over its own: 0.33 for a server that takes three times as long.
+    double affinityTokens = 0; ///< Requests that may yet be sent to it for its prefixes; refilled at its part of the gate's rate.
+    time_point affinityAt; ///< When the tokens were last refilled.
     std::uint32_t openPosition = noIndex; ///< In the pool's list of servers with room.
 
     /** Returns the requests that are on the server now, as far as can be told. */
@@ -87,9 +92,13 @@
     std::vector<std::uint32_t> open; ///< Usable ones with room, in no order.
     std::uint32_t usable = 0; ///< Servers that are listed, not leaving and not ejected.
     double usableSlots = 0;
+    std::uint32_t sentSinceRefresh = 0;
+    double sendRate = 0; ///< Requests a second that this gate sends to the pool.
+    double usableSpeed = 0; ///< Slots × speed of the usable servers.
     double meanLoad = 0; ///< Of the usable servers, as a share of their slots.
     double meanOthers = 0; ///< Requests of other gates on a server with a report.
     time_point newestReport;
+    time_point refreshedAt;
     double serviceSeconds = 0; ///< Mean time of an attempt; 0 while unknown.
     double secondsPerToken = 0; ///< Mean service time over expected tokens; 0 while unknown.
 };
@@ -98,7 +107,7 @@
 class server_table
 {
 public:
-    explicit server_table(const scheduler_options &options);
+    server_table(const scheduler_options &options, std::uint64_t seed);
 
     /** Takes over a document. @return true if any pool's set of servers changed */
     bool applyDocument(time_point now, const fleet_document &document, std::span<const server_id> leaving, const zone_id &ownZone);
@@ -141,8 +150,23 @@
     {
         return row.isListed && !row.isHintedLeaving && !row.isReportedLeaving && !row.isEjected;
     }
-    /** Returns the share of its normal work that a server gets: below 1 after a return, and while its reports stay away. */
-    double trust(time_point now, const server_row &row) const;
+    /**
+     * Returns the probability with which the server should accept a request drawn for it: falls with its load against the pool's mean, over a width as large as
+     * the load that is renewed within the age of a report; falls with slowness; and is low after a return and while its reports stay away.
+     */
+    double acceptance(time_point now, const server_row &row) const;
+    /**
+     * Tells whether this gate may send one more request to the server for the sake of its prefixes: such requests stay below a little more than the server's
+     * part of the gate's rate. All gates keep this bound, so the server gets no more than that from all of them, however late its reports are.
+     */
+    bool hasAffinityToken(time_point now, std::uint32_t index);
+    /** Tells whether this gate may use room on the server that all gates with waiting requests see: each takes its part of it. */
+    bool hasOwnRoom(const server_row &row) const;
+    /** Sets how many gates there are. */
+    void setGates(std::uint32_t gates)
+    {
+        m_gates = gates;
+    }
     /** Returns the standard deviation of the real load around load(): what others' arrivals and ends since the report may have changed. */
     double uncertainty(time_point now, const server_row &row) const;
     /** Returns how many requests the server may hold before it counts as full. */
@@ -158,9 +182,14 @@
     bool mayEject(const pool_row &pool) const;
     std::uint32_t addPool(const pool_id &id);
     std::uint32_t addServer(const server_id &id);
+    double trust(time_point now, const server_row &row) const;
+    void refillAffinity(time_point now, server_row &row) const;
+    double renewedLoad(const server_row &row) const;
     bool isQuiet(time_point now, const server_row &row) const;
 
     const scheduler_options &m_options;
+    random_source m_random;
+    std::uint32_t m_gates = 1;
     std::vector<server_row> m_servers;
     std::vector<pool_row> m_pools;
     std::unordered_map<server_id, std::uint32_t> m_serverIndex;
