--- a/routing/prefix_index.cpp
+++ b/routing/prefix_index.cpp
@@ -1,15 +1,17 @@
 // A set-associative table as in a processor cache: a hash selects a set of four entries, and the one unused for longest gives way. A search reads one set, and
-// memory is fixed at the bound × 56 bytes. Forgetting a server after a gap in its events costs nothing: its generation rises, and older entries are void.
+// memory is fixed at the bound × 64 bytes. Forgetting a server after a gap in its events costs nothing: its generation rises, and older entries are void.
 
 #include "routing/prefix_index.h"
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 
 namespace reedtrail {
 
 namespace {
 constexpr std::uint64_t setMultiplier = 0x9E3779B97F4A7C15U;
+constexpr float memoryRequests = 2000; ///< Requests after which an older one counts 1/e.
 }
 
 prefix_index::prefix_index(std::size_t bound)
@@ -99,4 +101,28 @@
     return result;
 }
 
+float prefix_index::fade(std::uint32_t age)
+{
+    return std::exp(-static_cast<float>(age) / memoryRequests);
+}
+
+void prefix_index::noteUse(std::uint64_t prefix)
+{
+    ++m_requests;
+    if (entry *found = lookUp(prefix)) {
+        found->requests = found->requests * fade(m_requests - found->requestAt) + 1;
+        found->requestAt = m_requests;
+    }
+}
+
+double prefix_index::useShare(std::uint64_t prefix)
+{
+    const entry *found = lookUp(prefix);
+    if (found == nullptr) {
+        return 0;
+    }
+    const float seen = memoryRequests * (1 - fade(m_requests));
+    return found->requests * fade(m_requests - found->requestAt) / std::max(seen, 1.0F);
+}
+
 } // namespace reedtrail
--- a/routing/prefix_index.h
+++ b/routing/prefix_index.h
@@ -35,6 +35,10 @@
     void forget(std::uint32_t server);
     /** Returns the servers that hold @p prefix; all noIndex if none is known. */
     holders find(std::uint64_t prefix);
+    /** Notes a request with @p prefix; to be called with the prefix that requests share, once a request. */
+    void noteUse(std::uint64_t prefix);
+    /** Returns the share of recent requests that had @p prefix, as far as noted. */
+    double useShare(std::uint64_t prefix);
 
 private:
     static constexpr std::size_t ways = 4;
@@ -44,6 +48,8 @@
         holders servers{ noIndex, noIndex, noIndex, noIndex };
         std::array<std::uint32_t, holderCount> generations{};
         std::uint32_t usedAt = 0;
+        float requests = 0; ///< Noted ones; older ones count less.
+        std::uint32_t requestAt = 0; ///< Number of the last one noted.
     };
     std::span<entry> setOf(std::uint64_t prefix);
     entry *lookUp(std::uint64_t prefix);
@@ -51,7 +57,10 @@
 
     std::vector<entry> m_entries;
     std::vector<std::uint32_t> m_generations; ///< Of each server; what was learned under an older one is void.
+    static float fade(std::uint32_t age);
+
     std::uint32_t m_uses = 0;
+    std::uint32_t m_requests = 0;
 };
 
 } // namespace reedtrail
--- a/routing/request_list.h
+++ b/routing/request_list.h
@@ -48,6 +48,11 @@
         list.head = request;
         ++list.size;
     }
+    /** Returns the request after @p request in its list; noIndex after the last. */
+    std::uint32_t next(std::uint32_t request) const
+    {
+        return m_links[request].next;
+    }
     void remove(request_list &list, std::uint32_t request)
     {
         REEDTRAIL_CHECK(list.size > 0, "a request is removed only from the list that holds it");
--- a/routing/request_scheduler.cpp
+++ b/routing/request_scheduler.cpp
@@ -216,20 +216,53 @@
     }
     queue.beginRound();
     for (queue_turn turn = queue.next(); turn.flow != noIndex && !servers.pool(pool).open.empty(); turn = queue.next()) {
-        request_row &row = requests[turn.request];
-        row.isOverShare = queue.isContended() && queue.flow(turn.flow).isOverShare();
-        const double secondsLeft = row.request.deadline == timeNever ? std::numeric_limits<double>::infinity() : toSeconds(row.request.deadline - now);
-        const server_wish wish{ pool,       row.request.minimumVersion,      row.request.prefixHashes, row.tried, row.isOverShare,
-                                row.arrivedAt != now, toSeconds(expectedService(row)), secondsLeft };
-        const std::uint32_t server = choice.choose(now, servers, prefixes, wish);
-        if (server == noIndex) {
+        if (!sendOne(now, pool, turn, out)) {
             queue.skip(turn);
-        } else {
-            dispatch(now, turn.request, server, out);
         }
     }
 }
 
+server_wish request_scheduler::implementation::wishOf(time_point now, const request_row &row) const
+{
+    server_wish wish;
+    wish.pool = row.pool;
+    wish.minimumVersion = row.request.minimumVersion;
+    wish.prefixHashes = row.request.prefixHashes;
+    wish.tried = row.tried;
+    wish.leavesReserve = row.isOverShare;
+    wish.hasWaited = row.arrivedAt != now;
+    wish.expectedSeconds = toSeconds(expectedService(row));
+    wish.secondsLeft = row.request.deadline == timeNever ? std::numeric_limits<double>::infinity() : toSeconds(row.request.deadline - now);
+    return wish;
+}
+
+bool request_scheduler::implementation::sendOne(time_point now, std::uint32_t pool, const queue_turn &turn, actions &out)
+{
+    const fair_queue &queue = pools[pool]->queue;
+    const bool isOverShare = queue.isContended() && queue.flow(turn.flow).isOverShare();
+    // Of the first few that wait, one whose prefix is on a server with room goes first; the others lose little, and the prefill it saves serves all.
+    std::uint32_t index = turn.request;
+    for (std::uint32_t step = 0; step < options.lookAhead && index != noIndex; ++step, index = links.next(index)) {
+        request_row &row = requests[index];
+        row.isOverShare = isOverShare;
+        if (row.arrivedAt == now || row.request.prefixHashes.empty()) {
+            continue;
+        }
+        const std::uint32_t server = choice.chooseByPrefix(now, servers, prefixes, wishOf(now, row));
+        if (server != noIndex) {
+            dispatch(now, index, server, out);
+            return true;
+        }
+    }
+    const request_row &first = requests[turn.request];
+    const bool isPatient = first.arrivedAt != now && !first.request.prefixHashes.empty() && now - first.arrivedAt < options.prefixPatience;
+    const std::uint32_t server = isPatient ? noIndex : choice.choose(now, servers, prefixes, wishOf(now, first));
+    if (server != noIndex) {
+        dispatch(now, turn.request, server, out);
+    }
+    return server != noIndex;
+}
+
 void request_scheduler::implementation::dispatch(time_point now, std::uint32_t index, std::uint32_t server, actions &out)
 {
     request_row &row = requests[index];
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -33,6 +33,8 @@
     double affinityRateBound = 1.25; ///< Requests sent to a server for its prefixes are at most this many times its part of the gate's rate.
     double affinityBurst = 4; ///< Requests it may get at once for its prefixes.
     double prefixSavingSeconds = 0.02; ///< Prefill time that one cached prefix block saves.
+    std::uint32_t lookAhead = 16; ///< Waiting requests that may be overtaken by one whose prefix is on a server with room.
+    duration prefixPatience = std::chrono::milliseconds(300); ///< Time that a waiting request waits for a server with its prefix before it takes any.
     double otherZoneSeconds = 0.003; ///< Cost of a call into another availability zone, as seconds of wait.
     double queueAllowance = 0.1; ///< Requests sent to a server beyond its slots, as a share of the slots.
     duration reportLag = std::chrono::seconds(1); ///< Age of a load report when it arrives.
--- a/routing/server_choice.cpp
+++ b/routing/server_choice.cpp
@@ -19,6 +19,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace reedtrail {
 
@@ -27,21 +28,18 @@
 constexpr std::uint32_t pointsPerServer = 32;
 constexpr std::uint32_t drawsPerChoice = 6;
 constexpr std::uint32_t ringCandidates = 6; ///< Servers of the ring that are asked for one prefix.
+constexpr double loadOfOnePart = 0.5; ///< A prefix is spread so that none of its servers gets more than this part of its normal load from it.
+constexpr double mostParts = 256;
+constexpr std::uint64_t partMultiplier = 0xD6E8FEB86659FD93U; ///< Sends the parts of a prefix to places far apart on the ring.
 constexpr double firstTokenSeconds = 0.1; ///< Time to the first token of a prompt on an idle server of normal speed.
 constexpr double loadSeconds = 0.02; ///< Cost of a full batch against an empty one.
 
-/** Returns the mean of max(0, x) for x spread by @p deviation around @p mean: a parabola between two deviations below and above, which is within a tenth of the
- * normal distribution's. */
+/** Returns the mean of max(0, x) for x spread normally by @p deviation around @p mean; within a twentieth of the deviation. */
 double expectedExcess(double mean, double deviation)
 {
-    if (mean >= 2 * deviation) {
-        return std::max(0.0, mean);
-    }
-    if (mean <= -2 * deviation) {
-        return 0;
-    }
-    const double above = mean + 2 * deviation;
-    return above * above / (8 * deviation);
+    const double above = 2 * deviation - std::abs(mean);
+    const double tail = above > 0 ? above * above * above / (20 * deviation * deviation) : 0;
+    return std::max(0.0, mean) + tail;
 }
 
 } // namespace
@@ -109,7 +107,7 @@
 bool server_choice::accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish)
 {
     const server_row &row = servers.server(server);
-    return fits(servers, row, wish) && m_random.unit() < servers.acceptance(now, row);
+    return fits(servers, row, wish) && (wish.hasWaited || m_random.unit() < servers.acceptance(now, row));
 }
 
 void server_choice::considerDraws(time_point now, candidate &best, const server_table &servers, const server_wish &wish)
@@ -139,12 +137,25 @@
     return known;
 }
 
-void server_choice::considerRing(time_point now, candidate &best, server_table &servers, const server_wish &wish, const known_prefix &known)
+server_choice::ring_start server_choice::startOf(prefix_index &prefixes, const server_table &servers, const server_wish &wish, const known_prefix &known)
 {
-    const std::vector<ring_point> &ring = m_rings[wish.pool];
     const bool isDeep = known.blocks * 2 > wish.prefixHashes.size();
-    const std::size_t blocks = isDeep ? known.blocks : wish.prefixHashes.size();
-    auto point = std::ranges::lower_bound(ring, wish.prefixHashes[blocks - 1], {}, &ring_point::hash);
+    ring_start start;
+    start.blocks = isDeep ? known.blocks : static_cast<std::uint32_t>(wish.prefixHashes.size());
+    start.hash = wish.prefixHashes[start.blocks - 1];
+    const double load = prefixes.useShare(start.hash) * static_cast<double>(servers.pool(wish.pool).servers.size());
+    const auto parts = static_cast<std::uint64_t>(std::min(load / loadOfOnePart, mostParts));
+    start.isShared = parts > 0;
+    if (parts > 0) {
+        start.hash += m_random.below(parts + 1) * partMultiplier;
+    }
+    return start;
+}
+
+std::uint32_t server_choice::walkRing(time_point now, server_table &servers, const server_wish &wish, const ring_start &start)
+{
+    const std::vector<ring_point> &ring = m_rings[wish.pool];
+    auto point = std::ranges::lower_bound(ring, start.hash, {}, &ring_point::hash);
     std::uint32_t previous = noIndex;
     for (std::uint32_t found = 0, steps = 0; found < ringCandidates && steps < pointsPerServer; ++steps, ++point) {
         point = point == ring.end() ? ring.begin() : point;
@@ -153,11 +164,20 @@
         }
         previous = point->server;
         ++found;
-        if (servers.hasAffinityToken(now, previous) && accepts(now, servers, previous, wish)) {
-            consider(now, best, servers, wish, previous, static_cast<std::uint32_t>(blocks));
-            return;
+        if ((wish.hasWaited || servers.hasAffinityToken(now, previous, start.isShared)) && accepts(now, servers, previous, wish)) {
+            return previous;
         }
     }
+    return noIndex;
+}
+
+std::uint32_t server_choice::chooseByPrefix(time_point now, server_table &servers, prefix_index &prefixes, const server_wish &wish)
+{
+    if (wish.prefixHashes.empty() || m_rings[wish.pool].empty()) {
+        return noIndex;
+    }
+    const known_prefix known = findKnown(prefixes, wish);
+    return walkRing(now, servers, wish, startOf(prefixes, servers, wish, known));
 }
 
 void server_choice::considerPrefix(time_point now, candidate &best, server_table &servers, prefix_index &prefixes, const server_wish &wish)
@@ -166,12 +186,15 @@
         return;
     }
     const known_prefix known = findKnown(prefixes, wish);
-    considerRing(now, best, servers, wish, known);
-    if (best.server != noIndex || known.blocks == 0) {
+    const ring_start start = startOf(prefixes, servers, wish, known);
+    prefixes.noteUse(wish.prefixHashes[start.blocks - 1]);
+    const std::uint32_t onRing = walkRing(now, servers, wish, start);
+    if (onRing != noIndex) {
+        consider(now, best, servers, wish, onRing, start.blocks);
         return;
     }
     for (const std::uint32_t server : known.holders) {
-        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server) && accepts(now, servers, server, wish)) {
+        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server, true) && accepts(now, servers, server, wish)) {
             consider(now, best, servers, wish, server, known.blocks);
         }
     }
--- a/routing/server_choice.h
+++ b/routing/server_choice.h
@@ -40,6 +40,8 @@
     void rebuild(const server_table &servers);
     /** Chooses a server. @return its index, or noIndex if no server that may serve the request has room */
     std::uint32_t choose(time_point now, server_table &servers, prefix_index &prefixes, const server_wish &wish);
+    /** Chooses among the servers where the request's prefix belongs. @return its index, or noIndex if none of them accepts it */
+    std::uint32_t chooseByPrefix(time_point now, server_table &servers, prefix_index &prefixes, const server_wish &wish);
 
 private:
     struct ring_point
@@ -58,6 +60,13 @@
         std::uint32_t blocks = 0; ///< Of the longest prefix that some server holds.
         prefix_index::holders holders{ noIndex, noIndex, noIndex, noIndex };
     };
+    /** Where on the ring the search for a prefix starts. */
+    struct ring_start
+    {
+        std::uint64_t hash = 0;
+        std::uint32_t blocks = 0; ///< Length of the prefix that is searched for.
+        bool isShared = false; ///< Whether it is so frequent that several servers hold it.
+    };
     bool fits(const server_table &servers, const server_row &row, const server_wish &wish) const;
     double cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const;
     void consider(time_point now,
@@ -69,7 +78,8 @@
     bool accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish);
     known_prefix findKnown(prefix_index &prefixes, const server_wish &wish) const;
     void considerPrefix(time_point now, candidate &best, server_table &servers, prefix_index &prefixes, const server_wish &wish);
-    void considerRing(time_point now, candidate &best, server_table &servers, const server_wish &wish, const known_prefix &known);
+    ring_start startOf(prefix_index &prefixes, const server_table &servers, const server_wish &wish, const known_prefix &known);
+    std::uint32_t walkRing(time_point now, server_table &servers, const server_wish &wish, const ring_start &start);
     void considerDraws(time_point now, candidate &best, const server_table &servers, const server_wish &wish);
     std::uint32_t scan(const server_table &servers, const server_wish &wish);
 
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -316,10 +316,10 @@
     row.affinityAt = now;
 }
 
-bool server_table::hasAffinityToken(time_point now, std::uint32_t index)
+bool server_table::hasAffinityToken(time_point now, std::uint32_t index, bool isShared)
 {
     refillAffinity(now, m_servers[index]);
-    return m_servers[index].affinityTokens >= 1;
+    return m_servers[index].affinityTokens >= (isShared ? 1 : 1 - m_options.affinityBurst);
 }
 
 bool server_table::hasOwnRoom(const server_row &row) const
