--- a/sampling/run_events.h
+++ b/sampling/run_events.h
@@ -110,7 +110,7 @@
     bool isAnswered = false; ///< False if the store gave no answer.
     bool isFound = false;
     bool isOwner = false; ///< Whether the owner key still carried the epoch in the same read.
-    seal_record record; ///< If found.
+    seal_record record{}; ///< If found.
 };
 
 /** A payload cannot be read from its spool, nor will it be. */
