--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,105 @@
+#!/usr/bin/env bash
+# Brings up three availability zones with stand-ins on loopback, takes the whole path, with faults, prints what happened, and stops what it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+step() { echo "[$(( SECONDS - started_at )) s] $*"; }
+started_at=$SECONDS
+echo "building (the first time takes some minutes)"
+./scripts/build.sh release >/dev/null
+bin="$PWD/build/release/bin"
+folder=$(mktemp -d "${TMPDIR:-/tmp}/reedtrail-demo-XXXXXX")
+python3 scripts/demo/make_settings.py "$folder"
+
+declare -A pids
+failures=0
+stop_all() {
+    for name in "${!pids[@]}"; do kill -CONT "${pids[$name]}" 2>/dev/null || true; kill -KILL "${pids[$name]}" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+}
+trap stop_all EXIT
+start() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$@" >"$folder/$name.out" 2>"$folder/$name.log" &
+    pids[$name]=$!
+}
+check() { # TEXT COMMAND...: notes whether the command succeeds
+    local text=$1
+    shift
+    if "$@" >"$folder/check.out" 2>&1; then echo "  ok    $text"; else echo "  FAIL  $text"; sed 's/^/        /' "$folder/check.out" | tail -5; failures=$((failures + 1)); fi
+}
+wait_for() { # SECONDS COMMAND...: repeats a command until it succeeds
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" >"$folder/wait.out" 2>&1; do
+        [ $SECONDS -lt $end ] || { cat "$folder/wait.out"; return 1; }
+        sleep 0.2
+    done
+}
+nodes=(a1 a2 b1 b2 c1 c2)
+declare -A first_port
+for i in "${!nodes[@]}"; do first_port[${nodes[$i]}]=$((18000 + 10 * i)); done
+callers() { echo "127.0.0.1:${first_port[$1]}"; }
+operators() { echo "127.0.0.1:$((first_port[$1] + 4))"; }
+ctl() { "$bin/reedtrailctl" --token operator-token "$@"; }
+
+start_node() {
+    local node=$1
+    start "steward-$node" "$bin/reedtrail-steward" --settings "$folder/node-$node.json"
+    start "gate-$node" "$bin/reedtrail-gate" --settings "$folder/node-$node.json"
+    if [ "${node:1}" = 1 ]; then start "spool-$node" "$bin/reedtrail-spool" --settings "$folder/node-$node.json"; fi
+}
+revision_on() { curl -sf -H 'Authorization: Bearer operator-token' "http://$(operators "$1")/v1/settings" | python3 -c 'import json,sys; print(json.load(sys.stdin)["revision"])'; }
+all_have_revision() { for node in "${nodes[@]}"; do [ "$(revision_on "$node")" -ge "$1" ] || return 1; done; }
+plan_and_confirm() { # ARGUMENTS OF plan...
+    local plan
+    plan=$(ctl --json --steward "$(operators a1)" plan "$@" | python3 -c 'import json,sys; print(json.load(sys.stdin)["plan"])')
+    ctl --steward "$(operators a1)" confirm "$plan"
+}
+
+step "starting stand-ins"
+start store "$bin/reedtrail-standin" store --listen 127.0.0.1:19000
+start vm-list "$bin/reedtrail-standin" vm-list --listen 127.0.0.1:19001
+start weight-store "$bin/reedtrail-standin" weight-store --listen 127.0.0.1:19002
+index=0
+for zone in a b c; do
+    for number in 1 2; do
+        start "engine-$zone$number" "$bin/reedtrail-standin" engine --listen "127.0.0.1:$((19010 + index))" --name "engine-$zone$number" --checks-fencing --weight-store 127.0.0.1:19002 --seed "$index"
+        index=$((index + 1))
+    done
+done
+index=0
+for zone in a b c; do
+    start "logbook-$zone" "$bin/reedtrail-standin" service --listen "127.0.0.1:$((19020 + index))" --name "logbook-${zone}1"
+    start "proof-$zone" "$bin/reedtrail-standin" service --listen "127.0.0.1:$((19030 + index))" --name "proof-${zone}1"
+    start "scorer-$zone" "$bin/reedtrail-standin" scorer --listen "127.0.0.1:$((19040 + index))" --name "scorer-${zone}1"
+    index=$((index + 1))
+done
+step "starting six nodes in three availability zones"
+for node in "${nodes[@]}"; do start_node "$node"; done
+wait_for 20 curl -sf -H 'Authorization: Bearer operator-token' "http://$(operators a1)/v1/status"
+
+step "an operator plans and confirms the fleet document"
+check "plan and confirm" plan_and_confirm "$folder/fleet.json"
+check "in force on all nodes" wait_for 10 all_have_revision 1
+sleep 1
+
+step "a note is saved, a summary is streamed, a proof is ordered once"
+auth=(-H 'Authorization: Bearer token-trust-a')
+check "note saved" curl -sf "${auth[@]}" -d '{"note":"stove mended"}' "http://$(callers a1)/svc/logbook/notes"
+check "summary streamed to its end" bash -c "curl -sfN -H 'Authorization: Bearer token-trust-a' -d '{\"model\":\"summarizer\",\"prompt\":\"stove mended\",\"stream\":true,\"max_tokens\":32}' http://$(callers b1)/v1/completions | grep -q 'DONE'"
+order_twice() {
+    local ticket first second
+    ticket=$(curl -sf -X POST "${auth[@]}" "http://$(callers a1)/v1/tickets" | python3 -c 'import json,sys; print(json.load(sys.stdin)["ticket"])')
+    first=$(curl -sf "${auth[@]}" -H "Reedtrail-Ticket: $ticket" -d '{"order":"menu 7"}' "http://$(callers a1)/svc/proof-desk/orders")
+    second=$(curl -sf "${auth[@]}" -H "Reedtrail-Ticket: $ticket" -d '{"order":"menu 7"}' "http://$(callers c2)/svc/proof-desk/orders")
+    echo "first $first, second $second"
+    [ "$first" = "$second" ]
+}
+check "proof ordered, repeated through another entry VM, run once" order_twice
+
+step "a run is opened; a trainer pulls samples and publishes weights"
+check "plan and confirm the run" plan_and_confirm --patch "$folder/run.json"
+start trainer "$bin/reedtrail-standin" trainer --listen 127.0.0.1:19050 --run run-1 --token token-trust-a --steps 6 --staleness-bound 2 --weight-store 127.0.0.1:19002 \
+    --gate "$(callers a1)" --gate "$(callers b1)" --gate "$(callers c1)"
--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -393,7 +393,8 @@
                     if (event.isAnswered) {
                         event.state = body.value("state", "");
                         event.baseVersion = body.value("weight_version", weight_version{ 0 });
-                        for (const auto &[run, version] : body.value("versions", nlohmann::json::object()).items()) {
+                        const nlohmann::json versions = body.value("versions", nlohmann::json::object());
+                        for (const auto &[run, version] : versions.items()) {
                             event.versions[run_id(run)] = version.is_number_unsigned() ? version.get<weight_version>() : 0;
                         }
                     }
