--- /dev/null
+++ b/bench/once_bench.cpp
@@ -0,0 +1,67 @@
+// The three ways to run a request at most once, each under the same faults: tickets, records of idempotency keys, leased ranges of keys.
+
+#include "base/check.h"
+#include "bench/benchmark.h"
+#include "once/testing/once_world.h"
+
+#include <string>
+
+namespace reedtrail {
+namespace {
+
+using testing::once_outcome;
+using testing::once_world;
+using testing::once_world_options;
+using testing::request_way;
+
+constexpr std::size_t requests = 100000;
+constexpr double requestsPerSecond = 1000;
+
+once_world_options worldOptions(const bench::bench_options &options, request_way way)
+{
+    once_world_options world;
+    world.way = way;
+    world.gates = static_cast<std::size_t>(options.nodes);
+    world.servers = static_cast<std::size_t>(options.servers);
+    world.requests = requests;
+    world.requestsPerSecond = requestsPerSecond;
+    world.seed = options.seed;
+    return world;
+}
+
+double share(std::size_t part, std::size_t whole)
+{
+    return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+void reportWay(const std::string &way, const once_outcome &outcome, bench::bench_report &report)
+{
+    report.figure(way + ".runTwice", static_cast<double>(outcome.runTwice), "requests", bench::exactly(0));
+    report.figure(way + ".falseNotRun", static_cast<double>(outcome.falseNotRun), "requests", bench::exactly(0));
+    report.figure(way + ".crossedAnswers", static_cast<double>(outcome.crossed), "answers", bench::exactly(0));
+    report.figure(way + ".answered", share(outcome.answered, requests), "share");
+    report.figure(way + ".refusedNotRun", share(outcome.refused, requests), "share");
+    report.figure(way + ".unknown", share(outcome.unknown, requests), "share");
+    report.figure(way + ".answeredOfBegunInOutage", share(outcome.answeredOfOutage, outcome.begunInOutage), "share");
+    report.figure(way + ".storeCalls", static_cast<double>(outcome.storeCalls) / outcome.seconds, "calls/s");
+    report.figure(way + ".forwarded", share(outcome.forwarded, requests), "per request");
+}
+
+void runOnce(const bench::bench_options &options, bench::bench_report &report)
+{
+    setAbortOnFailedCheck(false);
+    const std::uint64_t checksBefore = failedChecks();
+    bench::progress("tickets");
+    reportWay("tickets", once_world<key_records>(worldOptions(options, request_way::Ticket)).run(), report);
+    bench::progress("records of keys");
+    reportWay("keyRecords", once_world<key_records>(worldOptions(options, request_way::Key)).run(), report);
+    bench::progress("ranges of keys");
+    reportWay("keyRanges", once_world<key_ranges>(worldOptions(options, request_way::Key)).run(), report);
+    report.figure("failedChecks", static_cast<double>(failedChecks() - checksBefore), "checks", bench::exactly(0));
+}
+
+const bench::registered_benchmark
+    once("once", "Non-idempotent requests repeated through other nodes under faults, three ways", { .nodes = 8, .servers = 20 }, runOnce);
+
+} // namespace
+} // namespace reedtrail
--- a/gate/gate_messages.h
+++ b/gate/gate_messages.h
@@ -27,13 +27,12 @@
 {
     static constexpr std::string_view messageName = "forwarded-request";
     customer_id customer; ///< As the gate that took the request established it.
-    incarnation issuer = 0; ///< Incarnation of the gate that is meant.
     std::string method;
     std::string target;
     std::vector<forwarded_field> fields;
     std::string body;
     std::int64_t deadlineMs = 0; ///< From receipt.
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(forwarded_request, customer, issuer, method, target, fields, body, deadlineMs)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(forwarded_request, customer, method, target, fields, body, deadlineMs)
 };
 
 /** Its answer, to be given to the caller as it is. */
--- a/gate/once_desk.cpp
+++ b/gate/once_desk.cpp
@@ -1,8 +1,6 @@
-// A named request is run only by the gate incarnation that its name is bound to; any other gate passes it on as it came, or says truthfully that the outcome
-// is unknown. A gate never answers "not run" for a name that another incarnation may have run.
-//
-// The answer of a waiter is found by its number, which is given once, and the table hands out an answer only for the name under which that number was
-// submitted, checked for the same customer and content. So an answer that comes late, twice or crossed reaches nobody else.
+// A waiter is known by a number that is given once. An answer is handed to the waiter whose number it carries, and only while that one waits; the core gives
+// each waiter one answer, for the name under which it was submitted and for the same customer and content. So an answer that comes late, twice or crossed
+// reaches nobody else.
 
 #include "gate/once_desk.h"
 
@@ -50,168 +48,102 @@
 };
 
 once_desk::once_desk(
-    boost::asio::io_context &io, request_broker &broker, request_issuer self, ticket_secret secret, once_desk_options options, once_links links)
-    : m_io(io)
-    , m_broker(broker)
-    , m_self(self)
-    , m_options(options)
+    boost::asio::io_context &io, request_broker &broker, request_issuer self, ticket_secret secret, const once_options &options, once_links links)
+    : m_broker(broker)
     , m_links(std::move(links))
-    , m_tickets(self.node, self.number, secret, options.tickets)
-    , m_keys(self, options.keys)
-    , m_table(options.table)
-    , m_keyTimer(io)
+    , m_core(self, secret, options, key_records(self, {}))
+    , m_timer(io)
 {
 }
 
 std::optional<std::string> once_desk::issueTicket(const customer_id &customer)
 {
-    return m_tickets.issue(monotonicNow(), customer);
+    return m_core.issueTicket(monotonicNow(), customer);
 }
 
 std::uint64_t once_desk::submit(caller_request request, const http_request &original, once_waiter waiter)
 {
     const std::uint64_t number = m_nextNumber++;
-    const bool isKey = request.ticket.empty();
     const customer_id &customer = request.broker.routing.customer;
-    std::string name = isKey ? "key/" + keyRecordName(customer, request.idempotencyKey) : "ticket/" + request.ticket;
-    m_pending.emplace(number, pending_request{ std::move(request), original, std::move(waiter), std::move(name) });
-    if (m_pending.size() > m_options.maximumWaiting) {
-        refuse(number, error_kind::PeerUnreachable, "too many named requests wait on this gate; send the same one again later");
-    } else if (isKey) {
-        resolveKey(number);
-    } else {
-        resolveTicket(number);
-    }
+    named_request named;
+    named.waiter = number;
+    named.ticket = request.ticket;
+    named.key = request.ticket.empty() ? keyRecordName(customer, request.idempotencyKey) : "";
+    named.customer = customer;
+    named.contentHash = request.contentHash;
+    named.attempt = request.attempt;
+    named.isForwarded = waiter.isForwarded;
+    m_pending.emplace(number, pending_request{ std::move(request), original, std::move(waiter) });
+    core::actions actions;
+    m_core.onRequest(monotonicNow(), std::move(named), actions);
+    perform(actions);
     return number;
 }
 
 void once_desk::waiterGone(std::uint64_t number)
 {
-    const auto found = m_pending.find(number);
-    if (found != m_pending.end()) {
-        m_table.onWaiterGone(found->second.name, number);
-        m_pending.erase(found);
-    }
+    m_pending.erase(number);
+    m_core.onWaiterGone(number);
 }
 
-void once_desk::resolveTicket(std::uint64_t number)
+void once_desk::perform(core::actions &actions)
 {
-    const pending_request &pending = m_pending.at(number);
-    const ticket_check check = m_tickets.check(monotonicNow(), pending.request.broker.routing.customer, pending.request.ticket);
-    switch (check.standing) {
-    case ticket_standing::Own:
-        enter(number);
-        return;
-    case ticket_standing::Foreign:
-        forward(number, check.issuer);
-        return;
-    case ticket_standing::Expired:
-        if (m_table.contains(pending.name)) {
-            enter(number);
-        } else {
-            refuse(number, error_kind::TicketSpent, "the ticket has expired; whether it was used is not known any more");
-        }
-        return;
-    case ticket_standing::Invalid:
-        refuse(number, error_kind::TicketUnknown, "this is no ticket of this customer");
-        return;
+    for (const core::action &action : actions) {
+        std::visit(
+            [this](const auto &each) {
+                carryOut(each);
+            },
+            action);
     }
+    armTimer();
 }
 
-void once_desk::resolveKey(std::uint64_t number)
+void once_desk::carryOut(const give_answer &action)
 {
-    const pending_request &pending = m_pending.at(number);
-    if (m_table.contains(pending.name)) {
-        enter(number);
-        return;
+    http_response response = responseOf(*action.answer);
+    if (action.isReplay) {
+        response.fields.set("Reedtrail-Replayed", "1");
     }
-    key_records::actions actions;
-    m_keys.resolve(monotonicNow(), number, keyRecordName(pending.request.broker.routing.customer, pending.request.idempotencyKey), actions);
-    performKeys(actions);
+    respond(action.waiter, std::move(response));
 }
 
-void once_desk::performKeys(key_records::actions &actions)
+void once_desk::carryOut(const give_error &action)
 {
-    for (const key_action &action : actions) {
-        if (const auto *claim = std::get_if<claim_record>(&action)) {
-            m_links.claim(*claim, [this, operation = claim->operation](claim_result outcome, const key_record &found) {
-                key_records::actions further;
-                m_keys.onClaimAnswer(monotonicNow(), operation, outcome, found, further);
-                performKeys(further);
-            });
-            continue;
-        }
-        const auto &resolved = std::get<resolved_key>(action);
-        if (!m_pending.contains(resolved.request)) {
-            continue;
-        }
-        switch (resolved.standing) {
-        case key_standing::Own:
-            enter(resolved.request);
-            break;
-        case key_standing::Foreign:
-            forward(resolved.request, resolved.issuer);
-            break;
-        case key_standing::Spent:
-            refuse(resolved.request, error_kind::TicketSpent, "the key was used too long ago");
-            break;
-        case key_standing::Unresolved:
-            refuse(resolved.request, error_kind::PeerUnreachable, "the store cannot say whether this key was used; send the same request again");
-            break;
-        }
-    }
-    armTimer();
+    respond(action.waiter, refusalResponse(action.kind, action.detail, action.retryAfter));
 }
 
-void once_desk::armTimer()
+void once_desk::carryOut(const claim_record &action)
 {
-    const time_point next = m_keys.nextDeadline();
-    if (next == timeNever) {
-        return;
-    }
-    m_keyTimer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
-    m_keyTimer.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            key_records::actions actions;
-            m_keys.onTimer(monotonicNow(), actions);
-            performKeys(actions);
-        }
+    m_links.claim(action, [this, operation = action.operation](claim_result outcome, const key_record &found) {
+        core::actions actions;
+        const time_point now = monotonicNow();
+        m_core.onStoreAnswer(
+            now,
+            [&](key_records &keys, key_records::actions &resolved) {
+                keys.onClaimAnswer(now, operation, outcome, found, resolved);
+            },
+            actions);
+        perform(actions);
     });
 }
 
-/** Submits a request that this incarnation alone may run. */
-void once_desk::enter(std::uint64_t number)
+void once_desk::armTimer()
 {
-    const pending_request &pending = m_pending.at(number);
-    if (m_isDraining && !m_table.contains(pending.name)) {
-        refuse(number, error_kind::Draining, "this gate is shutting down and will never run this request");
+    const time_point next = m_core.nextDeadline();
+    if (next == timeNever) {
         return;
     }
-    const caller_request &request = pending.request;
-    once_table::actions actions;
-    m_table.onSubmission(monotonicNow(), { number, pending.name, request.broker.routing.customer, request.contentHash, request.attempt }, actions);
-    perform(actions);
-}
-
-void once_desk::perform(once_table::actions &actions)
-{
-    for (const once_action &action : actions) {
-        if (const auto *runAction = std::get_if<run_once>(&action)) {
-            run(*runAction);
-        } else if (const auto *given = std::get_if<give_answer>(&action)) {
-            http_response response = responseOf(*given->answer);
-            if (given->isReplay) {
-                response.fields.set("Reedtrail-Replayed", "1");
-            }
-            respond(given->waiter, std::move(response));
-        } else {
-            const auto &failed = std::get<give_error>(action);
-            refuse(failed.waiter, failed.kind, failed.detail, failed.retryAfter);
+    m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            core::actions actions;
+            m_core.onTimer(monotonicNow(), actions);
+            perform(actions);
         }
-    }
+    });
 }
 
-void once_desk::run(const run_once &action)
+void once_desk::carryOut(const run_once &action)
 {
     const pending_request &pending = m_pending.at(action.waiter);
     const request_ids ids = m_links.nextIds();
@@ -226,10 +158,10 @@
     request.publicId = ids.publicId;
     broker_receiver receiver;
     receiver.onDispatch = [this, running] {
-        m_table.onDispatched(running->name);
+        m_core.onDispatched(running->name);
     };
     receiver.onNotStarted = [this, running] {
-        m_table.onNotStarted(running->name);
+        m_core.onNotStarted(running->name);
     };
     receiver.onChunk = [this, running](const server_id &server, const completion_chunk &chunk) {
         running->text += chunk.text;
@@ -249,16 +181,16 @@
 void once_desk::ended(const std::shared_ptr<running_request> &running, const broker_answer &answer)
 {
     finishLive(*running, answer);
-    once_table::actions actions;
+    core::actions actions;
     const time_point now = monotonicNow();
     if (answer.error == error_kind::None) {
         http_response response = running->isStream ? wholeStreamResponse(answer, running->publicId, running->text, running->finishReason)
                                                    : wholeResponse(answer, running->publicId, running->text, running->finishReason);
-        m_table.onAnswered(now, running->name, keptOf(std::move(response)), actions);
+        m_core.onAnswered(now, running->name, keptOf(std::move(response)), actions);
     } else if (answer.mayHaveRun) {
-        m_table.onUnknown(now, running->name, answer.error, answer.detail, actions);
+        m_core.onUnknown(now, running->name, answer.error, answer.detail, actions);
     } else {
-        m_table.onNotRun(now, running->name, answer.error, answer.detail, answer.retryAfter, actions);
+        m_core.onNotRun(now, running->name, answer.error, answer.detail, answer.retryAfter, actions);
     }
     perform(actions);
 }
@@ -272,42 +204,45 @@
     }
     const pending_request finished = std::move(live->second);
     m_pending.erase(live);
-    m_table.onWaiterGone(running.name, running.number);
+    m_core.onWaiterGone(running.number);
     finished.waiter.finishLive(answer);
 }
 
-void once_desk::forward(std::uint64_t number, const request_issuer &issuer)
+void once_desk::carryOut(const forward_named &action)
 {
-    const pending_request &pending = m_pending.at(number);
-    if (pending.waiter.isForwarded || issuer.node == m_self.node) {
-        refuse(number, error_kind::TicketForeign, "it was given to an earlier process on " + issuer.node.str());
-        return;
-    }
-    const caller_request &request = pending.request;
+    const pending_request &pending = m_pending.at(action.waiter);
     forwarded_request message;
-    message.customer = request.broker.routing.customer;
-    message.issuer = issuer.number;
+    message.customer = pending.request.broker.routing.customer;
     message.method = pending.original.method;
     message.target = pending.original.target;
     message.body = pending.original.body;
     for (const http_field &field : pending.original.fields.all()) {
         message.fields.push_back({ field.name, field.value });
     }
-    const duration left = std::max(request.broker.routing.deadline - monotonicNow(), duration(std::chrono::milliseconds(1)));
+    const duration left = std::max(pending.request.broker.routing.deadline - monotonicNow(), duration(std::chrono::milliseconds(1)));
     message.deadlineMs = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
-    m_links.forward(issuer.node, std::move(message), [this, number, node = issuer.node](std::optional<forwarded_answer> answer) {
-        if (!answer) {
-            refuse(number, error_kind::TicketForeign, "node " + node.str() + " cannot be reached");
-            return;
-        }
-        http_response response;
-        response.status = answer->status;
-        response.body = std::move(answer->body);
-        for (const forwarded_field &field : answer->fields) {
-            response.fields.set(field.name, field.value);
-        }
-        respond(number, std::move(response));
-    });
+    const auto onAnswer = [this, number = action.waiter, issuer = action.issuer](std::optional<forwarded_answer> answer) {
+        forwardEnded(number, issuer, std::move(answer));
+    };
+    m_links.forward(action.issuer.node, std::move(message), onAnswer);
+}
+
+void once_desk::forwardEnded(std::uint64_t number, const request_issuer &issuer, std::optional<forwarded_answer> answer)
+{
+    if (!answer) {
+        core::actions actions;
+        m_core.onForwardFailed(number, issuer, actions);
+        perform(actions);
+        return;
+    }
+    m_core.onForwardAnswered(number);
+    http_response response;
+    response.status = answer->status;
+    response.body = std::move(answer->body);
+    for (forwarded_field &field : answer->fields) {
+        response.fields.set(field.name, std::move(field.value));
+    }
+    respond(number, std::move(response));
 }
 
 void once_desk::respond(std::uint64_t number, http_response response)
@@ -321,14 +256,9 @@
     answered.waiter.respond(std::move(response));
 }
 
-void once_desk::refuse(std::uint64_t number, error_kind kind, std::string_view detail, duration retryAfter)
-{
-    respond(number, refusalResponse(kind, detail, retryAfter));
-}
-
 nlohmann::json once_desk::dump() const
 {
-    return { { "table", m_table.dump() }, { "keys", m_keys.dump() }, { "waiting", m_pending.size() }, { "isDraining", m_isDraining } };
+    return { { "table", m_core.table().dump() }, { "keys", m_core.keys().dump() }, { "waiting", m_pending.size() } };
 }
 
 } // namespace reedtrail
--- a/gate/once_desk.h
+++ b/gate/once_desk.h
@@ -5,7 +5,7 @@
  *     once_desk desk(broker, issuer settings..., links);
  *     desk.submit(std::move(request), {.onChunk = ..., .respond = ...});
  *
- * It joins three cores: who may run a request (ticket_issuer, key_records), and what became of it (once_table). Everything runs on the traffic thread.
+ * It carries out what once_core decides. Everything runs on the traffic thread.
  */
 #pragma once
 
@@ -14,8 +14,7 @@
 #include "gate/gate_messages.h"
 #include "gate/request_broker.h"
 #include "once/key_records.h"
-#include "once/once_table.h"
-#include "once/ticket.h"
+#include "once/once_core.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -46,20 +45,11 @@
     std::function<void(const claim_record &claim, std::function<void(claim_result outcome, const key_record &found)> onAnswer)> claim;
 };
 
-/** Bounds of a desk. */
-struct once_desk_options
-{
-    ticket_options tickets;
-    once_table_options table;
-    key_record_options keys;
-    std::size_t maximumWaiting = 20000; ///< Named requests without an answer on this gate.
-};
-
 /** The desk. */
 class once_desk
 {
 public:
-    once_desk(boost::asio::io_context &io, request_broker &broker, request_issuer self, ticket_secret secret, once_desk_options options, once_links links);
+    once_desk(boost::asio::io_context &io, request_broker &broker, request_issuer self, ticket_secret secret, const once_options &options, once_links links);
 
     /** Issues a ticket. @return nothing if as many as allowed are outstanding */
     std::optional<std::string> issueTicket(const customer_id &customer);
@@ -70,7 +60,7 @@
     /** Runs nothing new from now on; answers kept and under way are still given. */
     void beginDrain()
     {
-        m_isDraining = true;
+        m_core.beginDrain();
     }
     /** Returns how many waiters have no answer. */
     std::size_t waiting() const
@@ -80,40 +70,33 @@
     nlohmann::json dump() const;
 
 private:
+    using core = once_core<key_records>;
     struct pending_request
     {
         caller_request request;
         http_request original;
         once_waiter waiter;
-        std::string name; ///< Within the table.
     };
     struct running_request;
 
-    void resolveTicket(std::uint64_t number);
-    void resolveKey(std::uint64_t number);
-    void enter(std::uint64_t number);
-    void forward(std::uint64_t number, const request_issuer &issuer);
-    void run(const run_once &action);
+    void perform(core::actions &actions);
+    void carryOut(const run_once &action);
+    void carryOut(const give_answer &action);
+    void carryOut(const give_error &action);
+    void carryOut(const forward_named &action);
+    void carryOut(const claim_record &action);
     void ended(const std::shared_ptr<running_request> &running, const broker_answer &answer);
     void finishLive(const running_request &running, const broker_answer &answer);
-    void performKeys(key_records::actions &actions);
-    void perform(once_table::actions &actions);
+    void forwardEnded(std::uint64_t number, const request_issuer &issuer, std::optional<forwarded_answer> answer);
     void respond(std::uint64_t number, http_response response);
-    void refuse(std::uint64_t number, error_kind kind, std::string_view detail, duration retryAfter = {});
     void armTimer();
 
-    boost::asio::io_context &m_io;
     request_broker &m_broker;
-    request_issuer m_self;
-    once_desk_options m_options;
     once_links m_links;
-    ticket_issuer m_tickets;
-    key_records m_keys;
-    once_table m_table;
-    boost::asio::steady_timer m_keyTimer;
+    core m_core;
+    boost::asio::steady_timer m_timer;
     std::unordered_map<std::uint64_t, pending_request> m_pending;
     std::uint64_t m_nextNumber = 1;
-    bool m_isDraining = false;
 };
 
 } // namespace reedtrail
--- a/gate/traffic_service.cpp
+++ b/gate/traffic_service.cpp
@@ -42,9 +42,9 @@
     return options;
 }
 
-once_desk_options deskOptions(const node_settings &settings)
+once_options deskOptions(const node_settings &settings)
 {
-    once_desk_options options;
+    once_options options;
     options.table.maximumAnswers = static_cast<std::size_t>(settings.limits.keptAnswers);
     options.table.maximumAnswerBytes = static_cast<std::size_t>(settings.limits.keptAnswerBytes);
     return options;
--- a/once/key_records.h
+++ b/once/key_records.h
@@ -5,12 +5,13 @@
  *     key_records records(issuer, {});
  *     key_records::actions actions;
  *     records.resolve(now, ticketNumber, "customer/hash", actions);             // claim_record: a compare-and-swap; or resolved_key at once
- *     records.onClaimAnswer(now, operation, claim_result::Created, {}, actions);  // resolved_key: Own, Foreign or Unresolved
+ *     records.onClaimAnswer(now, operation, claim_result::Created, {}, actions);  // resolved_key: Own, Foreign, Spent or Unresolved
  */
 #pragma once
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "once/key_standing.h"
 #include "once/ticket.h"
 
 #include <cstdint>
@@ -32,14 +33,6 @@
     auto operator<=>(const key_record &) const = default;
 };
 
-/** Who may run the request of a key. */
-enum class key_standing : std::uint8_t {
-    Own, ///< This incarnation.
-    Foreign, ///< Another one, named in the record.
-    Spent, ///< This incarnation, but the claim is so old that whether it ran may be forgotten.
-    Unresolved, ///< The store did not say: it may have run elsewhere.
-};
-
 /** Ask the store to create the record if there is none, and else to return the one there is. */
 struct claim_record
 {
@@ -48,16 +41,8 @@
     key_record record;
 };
 
-/** A key is resolved. */
-struct resolved_key
-{
-    std::uint64_t request = 0; ///< As given to resolve().
-    key_standing standing = key_standing::Unresolved;
-    request_issuer issuer; ///< Of a foreign key.
-};
-
 /** What the records want done. */
-using key_action = std::variant<claim_record, resolved_key>;
+using key_record_action = std::variant<claim_record, resolved_key>;
 
 /** What became of a claim. */
 enum class claim_result : std::uint8_t {
@@ -79,7 +64,9 @@
 class key_records
 {
 public:
-    using actions = std::vector<key_action>;
+    using store_request = claim_record;
+    static constexpr bool isPermanent = true; ///< Who may run a key never changes.
+    using actions = std::vector<key_record_action>;
 
     key_records(request_issuer self, key_record_options options);
 
--- /dev/null
+++ b/once/testing/once_world.h
@@ -0,0 +1,707 @@
+/**
+ * @file
+ * A small world of gates, backend servers, callers and a store in virtual time, for non-idempotent requests that are repeated through other gates while
+ * processes crash and pause, links part and the store is out. An oracle sees each run and each answer.
+ *
+ *     once_world<key_records> world({.way = request_way::Key, .requests = 10000, .seed = 7});
+ *     once_outcome outcome = world.run();      // outcome.runTwice, outcome.falseNotRun must be 0
+ *
+ * The gates run the same once_core as the program. What is decided is carried out a little later, so that a pause or a crash can fall in between.
+ */
+#pragma once
+
+#include "base/random.h"
+#include "harness/lossy_network.h"
+#include "harness/virtual_time.h"
+#include "once/key_ranges.h"
+#include "once/key_records.h"
+#include "once/once_core.h"
+#include "once/testing/once_world_store.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace reedtrail::testing {
+
+/** How callers name their requests. */
+enum class request_way : std::uint8_t { Ticket, Key };
+
+/** What a world is like. */
+struct once_world_options
+{
+    request_way way = request_way::Ticket;
+    std::size_t gates = 8;
+    std::size_t servers = 20;
+    std::size_t requests = 10000;
+    double requestsPerSecond = 1000;
+    std::uint64_t seed = 1;
+    bool hasFaults = true;
+    double elsewhere = 0.1; ///< Share of first sends that reach another gate than the one that issued the ticket.
+    duration callerTimeout = std::chrono::seconds(2);
+    int maximumSends = 7; ///< Of one request by its caller.
+    duration leaseTime = std::chrono::seconds(9);
+    duration blindTime = std::chrono::seconds(60); ///< Of key ranges after a takeover.
+    duration crashEvery = std::chrono::seconds(10);
+    duration pauseEvery = std::chrono::seconds(6);
+    duration cutEvery = std::chrono::seconds(10);
+    duration outageEvery = std::chrono::seconds(40);
+    duration outageTime = std::chrono::seconds(10);
+};
+
+/** What became of the requests. */
+struct once_outcome
+{
+    std::size_t answered = 0;
+    std::size_t refused = 0; ///< Told "not run".
+    std::size_t unknown = 0;
+    std::size_t runTwice = 0; ///< Must be 0.
+    std::size_t falseNotRun = 0; ///< Told "not run" of a send that ran; must be 0.
+    std::size_t crossed = 0; ///< Answers to another request; must be 0.
+    std::size_t ran = 0;
+    std::size_t forwarded = 0;
+    std::size_t begunInOutage = 0; ///< While the store was out.
+    std::size_t answeredOfOutage = 0; ///< Of those.
+    std::uint64_t storeCalls = 0;
+    double seconds = 0; ///< Virtual.
+    std::string firstViolation;
+};
+
+/** The world. @tparam Keys how idempotency keys are resolved */
+template<class Keys>
+class once_world
+{
+public:
+    explicit once_world(once_world_options options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_network(m_time, m_random.fork(), { std::chrono::microseconds(700), std::chrono::microseconds(600), options.hasFaults ? 0.001 : 0, 0, 0 })
+        , m_store(m_time, rangeCount)
+        , m_gates(options.gates)
+        , m_calls(options.requests)
+    {
+    }
+
+    once_outcome run()
+    {
+        for (std::size_t gate = 0; gate < m_gates.size(); ++gate) {
+            start(gate);
+        }
+        const duration gap = fromSeconds(1.0 / m_options.requestsPerSecond);
+        for (std::size_t request = 0; request < m_options.requests; ++request) {
+            m_time.at(time_point(std::chrono::seconds(3) + gap * request), [this, request] {
+                begin(request);
+            });
+        }
+        const duration busy = std::chrono::seconds(3) + gap * m_options.requests;
+        if (m_options.hasFaults) {
+            planFaults(time_point(busy));
+        }
+        m_time.runUntil(time_point(busy + std::chrono::seconds(60)));
+        return judge(busy);
+    }
+
+private:
+    static constexpr std::size_t rangeCount = 64;
+    using core = once_core<Keys>;
+
+    struct reply_message
+    {
+        std::size_t request = 0; ///< To which request the answer belongs.
+        error_kind error = error_kind::None;
+    };
+    struct send_message
+    {
+        std::size_t request = 0;
+        std::uint32_t attempt = 0;
+        std::string ticket;
+        bool isForwarded = false;
+    };
+    struct waiting_send
+    {
+        send_message message;
+        std::function<void(const reply_message &)> onReply;
+    };
+    struct gate
+    {
+        request_issuer issuer;
+        std::unique_ptr<core> decisions;
+        std::uint64_t life = 0; ///< Rises with each start; what an earlier life planned is dropped.
+        bool isUp = false;
+        time_point pausedUntil;
+        std::unordered_map<waiter_id, waiting_send> waiting;
+        waiter_id nextWaiter = 1;
+    };
+    struct call
+    {
+        std::string ticket;
+        std::size_t home = 0; ///< Gate that issued the ticket.
+        std::uint32_t attempt = 0;
+        int sends = 0;
+        std::uint64_t round = 0; ///< Tells the answer to the latest send from late ones.
+        bool isOver = false;
+        bool isBegunInOutage = false;
+        error_kind end = error_kind::PeerUnreachable;
+        std::vector<std::uint32_t> runs; ///< Attempt number of each run.
+        std::vector<std::uint32_t> toldNotRun;
+    };
+
+    // Gates.
+
+    static std::string gateName(std::size_t index)
+    {
+        return "g" + std::to_string(index);
+    }
+    static std::string serverName(std::size_t index)
+    {
+        return "s" + std::to_string(index);
+    }
+
+    void start(std::size_t index)
+    {
+        gate &self = m_gates[index];
+        self.isUp = true;
+        ++self.life;
+        self.issuer = { node_id(gateName(index)), static_cast<incarnation>(m_time.now().time_since_epoch().count() + 1) };
+        ticket_secret secret{};
+        for (std::uint8_t &byte : secret) {
+            byte = static_cast<std::uint8_t>(m_random.next());
+        }
+        once_options options;
+        options.table.entryLifetime = std::chrono::minutes(15);
+        if constexpr (Keys::isPermanent) {
+            self.decisions = std::make_unique<core>(self.issuer, secret, options, Keys(self.issuer, {}));
+        } else {
+            self.decisions =
+                std::make_unique<core>(self.issuer, secret, options, Keys(self.issuer, { rangeCount, std::chrono::seconds(1), m_options.blindTime }));
+            m_store.countWatch();
+            keepLease(index, self.life);
+        }
+        tick(index, self.life);
+    }
+
+    /** Runs @p action on a gate after @p delay, later if it is paused then, and never if it has crashed by then. */
+    void atGate(std::size_t index, std::uint64_t life, duration delay, std::function<void()> action)
+    {
+        m_time.after(delay, [this, index, life, action = std::move(action)]() mutable {
+            const gate &self = m_gates[index];
+            if (!self.isUp || self.life != life) {
+                return;
+            }
+            if (m_time.now() < self.pausedUntil) {
+                atGate(index, life, self.pausedUntil - m_time.now(), std::move(action));
+                return;
+            }
+            action();
+        });
+    }
+
+    /** Sends to a gate; what reaches a gate that is down is lost. */
+    void sendToGate(const std::string &from, std::size_t index, std::function<void()> action)
+    {
+        m_network.send(from, gateName(index), [this, index, action = std::move(action)] {
+            if (m_gates[index].isUp) {
+                atGate(index, m_gates[index].life, duration::zero(), action);
+            }
+        });
+    }
+
+    void tick(std::size_t index, std::uint64_t life)
+    {
+        atGate(index, life, std::chrono::milliseconds(25), [this, index, life] {
+            typename core::actions actions;
+            m_gates[index].decisions->onTimer(m_time.now(), actions);
+            perform(index, actions);
+            tick(index, life);
+        });
+    }
+
+    /** Carries actions out a little later, so that a pause or a crash can fall in between. */
+    void perform(std::size_t index, const typename core::actions &actions)
+    {
+        for (const typename core::action &action : actions) {
+            atGate(index, m_gates[index].life, duration(static_cast<std::int64_t>(m_random.below(1500))), [this, index, action] {
+                std::visit(
+                    [this, index](const auto &each) {
+                        carryOut(index, each);
+                    },
+                    action);
+            });
+        }
+    }
+
+    void carryOut(std::size_t index, const give_answer &action)
+    {
+        reply(index, action.waiter, { static_cast<std::size_t>(std::stoull(action.answer->body)), error_kind::None });
+    }
+
+    void carryOut(std::size_t index, const give_error &action)
+    {
+        const auto found = m_gates[index].waiting.find(action.waiter);
+        if (found != m_gates[index].waiting.end()) {
+            reply(index, action.waiter, { found->second.message.request, action.kind });
+        }
+    }
+
+    void reply(std::size_t index, waiter_id waiter, const reply_message &message)
+    {
+        const auto found = m_gates[index].waiting.find(waiter);
+        if (found != m_gates[index].waiting.end()) {
+            const auto answer = std::move(found->second.onReply);
+            m_gates[index].waiting.erase(found);
+            answer(message);
+        }
+    }
+
+    void carryOut(std::size_t index, const forward_named &action)
+    {
+        const auto found = m_gates[index].waiting.find(action.waiter);
+        if (found == m_gates[index].waiting.end()) {
+            return;
+        }
+        ++m_forwarded;
+        const std::size_t target = static_cast<std::size_t>(std::stoull(action.issuer.node.str().substr(1)));
+        send_message message = found->second.message;
+        message.isForwarded = true;
+        sendToGate(gateName(index), target, [this, index, target, message, waiter = action.waiter] {
+            receive(target, message, [this, index, target, waiter](const reply_message &answer) {
+                sendToGate(gateName(target), index, [this, index, waiter, answer] {
+                    m_gates[index].decisions->onForwardAnswered(waiter);
+                    reply(index, waiter, answer);
+                });
+            });
+        });
+        atGate(index, m_gates[index].life, std::chrono::milliseconds(1200), [this, index, action] {
+            typename core::actions actions;
+            m_gates[index].decisions->onForwardFailed(action.waiter, action.issuer, actions);
+            perform(index, actions);
+        });
+    }
+
+    void receive(std::size_t index, const send_message &message, std::function<void(const reply_message &)> onReply)
+    {
+        gate &self = m_gates[index];
+        const waiter_id waiter = self.nextWaiter++;
+        self.waiting[waiter] = { message, std::move(onReply) };
+        named_request request;
+        request.waiter = waiter;
+        request.ticket = message.ticket;
+        request.key = message.ticket.empty() ? "trust/" + std::to_string(message.request) : "";
+        request.customer = customer_id("trust");
+        request.contentHash = message.request;
+        request.attempt = message.attempt;
+        request.isForwarded = message.isForwarded;
+        typename core::actions actions;
+        self.decisions->onRequest(m_time.now(), std::move(request), actions);
+        perform(index, actions);
+    }
+
+    // Backend servers.
+
+    void carryOut(std::size_t index, const run_once &action)
+    {
+        const auto found = m_gates[index].waiting.find(action.waiter);
+        if (found == m_gates[index].waiting.end()) {
+            return;
+        }
+        const send_message message = found->second.message;
+        if (m_random.chance(0.01)) {
+            endNotRun(index, action.name, error_kind::QueueDeadline);
+        } else {
+            dispatch(index, action.name, message, 1);
+        }
+    }
+
+    void endNotRun(std::size_t index, const std::string &name, error_kind kind)
+    {
+        typename core::actions actions;
+        m_gates[index].decisions->onNotRun(m_time.now(), name, kind, "", {}, actions);
+        perform(index, actions);
+    }
+
+    void dispatch(std::size_t index, const std::string &name, const send_message &message, int attempt)
+    {
+        core &decisions = *m_gates[index].decisions;
+        const std::size_t server = m_random.below(m_options.servers);
+        decisions.onDispatched(name);
+        const auto isOpen = std::make_shared<bool>(true);
+        const auto notStarted = [this, index, name, message, attempt, isOpen] {
+            if (!std::exchange(*isOpen, false)) {
+                return;
+            }
+            constexpr int maximumAttempts = 3;
+            m_gates[index].decisions->onNotStarted(name);
+            attempt < maximumAttempts ? dispatch(index, name, message, attempt + 1) : endNotRun(index, name, error_kind::ServerRefused);
+        };
+        if (m_serversDown.contains(server)) {
+            notStarted();
+            return;
+        }
+        m_network.send(gateName(index), serverName(server), [this, index, server, name, message, notStarted, isOpen] {
+            if (m_serversDown.contains(server)) {
+                return;
+            }
+            if (m_random.chance(0.02)) {
+                sendToGate(serverName(server), index, notStarted);
+                return;
+            }
+            runAt(server, index, name, message, isOpen);
+        });
+        atGate(index, m_gates[index].life, std::chrono::seconds(1), [this, index, name, isOpen] {
+            if (std::exchange(*isOpen, false)) {
+                typename core::actions actions;
+                m_gates[index].decisions->onUnknown(m_time.now(), name, error_kind::ServerSilent, "", actions);
+                perform(index, actions);
+            }
+        });
+    }
+
+    void runAt(std::size_t server, std::size_t index, const std::string &name, const send_message &message, const std::shared_ptr<bool> &isOpen)
+    {
+        m_calls[message.request].runs.push_back(message.attempt);
+        const duration service = fromSeconds(m_random.lognormal(0.03, 0.6));
+        m_time.after(service, [this, server, index, name, message, isOpen] {
+            if (m_serversDown.contains(server) || m_random.chance(m_options.hasFaults ? 0.001 : 0)) {
+                return;
+            }
+            sendToGate(serverName(server), index, [this, index, name, message, isOpen] {
+                if (!std::exchange(*isOpen, false)) {
+                    return;
+                }
+                typename core::actions actions;
+                m_gates[index].decisions->onAnswered(m_time.now(), name, { 200, {}, std::to_string(message.request) }, actions);
+                perform(index, actions);
+            });
+        });
+    }
+
+    // The store.
+
+    void carryOut(std::size_t index, const claim_record &action)
+    {
+        const auto isOpen = std::make_shared<bool>(true);
+        const auto answer = [this, index, operation = action.operation, isOpen](claim_result outcome, const key_record &found) {
+            if (!std::exchange(*isOpen, false)) {
+                return;
+            }
+            typename core::actions actions;
+            m_gates[index].decisions->onStoreAnswer(
+                m_time.now(),
+                [&](auto &keys, auto &resolved) {
+                    if constexpr (Keys::isPermanent) {
+                        keys.onClaimAnswer(m_time.now(), operation, outcome, found, resolved);
+                    }
+                },
+                actions);
+            perform(index, actions);
+        };
+        m_network.send(gateName(index), "store", [this, index, action, answer] {
+            if (m_store.isDown) {
+                return;
+            }
+            key_record found;
+            const claim_result outcome = m_store.claim(action.key, action.record, found);
+            if (!m_random.chance(m_options.hasFaults ? 0.01 : 0)) {
+                sendToGate("store", index, [answer, outcome, found] {
+                    answer(outcome, found);
+                });
+            }
+        });
+        atGate(index, m_gates[index].life, std::chrono::milliseconds(700), [answer] {
+            answer(claim_result::Failed, {});
+        });
+    }
+
+    void carryOut(std::size_t index, const take_range &action)
+    {
+        m_network.send(gateName(index), "store", [this, action] {
+            if (!m_store.isDown) {
+                m_store.take(action.range, action.issuer);
+            }
+        });
+    }
+
+    /** Prolongs the lease and shows the gate who owns which range, as its watch would. */
+    void keepLease(std::size_t index, std::uint64_t life)
+    {
+        if constexpr (!Keys::isPermanent) {
+            const time_point askedAt = m_time.now();
+            m_network.send(gateName(index), "store", [this, index, askedAt, issuer = m_gates[index].issuer] {
+                if (m_store.isDown) {
+                    return;
+                }
+                m_store.keepAlive(issuer, m_options.leaseTime);
+                sendToGate("store", index, [this, index, until = askedAt + m_options.leaseTime] {
+                    tellKeys(index, [&](Keys &keys) {
+                        keys.onLease(until);
+                    });
+                });
+            });
+            showRanges(index);
+            atGate(index, life, m_options.leaseTime / 3, [this, index, life] {
+                keepLease(index, life);
+            });
+        }
+    }
+
+    void showRanges(std::size_t index)
+    {
+        for (int part = 0; part < 10; ++part) {
+            m_time.after(m_options.leaseTime / 30 * part, [this, index] {
+                if (m_store.isDown) {
+                    return;
+                }
+                sendToGate("store", index, [this, index, ranges = m_store.ranges()] {
+                    tellKeys(index, [&](Keys &keys) {
+                        for (std::size_t range = 0; range < ranges.size(); ++range) {
+                            keys.onOwner(m_time.now(), range, ranges[range].owner, ranges[range].wasOwnedBefore);
+                        }
+                    });
+                });
+            });
+        }
+    }
+
+    template<class Tell>
+    void tellKeys(std::size_t index, Tell tell)
+    {
+        typename core::actions actions;
+        m_gates[index].decisions->onStoreAnswer(
+            m_time.now(),
+            [&](Keys &keys, auto &) {
+                tell(keys);
+            },
+            actions);
+    }
+
+    // Callers.
+
+    void begin(std::size_t request)
+    {
+        m_calls[request].isBegunInOutage = m_store.isDown;
+        if (m_options.way == request_way::Key) {
+            send(request);
+        } else {
+            askTicket(request, 0);
+        }
+    }
+
+    void askTicket(std::size_t request, int tries)
+    {
+        constexpr int maximumTries = 5;
+        if (tries == maximumTries) {
+            m_calls[request].end = error_kind::NoServer; // it was never sent
+            m_calls[request].isOver = true;
+            return;
+        }
+        const std::size_t index = m_random.below(m_gates.size());
+        const auto isOpen = std::make_shared<bool>(true);
+        sendToGate("caller", index, [this, request, index, isOpen] {
+            const std::optional<std::string> ticket = m_gates[index].decisions->issueTicket(m_time.now(), customer_id("trust"));
+            m_network.send(gateName(index), "caller", [this, request, index, ticket, isOpen] {
+                if (ticket && std::exchange(*isOpen, false)) {
+                    m_calls[request].ticket = *ticket;
+                    m_calls[request].home = index;
+                    send(request);
+                }
+            });
+        });
+        m_time.after(std::chrono::milliseconds(500), [this, request, tries, isOpen] {
+            if (std::exchange(*isOpen, false)) {
+                askTicket(request, tries + 1);
+            }
+        });
+    }
+
+    void send(std::size_t request)
+    {
+        call &self = m_calls[request];
+        if (self.isOver) {
+            return;
+        }
+        if (self.sends == m_options.maximumSends) {
+            self.isOver = true;
+            return;
+        }
+        const bool goesHome = m_options.way == request_way::Ticket && self.sends == 0 && !m_random.chance(m_options.elsewhere);
+        const std::size_t index = goesHome ? self.home : m_random.below(m_gates.size());
+        ++self.sends;
+        const std::uint64_t round = ++self.round;
+        const send_message message{ request, self.attempt, self.ticket, false };
+        deliver(index, message, round);
+        if (m_options.hasFaults && m_random.chance(0.01)) {
+            // A copy that was held up on its way, with nobody left to read its answer.
+            m_time.after(fromSeconds(m_random.uniform(0.1, 15)), [this, message] {
+                deliver(m_random.below(m_gates.size()), message, 0);
+            });
+        }
+        m_time.after(m_options.callerTimeout, [this, request, round] {
+            if (m_calls[request].round == round) {
+                send(request);
+            }
+        });
+    }
+
+    void deliver(std::size_t index, const send_message &message, std::uint64_t round)
+    {
+        sendToGate("caller", index, [this, index, message, round] {
+            receive(index, message, [this, index, message, round](const reply_message &answer) {
+                m_network.send(gateName(index), "caller", [this, message, round, answer] {
+                    hear(message, round, answer);
+                });
+            });
+        });
+    }
+
+    void hear(const send_message &message, std::uint64_t round, const reply_message &answer)
+    {
+        call &self = m_calls[message.request];
+        if (round == 0 || self.round != round || self.isOver) {
+            return;
+        }
+        m_crossed += answer.request != message.request ? 1 : 0;
+        ++self.round;
+        self.end = answer.error;
+        const error_answer &row = answerFor(answer.error);
+        if (row.outcome == request_outcome::NotRun) {
+            self.toldNotRun.push_back(message.attempt);
+            ++self.attempt;
+        }
+        constexpr std::uint32_t maximumAttempts = 3;
+        const bool mayRaise = Keys::isPermanent && self.attempt < maximumAttempts;
+        const bool goesOn = answer.error != error_kind::None && row.retrySafe && (row.outcome != request_outcome::NotRun || mayRaise);
+        if (!goesOn) {
+            self.isOver = true;
+            return;
+        }
+        m_time.after(fromSeconds(0.25 * m_random.uniform(0.5, 1.5) * static_cast<double>(1U << static_cast<unsigned>(self.sends))),
+                     [this, request = message.request] {
+                         send(request);
+                     });
+    }
+
+    // Faults.
+
+    void planFaults(time_point end)
+    {
+        repeat(m_options.crashEvery, end, [this] {
+            crash(m_random.below(m_gates.size()));
+        });
+        repeat(m_options.pauseEvery, end, [this] {
+            m_gates[m_random.below(m_gates.size())].pausedUntil = m_time.now() + fromSeconds(std::min(40.0, m_random.exponential(5)));
+        });
+        repeat(m_options.cutEvery, end, [this] {
+            cutZone(m_random.below(4), m_random.chance(0.5));
+        });
+        repeat(m_options.crashEvery, end, [this] {
+            const std::size_t server = m_random.below(m_options.servers);
+            m_serversDown.insert(server);
+            m_time.after(std::chrono::seconds(3), [this, server] {
+                m_serversDown.erase(server);
+            });
+        });
+        repeat(m_options.outageEvery, end, [this] {
+            m_store.isDown = true;
+            m_time.after(m_options.outageTime, [this] {
+                m_store.isDown = false;
+            });
+        });
+    }
+
+    void repeat(duration mean, time_point end, std::function<void()> action)
+    {
+        const duration gap = fromSeconds(toSeconds(mean) * m_random.uniform(0.5, 1.5));
+        m_time.after(gap, [this, mean, end, action = std::move(action)] {
+            if (m_time.now() < end) {
+                action();
+                repeat(mean, end, action);
+            }
+        });
+    }
+
+    void crash(std::size_t index)
+    {
+        gate &self = m_gates[index];
+        if (!self.isUp) {
+            return;
+        }
+        self.isUp = false;
+        self.waiting.clear();
+        self.decisions.reset();
+        m_time.after(fromSeconds(m_random.uniform(1, 5)), [this, index] {
+            start(index);
+        });
+    }
+
+    /** Parts every fourth gate from the other gates and the store. */
+    void cutZone(std::size_t zone, bool isTwoWay)
+    {
+        const auto set = [this, zone, isTwoWay](bool isCut) {
+            for (std::size_t inside = zone; inside < m_gates.size(); inside += 4) {
+                for (std::size_t outside = 0; outside <= m_gates.size(); ++outside) {
+                    const std::string other = outside == m_gates.size() ? "store" : gateName(outside);
+                    if (outside == m_gates.size() || outside % 4 != zone) {
+                        m_network.cut(gateName(inside), other, isCut);
+                        isTwoWay ? m_network.cut(other, gateName(inside), isCut) : void();
+                    }
+                }
+            }
+        };
+        set(true);
+        m_time.after(fromSeconds(m_random.uniform(2, 12)), [set] {
+            set(false);
+        });
+    }
+
+    // The oracle.
+
+    once_outcome judge(duration busy)
+    {
+        once_outcome outcome;
+        for (std::size_t request = 0; request < m_calls.size(); ++request) {
+            const call &each = m_calls[request];
+            const request_outcome told = answerFor(each.end).outcome;
+            outcome.answered += each.end == error_kind::None ? 1 : 0;
+            outcome.refused += told == request_outcome::NotRun ? 1 : 0;
+            outcome.unknown += told == request_outcome::Unknown ? 1 : 0;
+            outcome.begunInOutage += each.isBegunInOutage ? 1 : 0;
+            outcome.answeredOfOutage += each.isBegunInOutage && each.end == error_kind::None ? 1 : 0;
+            outcome.ran += each.runs.empty() ? 0 : 1;
+            const bool isTwice = each.runs.size() > 1;
+            bool isFalse = false;
+            for (const std::uint32_t attempt : each.toldNotRun) {
+                isFalse = isFalse || std::any_of(each.runs.begin(), each.runs.end(), [attempt](std::uint32_t run) {
+                              return run <= attempt;
+                          });
+            }
+            outcome.runTwice += isTwice ? 1 : 0;
+            outcome.falseNotRun += isFalse ? 1 : 0;
+            if ((isTwice || isFalse) && outcome.firstViolation.empty()) {
+                outcome.firstViolation = "request " + std::to_string(request) + " of seed " + std::to_string(m_options.seed);
+            }
+        }
+        outcome.crossed = m_crossed;
+        outcome.forwarded = m_forwarded;
+        outcome.storeCalls = m_store.calls();
+        outcome.seconds = toSeconds(busy);
+        return outcome;
+    }
+
+    once_world_options m_options;
+    random_source m_random;
+    harness::virtual_time m_time;
+    harness::lossy_network m_network;
+    world_store m_store;
+    std::vector<gate> m_gates;
+    std::vector<call> m_calls;
+    std::set<std::size_t> m_serversDown;
+    std::size_t m_crossed = 0;
+    std::size_t m_forwarded = 0;
+};
+
+} // namespace reedtrail::testing
