--- a/gate/caller_request.cpp
+++ b/gate/caller_request.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t maximumPrefixBlocks = 32;
 constexpr std::size_t maximumNameBytes = 256; ///< Of a ticket or an idempotency key.
 constexpr std::uint64_t maximumDeadlineMs = 86400000;
-constexpr std::array<std::string_view, 10> fieldsNotPassedOn{ "Authorization", "Connection", "Host",    "Content-Length", "Transfer-Encoding",
-                                                              "Keep-Alive",    "Upgrade",    "Trailer", "TE",             "Expect" };
+constexpr std::array<std::string_view, 10> fieldsNotPassedOn{ "Authorization", "Connection", "Host", "Content-Length", "Transfer-Encoding", "Keep-Alive",
+                                                              "Upgrade",       "Trailer",    "TE",   "Expect" };
 
 /** Tells whether the pool names "METHOD /path-prefix" as running at most once. */
 bool isNonIdempotent(const pool_settings &pool, std::string_view method, std::string_view path)
--- a/gate/control_service.cpp
+++ b/gate/control_service.cpp
@@ -157,7 +157,9 @@
 }
 
 /** Stores with the first of @p candidates that takes the payload. */
-void control_service::storePayload(const draft_result &result, std::string payload, std::vector<spool_view> candidates,
+void control_service::storePayload(const draft_result &result,
+                                   std::string payload,
+                                   std::vector<spool_view> candidates,
                                    std::function<void(draft_result)> onStored)
 {
     if (candidates.empty()) {
@@ -182,15 +184,16 @@
             return;
         }
         const store_payload question{ result.slot.run, result.slot.step, result.payloadKey, payload };
-        m_bus.ask<payload_stored>(*link, question, spoolTimeout, [result, spool, tryNext, onStored](const std::optional<failure> &error, const payload_stored &answer) {
-            if (error || answer.error != answerFor(error_kind::None).name) {
-                tryNext();
-                return;
-            }
-            draft_result stored = result;
-            stored.spoolNode = spool.node;
-            onStored(std::move(stored));
-        });
+        m_bus.ask<payload_stored>(
+            *link, question, spoolTimeout, [result, spool, tryNext, onStored](const std::optional<failure> &error, const payload_stored &answer) {
+                if (error || answer.error != answerFor(error_kind::None).name) {
+                    tryNext();
+                    return;
+                }
+                draft_result stored = result;
+                stored.spoolNode = spool.node;
+                onStored(std::move(stored));
+            });
     });
 }
 
@@ -260,16 +263,17 @@
             done(error_kind::PeerUnreachable, "a spool cannot be reached");
             return;
         }
-        m_bus.ask<payload_read>(*link, read_payload{ key }, spoolTimeout, [this, state, index, done](const std::optional<failure> &error, const payload_read &answer) {
-            const error_kind kind = error ? error->kind : errorKindNamed(answer.error);
-            if (kind == error_kind::NotFound || kind == error_kind::Corrupt) {
-                const sealed_sample &lost = state->answer.samples[index];
-                m_bus.send(state->owner, payload_missing{ lost.slot, lost.draft });
-            }
-            state->payloads[index] = nlohmann::json::parse(answer.bytes, nullptr, false);
-            const bool isBad = kind == error_kind::None && !state->payloads[index].is_object();
-            done(isBad ? error_kind::Corrupt : kind, "a payload cannot be read");
-        });
+        m_bus.ask<payload_read>(
+            *link, read_payload{ key }, spoolTimeout, [this, state, index, done](const std::optional<failure> &error, const payload_read &answer) {
+                const error_kind kind = error ? error->kind : errorKindNamed(answer.error);
+                if (kind == error_kind::NotFound || kind == error_kind::Corrupt) {
+                    const sealed_sample &lost = state->answer.samples[index];
+                    m_bus.send(state->owner, payload_missing{ lost.slot, lost.draft });
+                }
+                state->payloads[index] = nlohmann::json::parse(answer.bytes, nullptr, false);
+                const bool isBad = kind == error_kind::None && !state->payloads[index].is_object();
+                done(isBad ? error_kind::Corrupt : kind, "a payload cannot be read");
+            });
     });
 }
 
--- a/gate/draft_maker.cpp
+++ b/gate/draft_maker.cpp
@@ -83,10 +83,9 @@
     broker_request request;
     request.publicId = ids.publicId;
     request.isCompletion = true;
-    request.completion = { { "model", draft->order.pool },
-                           { "prompt", draft->order.prompt + draft->movedText },
-                           { "max_tokens", tokensLeft },
-                           { "run", draft->order.slot.run } };
+    request.completion = {
+        { "model", draft->order.pool }, { "prompt", draft->order.prompt + draft->movedText }, { "max_tokens", tokensLeft }, { "run", draft->order.slot.run }
+    };
     request.routing.id = ids.local;
     request.routing.customer = draft->order.customer;
     request.routing.pool = draft->order.pool;
@@ -177,10 +176,7 @@
     const nlohmann::json body{ { "prompt", draft->order.prompt }, { "text", draft->text } };
     broker_request request;
     request.publicId = ids.publicId;
-    request.upstream = { "POST",
-                         "/v1/score",
-                         { { "Content-Type", "application/json" } },
-                         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
+    request.upstream = { "POST", "/v1/score", { { "Content-Type", "application/json" } }, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
     request.routing.id = ids.local;
     request.routing.customer = draft->order.customer;
     request.routing.pool = draft->order.scorerPool;
--- a/gate/link_pool.cpp
+++ b/gate/link_pool.cpp
@@ -37,7 +37,11 @@
     });
     entry.waiting.push_back(std::move(waiting));
     if (isNew) {
-        m_bus.keepConnected(where, { [this, where](link_id link) { opened(where, link); }, {} });
+        m_bus.keepConnected(where,
+                            { [this, where](link_id link) {
+                                 opened(where, link);
+                             },
+                              {} });
     }
 }
 
--- a/gate/load_poller.cpp
+++ b/gate/load_poller.cpp
@@ -92,12 +92,15 @@
     }
     const http_call_options limits{ m_options.timeout, m_options.timeout, m_options.timeout };
     const std::uint64_t sequence = ++m_sequence;
-    m_client.call(found->second.address, { "GET", "/load", {}, "" }, limits,
+    m_client.call(found->second.address,
+                  { "GET", "/load", {}, "" },
+                  limits,
                   [this, isAlive = m_isAlive, server, sequence](const http_call_end &end, const http_response &response) {
                       if (!*isAlive) {
                           return;
                       }
-                      std::optional<server_load> load = end.error == error_kind::None && response.status == 200 ? readLoadReport(server, response.body) : std::nullopt;
+                      std::optional<server_load> load =
+                          end.error == error_kind::None && response.status == 200 ? readLoadReport(server, response.body) : std::nullopt;
                       if (load && m_polled.contains(server)) {
                           load->sequence = sequence;
                           m_onLoad(*load);
--- a/gate/once_desk.cpp
+++ b/gate/once_desk.cpp
@@ -49,8 +49,8 @@
     bool hasLiveTokens = false; ///< Whether that waiter has got any.
 };
 
-once_desk::once_desk(boost::asio::io_context &io, request_broker &broker, request_issuer self, ticket_secret secret, once_desk_options options,
-                     once_links links)
+once_desk::once_desk(
+    boost::asio::io_context &io, request_broker &broker, request_issuer self, ticket_secret secret, once_desk_options options, once_links links)
     : m_io(io)
     , m_broker(broker)
     , m_self(self)
--- a/gate/request_broker.cpp
+++ b/gate/request_broker.cpp
@@ -241,7 +241,8 @@
     const bool saysNotRun = answerFor(answer.error).outcome == request_outcome::NotRun;
     REEDTRAIL_CHECK(!saysNotRun || !live.mayHaveRun, "not run is told only of a request that no server may have run");
     if (saysNotRun && live.mayHaveRun) {
-        answer.error = live.lastError == error_kind::None || answerFor(live.lastError).outcome == request_outcome::NotRun ? error_kind::ServerFailed : live.lastError;
+        answer.error =
+            live.lastError == error_kind::None || answerFor(live.lastError).outcome == request_outcome::NotRun ? error_kind::ServerFailed : live.lastError;
     }
     if (live.receiver.onEnd) {
         live.receiver.onEnd(std::move(answer));
--- a/gate/server_attempt.cpp
+++ b/gate/server_attempt.cpp
@@ -101,8 +101,8 @@
 class completion_attempt : public server_attempt, public std::enable_shared_from_this<completion_attempt>
 {
 public:
-    completion_attempt(boost::asio::io_context &io, http_client &client, server_target target, std::string engineId, const attempt_options &options,
-                       attempt_handlers handlers)
+    completion_attempt(
+        boost::asio::io_context &io, http_client &client, server_target target, std::string engineId, const attempt_options &options, attempt_handlers handlers)
         : m_client(client)
         , m_target(std::move(target))
         , m_engineId(std::move(engineId))
@@ -253,9 +253,10 @@
     void tellEngine()
     {
         http_request request{ "DELETE", "/v1/streams/" + m_engineId, {}, "" };
-        m_client.call(m_target.address, std::move(request), { m_options.connectTimeout, m_options.cancelTimeout, m_options.cancelTimeout },
-                      [](const http_call_end &, const http_response &) {
-                      });
+        m_client.call(m_target.address,
+                      std::move(request),
+                      { m_options.connectTimeout, m_options.cancelTimeout, m_options.cancelTimeout },
+                      [](const http_call_end &, const http_response &) {});
     }
 
     void finish(attempt_report report)
@@ -286,16 +287,21 @@
 
 } // namespace
 
-std::shared_ptr<server_attempt> startServiceAttempt(http_client &client, const server_target &target, http_request request, const attempt_options &options,
-                                                    attempt_handlers handlers)
+std::shared_ptr<server_attempt>
+startServiceAttempt(http_client &client, const server_target &target, http_request request, const attempt_options &options, attempt_handlers handlers)
 {
     const auto attempt = std::make_shared<service_attempt>(std::move(handlers));
     attempt->begin(client, target, std::move(request), options);
     return attempt;
 }
 
-std::shared_ptr<server_attempt> startCompletionAttempt(boost::asio::io_context &io, http_client &client, const server_target &target, http_request request,
-                                                       std::string engineId, const attempt_options &options, attempt_handlers handlers)
+std::shared_ptr<server_attempt> startCompletionAttempt(boost::asio::io_context &io,
+                                                       http_client &client,
+                                                       const server_target &target,
+                                                       http_request request,
+                                                       std::string engineId,
+                                                       const attempt_options &options,
+                                                       attempt_handlers handlers)
 {
     const auto attempt = std::make_shared<completion_attempt>(io, client, target, std::move(engineId), options, std::move(handlers));
     attempt->begin(std::move(request));
--- a/gate/server_attempt.h
+++ b/gate/server_attempt.h
@@ -63,11 +63,16 @@
 inline constexpr std::string_view notStartedHeader = "Reedtrail-Not-Started";
 
 /** Sends @p request whole and gathers the response whole. */
-std::shared_ptr<server_attempt> startServiceAttempt(http_client &client, const server_target &target, http_request request, const attempt_options &options,
-                                                    attempt_handlers handlers);
+std::shared_ptr<server_attempt>
+startServiceAttempt(http_client &client, const server_target &target, http_request request, const attempt_options &options, attempt_handlers handlers);
 
 /** Sends a completion as a stream, which is resumed by offset when its connection breaks or goes silent. @param engineId names the stream at the engine */
-std::shared_ptr<server_attempt> startCompletionAttempt(boost::asio::io_context &io, http_client &client, const server_target &target, http_request request,
-                                                       std::string engineId, const attempt_options &options, attempt_handlers handlers);
+std::shared_ptr<server_attempt> startCompletionAttempt(boost::asio::io_context &io,
+                                                       http_client &client,
+                                                       const server_target &target,
+                                                       http_request request,
+                                                       std::string engineId,
+                                                       const attempt_options &options,
+                                                       attempt_handlers handlers);
 
 } // namespace reedtrail
--- a/gate/store_claims.cpp
+++ b/gate/store_claims.cpp
@@ -30,7 +30,9 @@
         }
         const endpoint where = stores[nextStore % stores.size()];
         http_request request{ "POST", std::string(storePath(call)), { { "Content-Type", "application/json" } }, encodeStoreCall(call) };
-        client.call(where, std::move(request), { options.connectTimeout, options.callTimeout, options.callTimeout },
+        client.call(where,
+                    std::move(request),
+                    { options.connectTimeout, options.callTimeout, options.callTimeout },
                     [this, onBody = std::move(onBody)](const http_call_end &end, const http_response &response) {
                         const bool isGood = end.error == error_kind::None && response.status == 200;
                         nextStore += isGood ? 0 : 1;
@@ -90,15 +92,17 @@
 
 std::string encodeKeyRecord(const key_record &record)
 {
-    return nlohmann::json{ { "node", record.issuer.node }, { "incarnation", record.issuer.number }, { "operation", record.operation }, { "claimedAt", record.claimedAt } }
-        .dump();
+    return nlohmann::json{
+        { "node", record.issuer.node }, { "incarnation", record.issuer.number }, { "operation", record.operation }, { "claimedAt", record.claimedAt }
+    }.dump();
 }
 
 std::optional<key_record> decodeKeyRecord(std::string_view text)
 {
     const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
-    const bool isRecord = body.is_object() && body.contains("node") && body.at("node").is_string() && body.value("incarnation", nlohmann::json()).is_number_unsigned()
-        && body.value("operation", nlohmann::json()).is_number_unsigned() && body.value("claimedAt", nlohmann::json()).is_number_integer();
+    const bool isRecord = body.is_object() && body.contains("node") && body.at("node").is_string()
+        && body.value("incarnation", nlohmann::json()).is_number_unsigned() && body.value("operation", nlohmann::json()).is_number_unsigned()
+        && body.value("claimedAt", nlohmann::json()).is_number_integer();
     if (!isRecord) {
         return std::nullopt;
     }
--- a/gate/traffic_service.cpp
+++ b/gate/traffic_service.cpp
@@ -99,12 +99,16 @@
         , claims(client, context.settings.stores, {})
         , desk(io, broker, { context.settings.node, context.processIncarnation }, drawSecret(), deskOptions(context.settings), deskLinks())
         , drafts(broker, idSource())
-        , poller(io, client, context.processIncarnation, {},
+        , poller(io,
+                 client,
+                 context.processIncarnation,
+                 {},
                  [this](const server_load &load) {
                      broker.takeLoad(load);
                  })
         , api(io, broker, desk, {}, apiLinks())
-        , server(io, callerServerOptions(context.settings),
+        , server(io,
+                 callerServerOptions(context.settings),
                  [this](std::shared_ptr<http_exchange> exchange) {
                      api.handle(std::move(exchange));
                  })
@@ -224,18 +228,23 @@
 
     void handOverMetrics()
     {
-        boost::asio::post(context.control, [this, batch = std::exchange(latencies, {}), well = std::exchange(answeredWell, 0), badly = std::exchange(answeredBadly, 0),
-                                            inFlight = server.exchangesInFlight(), connections = server.connections()] {
-            metric_registry &metrics = context.metrics;
-            metric_latency &latency = metrics.latency("reedtrail_request_seconds", "Time from a caller's request to the head of its answer");
-            for (const duration each : batch) {
-                latency.record(each);
-            }
-            metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="below-500")").add(well);
-            metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="5xx")").add(badly);
-            metrics.gauge("reedtrail_requests_in_flight", "Callers' requests without an answer").set(static_cast<double>(inFlight));
-            metrics.gauge("reedtrail_caller_connections", "Open connections of callers").set(static_cast<double>(connections));
-        });
+        boost::asio::post(context.control,
+                          [this,
+                           batch = std::exchange(latencies, {}),
+                           well = std::exchange(answeredWell, 0),
+                           badly = std::exchange(answeredBadly, 0),
+                           inFlight = server.exchangesInFlight(),
+                           connections = server.connections()] {
+                              metric_registry &metrics = context.metrics;
+                              metric_latency &latency = metrics.latency("reedtrail_request_seconds", "Time from a caller's request to the head of its answer");
+                              for (const duration each : batch) {
+                                  latency.record(each);
+                              }
+                              metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="below-500")").add(well);
+                              metrics.counter("reedtrail_answers_total", "Answers to callers", R"(class="5xx")").add(badly);
+                              metrics.gauge("reedtrail_requests_in_flight", "Callers' requests without an answer").set(static_cast<double>(inFlight));
+                              metrics.gauge("reedtrail_caller_connections", "Open connections of callers").set(static_cast<double>(connections));
+                          });
     }
 
     void beginDrain(std::function<void()> done)
--- a/once/key_records.cpp
+++ b/once/key_records.cpp
@@ -20,7 +20,10 @@
 {
     constexpr std::uint64_t otherSeed = 1;
     std::array<char, 40> digits{};
-    std::snprintf(digits.data(), digits.size(), "%016llx%016llx", static_cast<unsigned long long>(stableHash(idempotencyKey)),
+    std::snprintf(digits.data(),
+                  digits.size(),
+                  "%016llx%016llx",
+                  static_cast<unsigned long long>(stableHash(idempotencyKey)),
                   static_cast<unsigned long long>(stableHash(idempotencyKey, otherSeed)));
     return customer.str() + "/" + digits.data();
 }
--- a/once/request_life.cpp
+++ b/once/request_life.cpp
@@ -64,10 +64,13 @@
     using initial_state = received;
 
     // The order of first appearance numbers the states as in life_state.
-    struct transition_table
-        : mpl::vector<Row<received, admit, admitted, none, none>, Row<admitted, dispatch, dispatched, none, none>, Row<dispatched, answer, answered, none, none>,
-                      Row<received, refuse, not_run, none, none>, Row<dispatched, lose, unknown, none, none>, Row<admitted, refuse, not_run, none, none>,
-                      Row<dispatched, server_did_not_start, admitted, none, none>>
+    struct transition_table : mpl::vector<Row<received, admit, admitted, none, none>,
+                                          Row<admitted, dispatch, dispatched, none, none>,
+                                          Row<dispatched, answer, answered, none, none>,
+                                          Row<received, refuse, not_run, none, none>,
+                                          Row<dispatched, lose, unknown, none, none>,
+                                          Row<admitted, refuse, not_run, none, none>,
+                                          Row<dispatched, server_did_not_start, admitted, none, none>>
     {
     };
 
--- a/once/ticket.cpp
+++ b/once/ticket.cpp
@@ -137,7 +137,12 @@
     message.append("/").append(customer.view());
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned length = 0;
-    HMAC(EVP_sha256(), m_secret.data(), static_cast<int>(m_secret.size()), reinterpret_cast<const unsigned char *>(message.data()), message.size(), digest.data(),
+    HMAC(EVP_sha256(),
+         m_secret.data(),
+         static_cast<int>(m_secret.size()),
+         reinterpret_cast<const unsigned char *>(message.data()),
+         message.size(),
+         digest.data(),
          &length);
     std::string text;
     for (std::size_t i = 0; i < signatureBytes; ++i) {
--- a/routing/server_choice.cpp
+++ b/routing/server_choice.cpp
@@ -91,12 +91,8 @@
     return (wait + batch + firstTokenSeconds - saving) / row.speed + zone + late;
 }
 
-void server_choice::consider(time_point now,
-                             candidate &best,
-                             const server_table &servers,
-                             const server_wish &wish,
-                             std::uint32_t server,
-                             std::uint32_t cachedBlocks) const
+void server_choice::consider(
+    time_point now, candidate &best, const server_table &servers, const server_wish &wish, std::uint32_t server, std::uint32_t cachedBlocks) const
 {
     const double value = cost(now, servers, servers.server(server), wish, cachedBlocks);
     if (best.server == noIndex || value < best.cost) {
@@ -194,7 +190,8 @@
         return;
     }
     for (const std::uint32_t server : known.holders) {
-        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server, true) && accepts(now, servers, server, wish)) {
+        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server, true)
+            && accepts(now, servers, server, wish)) {
             consider(now, best, servers, wish, server, known.blocks);
         }
     }
--- a/routing/server_choice.h
+++ b/routing/server_choice.h
@@ -69,12 +69,8 @@
     };
     bool fits(const server_table &servers, const server_row &row, const server_wish &wish) const;
     double cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const;
-    void consider(time_point now,
-                  candidate &best,
-                  const server_table &servers,
-                  const server_wish &wish,
-                  std::uint32_t server,
-                  std::uint32_t cachedBlocks) const;
+    void
+    consider(time_point now, candidate &best, const server_table &servers, const server_wish &wish, std::uint32_t server, std::uint32_t cachedBlocks) const;
     bool accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish);
     known_prefix findKnown(prefix_index &prefixes, const server_wish &wish) const;
     void considerPrefix(time_point now, candidate &best, server_table &servers, prefix_index &prefixes, const server_wish &wish);
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -157,7 +157,8 @@
     double acceptance(time_point now, const server_row &row) const;
     /**
      * Tells whether this gate may send one more request to the server for the sake of its prefixes: such requests stay below a little more than the server's
-     * part of the gate's rate. @p isShared tells whether other servers hold the prefix as well; if not, the bound is wider. All gates keep this bound, so the server gets no more than that from all of them, however late its reports are.
+     * part of the gate's rate. @p isShared tells whether other servers hold the prefix as well; if not, the bound is wider. All gates keep this bound, so the
+     * server gets no more than that from all of them, however late its reports are.
      */
     bool hasAffinityToken(time_point now, std::uint32_t index, bool isShared);
     /** Tells whether this gate may use room on the server that all gates with waiting requests see: each takes its part of it. */
--- a/sampling/testing/fake_fleet.cpp
+++ b/sampling/testing/fake_fleet.cpp
@@ -1,5 +1,5 @@
-// Only the interfaces of sampling/ are imitated: a gate keeps the tokens of its drafts and lets a broken one go on elsewhere; a node that dies loses its drafts and cores; a paused one does
-// everything that arrived meanwhile when it wakes.
+// Only the interfaces of sampling/ are imitated: a gate keeps the tokens of its drafts and lets a broken one go on elsewhere; a node that dies loses its drafts
+// and cores; a paused one does everything that arrived meanwhile when it wakes.
 
 #include "sampling/testing/fake_fleet.h"
 
--- a/sampling/testing/fake_fleet_drafts.cpp
+++ b/sampling/testing/fake_fleet_drafts.cpp
@@ -16,7 +16,8 @@
 std::string payloadKeyOf(const draft_order &order)
 {
     const slot_id &slot = order.slot;
-    return slot.run.str() + "/" + std::to_string(slot.step) + "/" + std::to_string(slot.group) + "/" + std::to_string(slot.index) + "/" + std::to_string(order.draft);
+    return slot.run.str() + "/" + std::to_string(slot.step) + "/" + std::to_string(slot.group) + "/" + std::to_string(slot.index) + "/"
+        + std::to_string(order.draft);
 }
 
 } // namespace
@@ -144,8 +145,8 @@
     if (!m_options.hasResume) {
         draft.done = 0;
         draft.versions.clear();
-        draft.wanted = std::clamp<std::uint64_t>(
-            static_cast<std::uint64_t>(m_random.lognormal(m_options.medianTokens, m_options.sigma)), 1, draft.order.maximumTokens);
+        draft.wanted =
+            std::clamp<std::uint64_t>(static_cast<std::uint64_t>(m_random.lognormal(m_options.medianTokens, m_options.sigma)), 1, draft.order.maximumTokens);
     }
     m_queue.push_front(key);
     m_world.after(std::chrono::milliseconds(200), [this] {
--- a/sampling/testing/run_test.cpp
+++ b/sampling/testing/run_test.cpp
@@ -62,8 +62,9 @@
     constexpr std::size_t removeSeals = 5;
     constexpr std::size_t answerPull = 6;
     constexpr std::size_t release = 7;
-    const std::vector<crash_point> points{ { "first draft order", orderDraft, 1 },  { "a draft order", orderDraft, 21 }, { "first seal write", writeSeal, 1 },
-                                           { "a seal write", writeSeal, 3 },        { "first answer", answerPull, 1 },   { "an answer", answerPull, 4 },
+    const std::vector<crash_point> points{ { "first draft order", orderDraft, 1 },   { "a draft order", orderDraft, 21 },
+                                           { "first seal write", writeSeal, 1 },     { "a seal write", writeSeal, 3 },
+                                           { "first answer", answerPull, 1 },        { "an answer", answerPull, 4 },
                                            { "removal of records", removeSeals, 1 }, { "release", release, 2 } };
     for (const crash_point &point : points) {
         for (const bool isAfter : { false, true }) {
--- a/weights/rollout_machine.cpp
+++ b/weights/rollout_machine.cpp
@@ -29,23 +29,18 @@
     struct staging : front::state<>
     {
     };
-    struct first_wave : front::state<>
-    {
-    };
-    struct second_wave : front::state<>
+    struct switching : front::state<>
     {
     };
     using initial_state = standby;
 
     struct transition_table : boost::mpl::vector<front::Row<standby, on<rollout_event::Gained>, settled>,
                                                  front::Row<settled, on<rollout_event::Published>, staging>,
-                                                 front::Row<staging, on<rollout_event::Staged>, first_wave>,
-                                                 front::Row<first_wave, on<rollout_event::FirstWaveDone>, second_wave>,
-                                                 front::Row<second_wave, on<rollout_event::SecondWaveDone>, settled>,
+                                                 front::Row<staging, on<rollout_event::Staged>, switching>,
+                                                 front::Row<switching, on<rollout_event::Switched>, settled>,
                                                  front::Row<settled, on<rollout_event::Lost>, standby>,
                                                  front::Row<staging, on<rollout_event::Lost>, standby>,
-                                                 front::Row<first_wave, on<rollout_event::Lost>, standby>,
-                                                 front::Row<second_wave, on<rollout_event::Lost>, standby>>
+                                                 front::Row<switching, on<rollout_event::Lost>, standby>>
     {
     };
 
@@ -58,7 +53,7 @@
 
 using rollout_back = msm::back::state_machine<rollout_front>;
 
-constexpr std::array<std::string_view, 5> phaseNames{ "standby", "settled", "staging", "first-wave", "second-wave" };
+constexpr std::array<std::string_view, 4> phaseNames{ "standby", "settled", "staging", "switching" };
 
 } // namespace
 
@@ -98,11 +93,8 @@
     case rollout_event::Staged:
         machine.process_event(on<rollout_event::Staged>{});
         break;
-    case rollout_event::FirstWaveDone:
-        machine.process_event(on<rollout_event::FirstWaveDone>{});
-        break;
-    case rollout_event::SecondWaveDone:
-        machine.process_event(on<rollout_event::SecondWaveDone>{});
+    case rollout_event::Switched:
+        machine.process_event(on<rollout_event::Switched>{});
         break;
     }
 }
--- a/weights/rollout_machine.h
+++ b/weights/rollout_machine.h
@@ -15,8 +15,7 @@
     Standby, ///< This node does not own the run.
     Settled, ///< Nothing newer to bring out; servers that come late are brought up to date.
     Staging, ///< Servers load the version beside the one they serve.
-    FirstWave, ///< Half of each zone's servers switch.
-    SecondWave, ///< The other half switches.
+    Switching, ///< Servers go over to it.
 };
 
 /** What moves a rollout. */
@@ -25,8 +24,7 @@
     Lost,
     Published, ///< A newer version is to be brought out.
     Staged, ///< Enough servers have it staged.
-    FirstWaveDone,
-    SecondWaveDone,
+    Switched, ///< All that can be reached have gone over, or took too long.
 };
 
 /** Returns the stable name of @p phase. */
--- a/weights/staging_allotment.cpp
+++ b/weights/staging_allotment.cpp
@@ -1,22 +1,42 @@
-// Starts are spaced by the time one shard takes at the allotted rate. A server draws its shard in about that time or longer, so what all draw in any window of
-// a few shards stays within the rate; a burst after a quiet time would not.
+// A server draws at shard / stage time. Spacing starts evenly would keep the mean within the rate, not the peak: draws of different length overlap unevenly. So
+// the draws under way are added up, each at its server's own rate as last measured, or at the quickest measured for one that is new. Beside those already
+// measured no more new ones draw than were measured, as in slow start: were the first measured a slow server, all others would be taken for slow ones. What is
+// over the rate all the same is refused by the weight store with 429 and drawn later.
 
 #include "weights/staging_allotment.h"
 
+#include <algorithm>
+
 namespace reedtrail {
 
 void staging_allotment::setRate(double bytesPerSecond, double shardBytes)
 {
-    m_interval = bytesPerSecond > 0 ? fromSeconds(shardBytes / bytesPerSecond) : std::chrono::hours(1);
+    m_bytesPerSecond = bytesPerSecond;
+    m_shardBytes = shardBytes;
 }
 
-bool staging_allotment::take(time_point now)
+void staging_allotment::learn(duration stageTime)
 {
-    if (now < m_nextAt) {
+    if (stageTime > duration::zero()) {
+        ++m_learnt;
+        m_shortest = m_shortest == duration::zero() ? stageTime : std::min(m_shortest, stageTime);
+    }
+}
+
+bool staging_allotment::mayStart(std::span<const duration> stageTimes) const
+{
+    if (stageTimes.size() <= 1) {
+        return true;
+    }
+    const auto unknown = static_cast<std::size_t>(std::ranges::count(stageTimes, duration::zero()));
+    if (m_shortest == duration::zero() || unknown > m_learnt) {
         return false;
     }
-    m_nextAt = now + m_interval;
-    return true;
+    double rate = 0;
+    for (const duration stageTime : stageTimes) {
+        rate += m_shardBytes / toSeconds(stageTime == duration::zero() ? m_shortest : stageTime);
+    }
+    return rate <= m_bytesPerSecond;
 }
 
 } // namespace reedtrail
--- a/weights/staging_allotment.h
+++ b/weights/staging_allotment.h
@@ -4,7 +4,8 @@
  *
  *     staging_allotment allotment;
  *     allotment.setRate(bytesPerSecond * runWeight / sumOfWeights, shardBytes);
- *     if (allotment.take(now)) { order one server to stage }
+ *     allotment.learn(stageTime);                                       // of any server
+ *     if (allotment.mayStart(drawsUnderWay)) { order one server to stage }
  *
  * The split needs no messages, so it holds in every partition: the sum of what all runs draw never exceeds the rate, whoever owns them.
  */
@@ -12,30 +13,30 @@
 
 #include "base/time.h"
 
+#include <cstddef>
+#include <span>
+
 namespace reedtrail {
 
-/** The allotment; it paces starts evenly, without burst. */
+/** The allotment. */
 class staging_allotment
 {
 public:
     /** Sets the rate. @param bytesPerSecond of this run @param shardBytes that one server draws for a version */
     void setRate(double bytesPerSecond, double shardBytes);
-    /** Takes the right to let one more server stage. @return false if it is too early */
-    bool take(time_point now);
-    /** Returns when take() will next succeed. */
-    time_point nextAt() const
-    {
-        return m_nextAt;
-    }
-    /** Returns the time between two starts. */
-    duration interval() const
-    {
-        return m_interval;
-    }
+    /** Notes how long a server took to stage. */
+    void learn(duration stageTime);
+    /**
+     * Tells whether one more server may draw beside those that do.
+     * @param stageTimes of the servers drawing now and of the next one; 0 for a server whose time is not known
+     */
+    bool mayStart(std::span<const duration> stageTimes) const;
 
 private:
-    duration m_interval{};
-    time_point m_nextAt{};
+    double m_bytesPerSecond = 0;
+    double m_shardBytes = 0;
+    duration m_shortest{}; ///< Shortest stage time seen; 0 while none was.
+    std::size_t m_learnt = 0; ///< Stage times seen.
 };
 
 } // namespace reedtrail
--- /dev/null
+++ b/weights/testing/fake_servers.cpp
@@ -0,0 +1,381 @@
+// A server without staging draws its shard while it switches, which is what the baseline does; the weight store then serves them one after the other at its
+// rate.
+
+#include "weights/testing/fake_servers.h"
+
+#include <algorithm>
+
+namespace reedtrail::harness {
+namespace {
+
+constexpr std::int64_t leaseSeconds = 5;
+constexpr duration tickInterval = std::chrono::milliseconds(20);
+constexpr duration fencedNoticeDelay = std::chrono::seconds(4);
+constexpr duration orderFlight = std::chrono::milliseconds(2);
+
+} // namespace
+
+fake_servers::fake_servers(fake_servers_options options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_network(m_world, m_random.fork(), options.network)
+{
+    m_servers.resize(options.servers);
+    m_deputies.resize(options.zones);
+    std::vector<deputy_input::servers_changed> zones(options.zones);
+    std::vector<run_id> runs;
+    for (std::size_t run = 0; run < options.runs; ++run) {
+        runs.emplace_back(std::to_string(run));
+    }
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        server &each = m_servers[index];
+        each.id = server_id("engine-" + std::to_string(index));
+        each.zone = index % options.zones;
+        each.checksFencing = m_random.chance(options.checkingShare);
+        each.slowness = m_random.chance(options.slowShare) ? options.slowFactor : 1;
+        for (std::size_t run = 0; run < options.runs; ++run) {
+            each.versions[run] = 1;
+        }
+        m_serverIndex[each.id] = index;
+        zones[each.zone].servers.push_back({ each.id, each.checksFencing, runs });
+    }
+    for (std::size_t zone = 0; zone < options.zones; ++zone) {
+        m_deputies[zone].name = "deputy-" + std::to_string(zone);
+        m_deputies[zone].core = std::make_unique<zone_weights>(zone_id(std::to_string(zone)), deputy_options{});
+        tellDeputy(zone, zones[zone]);
+    }
+    addCoordinator(true);
+}
+
+fake_servers::~fake_servers() = default;
+
+std::size_t fake_servers::runIndex(const run_id &run)
+{
+    return std::stoul(run.str());
+}
+
+void fake_servers::runFor(duration span)
+{
+    m_world.runUntil(m_world.now() + span);
+}
+
+void fake_servers::addCoordinator(bool isFirst)
+{
+    coordinator each;
+    each.name = "owner-" + std::to_string(m_coordinators.size());
+    each.epoch = m_coordinators.size() + 1;
+    each.leaseUntil = m_world.now() + std::chrono::seconds(leaseSeconds);
+    for (std::size_t run = 0; run < m_options.runs; ++run) {
+        each.rollouts.push_back(std::make_unique<weight_rollout>(run_id(std::to_string(run)), m_options.rollout));
+    }
+    m_coordinators.push_back(std::move(each));
+    const std::size_t index = m_coordinators.size() - 1;
+    rollout_input::servers_changed event;
+    event.bytesPerSecond = m_options.bytesPerSecond / static_cast<double>(m_options.runs);
+    event.shardBytes = m_options.shardBytes;
+    for (const server &target : m_servers) {
+        event.servers.push_back({ target.id, zone_id(std::to_string(target.zone)), target.checksFencing });
+    }
+    for (std::size_t run = 0; run < m_options.runs; ++run) {
+        tellRollout(index, run, event);
+        tellRollout(index, run, rollout_input::ownership_gained{ m_coordinators[index].epoch, m_coordinators[index].leaseUntil, isFirst });
+        if (m_published.contains(run)) {
+            tellRollout(index, run, rollout_input::version_published{ m_published.at(run) });
+        }
+    }
+    tick(index);
+}
+
+void fake_servers::publish(weight_version version, std::size_t run)
+{
+    m_published[run] = version;
+    for (std::size_t index = 0; index < m_coordinators.size(); ++index) {
+        tellRollout(index, run, rollout_input::version_published{ version });
+    }
+}
+
+void fake_servers::deliver(std::size_t index, std::function<void()> action)
+{
+    if (m_coordinators[index].isPaused) {
+        m_coordinators[index].held.push_back(std::move(action));
+    } else {
+        action();
+    }
+}
+
+void fake_servers::tick(std::size_t index)
+{
+    m_world.after(tickInterval, [this, index] {
+        deliver(index, [this, index] {
+            coordinator &each = m_coordinators[index];
+            if (!each.isLapsed) {
+                each.leaseUntil = m_world.now() + std::chrono::seconds(leaseSeconds);
+            }
+            for (std::size_t run = 0; run < m_options.runs; ++run) {
+                if (!each.isLapsed) {
+                    tellRollout(index, run, rollout_input::lease_kept{ each.leaseUntil });
+                }
+                tellRollout(index, run, rollout_input::timer{});
+            }
+            tick(index);
+        });
+    });
+}
+
+void fake_servers::takeOver(duration leaseLeft)
+{
+    const std::size_t before = m_coordinators.size() - 1;
+    if (m_coordinators[before].isLapsed) {
+        return; // One is about to take over already.
+    }
+    m_coordinators[before].isLapsed = true;
+    m_world.after(leaseLeft, [this] {
+        addCoordinator(false);
+    });
+    m_world.after(leaseLeft + fencedNoticeDelay, [this, before] {
+        deliver(before, [this, before] {
+            for (std::size_t run = 0; run < m_options.runs; ++run) {
+                tellRollout(before, run, rollout_input::ownership_lost{}); // The store has told it by now.
+            }
+        });
+    });
+}
+
+void fake_servers::pauseOwner(duration span)
+{
+    const std::size_t index = m_coordinators.size() - 1;
+    m_coordinators[index].isPaused = true;
+    m_world.after(span, [this, index] {
+        m_coordinators[index].isPaused = false;
+        std::vector<std::function<void()>> held;
+        held.swap(m_coordinators[index].held);
+        for (const auto &action : held) {
+            deliver(index, action);
+        }
+    });
+}
+
+void fake_servers::cutZone(std::size_t zone, bool isCut)
+{
+    for (const coordinator &each : m_coordinators) {
+        m_network.cutBoth(each.name, m_deputies[zone].name, isCut);
+    }
+}
+
+void fake_servers::restartServer(std::size_t index)
+{
+    server &each = m_servers[index];
+    ++each.life;
+    each.isSwapping = false;
+    each.staged.clear();
+    each.fencing.clear();
+    for (auto &[run, version] : each.versions) {
+        version = 1;
+    }
+}
+
+void fake_servers::tellRollout(std::size_t index, std::size_t run, const rollout_event_item &event)
+{
+    weight_rollout &core = *m_coordinators[index].rollouts[run];
+    for (const zone_order &order : core.onEvent(m_world.now(), event)) {
+        if (order.order.operation == switchOperation) {
+            m_switchBegan.emplace(order.order.version, m_world.now());
+        }
+        const std::size_t zone = std::stoul(order.zone.str());
+        m_network.send(m_coordinators[index].name, m_deputies[zone].name, [this, zone, content = order.order] {
+            tellDeputy(zone, deputy_input::order_received{ content });
+        });
+    }
+}
+
+void fake_servers::tellDeputy(std::size_t zone, const deputy_event &event)
+{
+    for (const deputy_action_item &action : m_deputies[zone].core->onEvent(m_world.now(), event)) {
+        std::visit(
+            [this, zone](const auto &known) {
+                perform(zone, known);
+            },
+            action);
+    }
+    armDeputy(zone);
+}
+
+void fake_servers::armDeputy(std::size_t zone)
+{
+    deputy &each = m_deputies[zone];
+    const time_point next = each.core->nextDeadline();
+    if (next == timeNever || (each.timerAt <= next && each.timerAt > m_world.now())) {
+        return;
+    }
+    each.timerAt = std::max(next, m_world.now() + std::chrono::milliseconds(1));
+    m_world.at(each.timerAt, [this, zone, turn = ++each.timerTurn] {
+        if (m_deputies[zone].timerTurn == turn) {
+            m_deputies[zone].timerAt = timeNever;
+            tellDeputy(zone, deputy_input::timer{});
+        }
+    });
+}
+
+void fake_servers::perform(std::size_t zone, const deputy_action::order_server &order)
+{
+    const bool isLate = m_random.chance(m_options.lateOrder);
+    m_world.after(isLate ? fromSeconds(m_random.uniform(0, 20)) : orderFlight, [this, zone, order] {
+        carryOut(zone, m_serverIndex.at(order.server), order);
+    });
+}
+
+void fake_servers::carryOut(std::size_t zone, std::size_t index, const deputy_action::order_server &order)
+{
+    server &each = m_servers[index];
+    epoch_number &highest = each.fencing[runIndex(order.run)];
+    if (order.fencing < highest) {
+        if (each.checksFencing) {
+            answer(zone, order, deputy_input::order_answered::outcome::Refused);
+            return;
+        }
+        ++m_staleOrdersDone;
+    }
+    highest = std::max(highest, order.fencing);
+    if (order.operation == stageOperation) {
+        stage(zone, index, order);
+    } else {
+        swap(zone, index, order);
+    }
+}
+
+void fake_servers::draw(double rate)
+{
+    m_rate += rate;
+    m_peakRate = std::max(m_peakRate, m_rate);
+}
+
+void fake_servers::stage(std::size_t zone, std::size_t index, const deputy_action::order_server &order)
+{
+    const double rate = m_options.linkBytesPerSecond / m_servers[index].slowness;
+    draw(rate);
+    m_world.after(fromSeconds(m_options.shardBytes / rate), [this, zone, index, order, rate, life = m_servers[index].life] {
+        draw(-rate);
+        if (m_servers[index].life == life) {
+            m_servers[index].staged[runIndex(order.run)].insert(order.version);
+            answer(zone, order, deputy_input::order_answered::outcome::Done);
+        } else {
+            answer(zone, order, deputy_input::order_answered::outcome::Unknown);
+        }
+    });
+}
+
+void fake_servers::swap(std::size_t zone, std::size_t index, const deputy_action::order_server &order)
+{
+    server &each = m_servers[index];
+    const std::size_t run = runIndex(order.run);
+    if (each.versions[run] == order.version || each.isSwapping) { // An engine that ignores fencing numbers also goes back to an older version.
+        answer(zone, order, each.isSwapping ? deputy_input::order_answered::outcome::Failed : deputy_input::order_answered::outcome::Done);
+        return;
+    }
+    each.isSwapping = true;
+    std::size_t swapping = 0;
+    std::size_t inZone = 0;
+    for (const server &other : m_servers) {
+        inZone += other.zone == each.zone ? 1 : 0;
+        swapping += other.zone == each.zone && other.isSwapping ? 1 : 0;
+    }
+    m_largestSwappingShare = std::max(m_largestSwappingShare, static_cast<double>(swapping) / static_cast<double>(inZone));
+    const duration span = fromSeconds(toSeconds(m_options.switchTime) * each.slowness * m_random.uniform(0.8, 1.2));
+    if (each.staged[run].contains(order.version)) {
+        m_world.after(span, [this, zone, index, order, life = each.life] {
+            finishSwap(zone, index, order, life);
+        });
+        return;
+    }
+    const double rate = m_options.linkBytesPerSecond / each.slowness;
+    if (m_rate + rate > m_options.bytesPerSecond) {
+        each.isSwapping = false;
+        m_world.after(std::chrono::milliseconds(500), [this, zone, index, order] {
+            swap(zone, index, order); // The weight store said 429.
+        });
+        return;
+    }
+    draw(rate);
+    m_world.after(span + fromSeconds(m_options.shardBytes / rate), [this, zone, index, order, rate, life = each.life] {
+        draw(-rate);
+        finishSwap(zone, index, order, life);
+    });
+}
+
+void fake_servers::finishSwap(std::size_t zone, std::size_t index, const deputy_action::order_server &order, std::uint64_t life)
+{
+    server &each = m_servers[index];
+    if (each.life != life) {
+        answer(zone, order, deputy_input::order_answered::outcome::Unknown);
+        return;
+    }
+    each.isSwapping = false;
+    const bool isFailed = m_random.chance(m_options.failPartway);
+    each.versions[runIndex(order.run)] = isFailed ? 0 : order.version;
+    answer(zone, order, isFailed ? deputy_input::order_answered::outcome::Failed : deputy_input::order_answered::outcome::Done);
+}
+
+void fake_servers::answer(std::size_t zone, const deputy_action::order_server &order, deputy_input::order_answered::outcome outcome)
+{
+    m_world.after(orderFlight, [this, zone, order, outcome] {
+        tellDeputy(zone, deputy_input::order_answered{ order.server, order.run, order.operation, order.version, outcome });
+    });
+}
+
+void fake_servers::perform(std::size_t zone, const deputy_action::read_load &read)
+{
+    const server &each = m_servers[m_serverIndex.at(read.server)];
+    deputy_input::load_read event{
+        .server = read.server, .isAnswered = true, .state = each.isSwapping ? "swapping" : "ready", .baseVersion = 1, .versions = {}
+    };
+    for (const auto &[run, version] : each.versions) {
+        event.versions[run_id(std::to_string(run))] = version;
+        event.state = version == 0 && !each.isSwapping ? "unknown-version" : event.state;
+    }
+    m_world.after(m_options.loadLag, [this, zone, event] {
+        tellDeputy(zone, event);
+    });
+}
+
+void fake_servers::perform(std::size_t zone, const deputy_action::report &report)
+{
+    for (std::size_t index = 0; index < m_coordinators.size(); ++index) {
+        m_network.send(m_deputies[zone].name, m_coordinators[index].name, [this, index, content = report.content] {
+            deliver(index, [this, index, content] {
+                tellRollout(index, runIndex(content.run), rollout_input::zone_reported{ content });
+            });
+        });
+    }
+}
+
+std::size_t fake_servers::serversAt(weight_version version, std::size_t run) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_servers, [version, run](const server &each) {
+        return each.versions.at(run) >= version;
+    }));
+}
+
+std::size_t fake_servers::unknownInSampling() const
+{
+    std::size_t count = 0;
+    for (std::size_t run = 0; run < m_options.runs; ++run) {
+        const std::vector<server_id> out = rollout(run).outOfSampling();
+        for (const server &each : m_servers) {
+            count += each.versions.at(run) == 0 && std::ranges::find(out, each.id) == out.end() ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+std::optional<time_point> fake_servers::switchBegan(weight_version version) const
+{
+    const auto found = m_switchBegan.find(version);
+    return found == m_switchBegan.end() ? std::nullopt : std::optional(found->second);
+}
+
+const weight_rollout &fake_servers::rollout(std::size_t run) const
+{
+    return *m_coordinators.back().rollouts[run];
+}
+
+} // namespace reedtrail::harness
--- a/weights/weight_messages.h
+++ b/weights/weight_messages.h
@@ -41,10 +41,12 @@
     server_id server;
     weight_version staged = 0; ///< Newest version that it said it has staged.
     weight_version version = 0; ///< Newest version that it reported to serve; 0 if it does not know or was not heard.
+    weight_version staging = 0; ///< Version it was told to stage and has not answered for; 0 if none.
+    std::int64_t stageMs = 0; ///< Time that its last staging took; 0 if not known.
     std::string state; ///< As the server reported; "silent" if it does not answer.
     std::uint64_t failures = 0; ///< Orders that failed since one succeeded.
     std::string failedOperation; ///< Of the last failure.
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(server_weights, server, staged, version, state, failures, failedOperation)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(server_weights, server, staged, version, staging, stageMs, state, failures, failedOperation)
 };
 
 /** A deputy reports the servers of its zone. */
--- a/weights/weight_rollout.cpp
+++ b/weights/weight_rollout.cpp
@@ -20,11 +20,6 @@
 #include <algorithm>
 
 namespace reedtrail {
-namespace {
-
-constexpr std::size_t waves = 2;
-
-} // namespace
 
 weight_rollout::weight_rollout(run_id run, rollout_options options, decision_log *log)
     : m_run(std::move(run))
@@ -52,13 +47,7 @@
     if (phase() == rollout_phase::Standby) {
         return timeNever;
     }
-    time_point next = m_now + m_options.repeatInterval;
-    if (phase() == rollout_phase::Staging) {
-        next = std::min(next, std::max(m_allotment.nextAt(), m_now + duration(1)));
-    } else if (phase() != rollout_phase::Settled) {
-        next = std::min(next, std::max(m_waveSince + m_options.wavePatience, m_now + duration(1)));
-    }
-    return next;
+    return m_now + m_options.repeatInterval; // Reports wake it before if anything has changed.
 }
 
 void weight_rollout::handle(const rollout_input::servers_changed &event)
@@ -67,7 +56,6 @@
     m_allotment.setRate(event.bytesPerSecond, event.shardBytes);
     std::map<server_id, server_progress> before;
     before.swap(m_servers);
-    std::map<zone_id, std::size_t> inZone;
     for (const rollout_server &server : event.servers) {
         server_progress progress;
         const auto known = before.find(server.id);
@@ -75,7 +63,6 @@
             progress = known->second;
         }
         progress.settings = server;
-        progress.wave = inZone[server.zone]++ % waves;
         m_servers.emplace(server.id, std::move(progress));
     }
 }
@@ -141,6 +128,9 @@
         if (hasFailed && seen.failedOperation == switchOperation) {
             server.switchOrderedAt = std::min(server.switchOrderedAt, m_now - m_options.switchTimeout + m_options.repeatInterval);
         }
+        if (seen.stageMs != server.seen.stageMs) {
+            m_allotment.learn(std::chrono::milliseconds(seen.stageMs));
+        }
         server.seen = seen;
         server.isHeard = true;
     }
@@ -176,7 +166,7 @@
     stageServers();
     if (phase() == rollout_phase::Staging && isStagingDone()) {
         m_switchVersion = m_target;
-        m_waveSince = m_now;
+        m_switchingSince = m_now;
         m_machine.handle(rollout_event::Staged);
         if (m_log != nullptr) {
             m_log->add(
@@ -184,28 +174,37 @@
         }
     }
     switchServers();
-    if (phase() == rollout_phase::FirstWave && isWaveDone(0)) {
-        m_waveSince = m_now;
-        m_machine.handle(rollout_event::FirstWaveDone);
-        switchServers();
+    if (phase() == rollout_phase::Switching && isSwitchDone()) {
+        m_machine.handle(rollout_event::Switched);
     }
-    if (phase() == rollout_phase::SecondWave && isWaveDone(1)) {
-        m_machine.handle(rollout_event::SecondWaveDone);
+}
+
+std::vector<duration> weight_rollout::drawsUnderWay() const
+{
+    std::vector<duration> draws;
+    for (const auto &[id, server] : m_servers) {
+        const bool isOrdered = server.stageOrdered > server.seen.staged && m_now - server.stageOrderedAt < m_options.stageTimeout;
+        if (isOrdered || server.seen.staging != 0) {
+            draws.push_back(std::chrono::milliseconds(server.seen.stageMs));
+        }
     }
+    return draws;
 }
 
 void weight_rollout::stageServers()
 {
-    if (m_target == 0) {
-        return;
+    if (m_target == 0 || m_now < m_waitedOutAt || m_leaseUntil - m_now <= m_options.leaseMargin) {
+        return; // Another owner may let servers draw: an earlier one still, or a later one already.
     }
+    std::vector<duration> draws = drawsUnderWay();
     for (auto &[id, server] : m_servers) {
         const bool isStaged = server.seen.staged >= m_target || !isBehind(server);
-        const bool isUnderWay = server.stageOrdered == m_target && m_now - server.stageOrderedAt < m_options.stageTimeout;
+        const bool isUnderWay = server.seen.staging != 0 || (server.stageOrdered == m_target && m_now - server.stageOrderedAt < m_options.stageTimeout);
         if (isStaged || isUnderWay || !server.isHeard || server.seen.state == "silent" || !mayOrder(server)) {
             continue;
         }
-        if (!m_allotment.take(m_now)) {
+        draws.push_back(std::chrono::milliseconds(server.seen.stageMs));
+        if (!m_allotment.mayStart(draws)) {
             return;
         }
         server.stageOrdered = m_target;
@@ -236,10 +235,9 @@
         return;
     }
     for (auto &[id, server] : m_servers) {
-        const bool isTurn = phase() != rollout_phase::FirstWave || server.wave == 0;
         const bool isDone = server.seen.version >= m_switchVersion;
         const bool isUnderWay = server.switchOrdered == m_switchVersion && m_now - server.switchOrderedAt < m_options.switchTimeout;
-        if (!isTurn || isDone || isUnderWay || server.seen.staged < m_switchVersion || server.seen.state == "silent" || !mayOrder(server)) {
+        if (isDone || isUnderWay || server.seen.staged < m_switchVersion || server.seen.state == "silent" || !mayOrder(server)) {
             continue;
         }
         server.switchOrdered = m_switchVersion;
@@ -248,15 +246,15 @@
     }
 }
 
-bool weight_rollout::isWaveDone(std::size_t wave) const
+bool weight_rollout::isSwitchDone() const
 {
-    if (m_now - m_waveSince >= m_options.wavePatience) {
+    if (m_now - m_switchingSince >= m_options.switchPatience) {
         return true;
     }
-    return std::ranges::all_of(m_servers, [this, wave](const auto &item) {
+    return std::ranges::all_of(m_servers, [this](const auto &item) {
         const server_progress &server = item.second;
-        const bool isAsked = server.switchOrdered == m_switchVersion;
-        return server.wave != wave || !isAsked || server.seen.version >= m_switchVersion;
+        const bool isExpected = server.isHeard && server.seen.state != "silent" && server.seen.staged >= m_switchVersion;
+        return !isExpected || server.seen.version >= m_switchVersion;
     });
 }
 
@@ -321,7 +319,7 @@
         { "target", m_target },
         { "switchedTo", m_switchVersion },
         { "regressions", m_regressions },
-        { "stageIntervalMs", std::chrono::duration_cast<std::chrono::milliseconds>(m_allotment.interval()).count() },
+        { "drawsUnderWay", drawsUnderWay().size() },
         { "servers", std::move(servers) },
     };
 }
--- a/weights/weight_rollout.h
+++ b/weights/weight_rollout.h
@@ -32,7 +32,7 @@
     duration stagePatience = std::chrono::minutes(4); ///< After this the switch goes on without servers that have not staged.
     duration stageTimeout = std::chrono::seconds(60); ///< A server that has not staged by then is asked again.
     duration switchTimeout = std::chrono::seconds(5); ///< The same for a switch.
-    duration wavePatience = std::chrono::milliseconds(2200); ///< Longest wait for the first half of the servers.
+    duration switchPatience = std::chrono::seconds(20); ///< After this the next version is staged although some servers have not switched.
     duration leaseMargin = std::chrono::milliseconds(500); ///< Left of the lease when an order for a server that ignores fencing numbers is sent.
     duration longestFlight = std::chrono::seconds(3); ///< Longest time an order can be on its way; a link silent for longer is closed.
     duration leaseLength = std::chrono::seconds(5); ///< Of an earlier owner, waited out before the first order to servers that ignore fencing numbers.
@@ -155,7 +155,6 @@
     {
         rollout_server settings;
         server_weights seen;
-        std::size_t wave = 0;
         bool isHeard = false;
         weight_version stageOrdered = 0;
         time_point stageOrderedAt{};
@@ -175,7 +174,8 @@
     void stageServers();
     bool isStagingDone() const;
     void switchServers();
-    bool isWaveDone(std::size_t wave) const;
+    bool isSwitchDone() const;
+    std::vector<duration> drawsUnderWay() const;
     bool mayOrder(const server_progress &server) const;
     bool isBehind(const server_progress &server) const;
     void addOrder(const server_progress &server, std::string_view operation, weight_version version);
@@ -196,7 +196,7 @@
     weight_version m_target = 0; ///< Being staged, or the last staged.
     weight_version m_switchVersion = 0;
     time_point m_stagingSince;
-    time_point m_waveSince;
+    time_point m_switchingSince;
     std::uint64_t m_regressions = 0;
     std::map<std::pair<zone_id, std::string>, weight_order> m_orders; ///< Gathered while one event is handled, by zone and operation.
     std::vector<zone_order> m_out;
--- a/weights/zone_weights.cpp
+++ b/weights/zone_weights.cpp
@@ -1,6 +1,8 @@
 // One deputy a zone keeps cross-zone traffic at one message an operation, and lets a cut-off zone go on with what it was last told. A second deputy for the
 // same zone, for as long as two nodes disagree about who it is, does no harm: orders are idempotent and servers count what they are told.
 //
+// Switches of all runs pass through one queue, so that no more than half of the zone's servers swap at once and interactive work always finds one that serves.
+//
 // Cost: one load read a server each 3 s (each 0.5 s during a switch), one report a run each 5 s or at a change. Memory: about 300 bytes for each pair of server
 // and run.
 
@@ -88,27 +90,75 @@
     const time_point notAfter = m_now + std::chrono::milliseconds(order.validForMs);
     for (const server_id &id : order.servers) {
         const auto found = m_servers.find(id);
-        if (found != m_servers.end()) {
+        if (found == m_servers.end()) {
+            continue;
+        }
+        if (order.operation != switchOperation) {
             passOn(order, found->second, notAfter);
+            continue;
+        }
+        std::erase_if(m_waiting, [&order, &id](const waiting_switch &waiting) {
+            return waiting.server == id && waiting.order.run == order.run;
+        });
+        m_waiting.push_back({ order, id, notAfter });
+    }
+    passWaitingSwitches();
+}
+
+bool zone_weights::isSwappingFull() const
+{
+    const auto swapping = std::ranges::count_if(m_servers, [](const auto &item) {
+        return item.second.switchesUnderWay > 0;
+    });
+    const double allowed = m_options.swappingShare * static_cast<double>(m_servers.size());
+    return swapping >= std::max<std::int64_t>(1, static_cast<std::int64_t>(allowed));
+}
+
+void zone_weights::passWaitingSwitches()
+{
+    std::vector<waiting_switch> still;
+    for (const waiting_switch &waiting : m_waiting) {
+        const auto found = m_servers.find(waiting.server);
+        if (found == m_servers.end()) {
+            continue;
+        }
+        if (found->second.switchesUnderWay > 0 || isSwappingFull()) {
+            still.push_back(waiting);
+        } else {
+            passOn(waiting.order, found->second, waiting.notAfter);
         }
     }
+    m_waiting = std::move(still);
+}
+
+bool zone_weights::isToBePassedOn(const weight_order &order, server_state &server, time_point notAfter)
+{
+    const run_progress &progress = server.runs.at(order.run);
+    const bool isOfEarlierOwner = order.epoch < m_runs.at(order.run).epoch;
+    const bool isOld = order.version < std::max(progress.known.version, progress.newestSwitch) && order.operation == switchOperation;
+    const bool isStage = order.operation == stageOperation;
+    const bool isDoubled = isStage && std::max(progress.known.staging, progress.known.staged) >= order.version;
+    const bool isLate = (isStage || !server.settings.checksFencing) && notAfter <= m_now; // Staging also spends the weight store's rate.
+    return !isOfEarlierOwner && !isOld && !isLate && !isDoubled;
 }
 
 void zone_weights::passOn(const weight_order &order, server_state &server, time_point notAfter)
 {
-    const auto found = server.runs.find(order.run);
-    if (found == server.runs.end()) {
+    if (!server.runs.contains(order.run)) {
         return;
     }
-    run_progress &progress = found->second;
-    const bool isOld = order.version < std::max(progress.known.version, progress.newestSwitch) && order.operation == switchOperation;
-    const bool isLate = !server.settings.checksFencing && notAfter <= m_now;
-    if (isOld || isLate) {
+    if (!isToBePassedOn(order, server, notAfter)) {
         ++m_refusedOrders;
         return;
     }
+    run_progress &progress = server.runs.at(order.run);
     if (order.operation == switchOperation) {
         progress.newestSwitch = order.version;
+        ++server.switchesUnderWay;
+    } else if (order.operation == stageOperation) {
+        progress.known.staging = order.version;
+        progress.stageBegan = m_now;
+        changed(order.run);
     }
     ++server.ordersUnderWay;
     server.loadAt = std::min(server.loadAt, m_now + m_options.loadIntervalBusy);
@@ -123,14 +173,21 @@
         return;
     }
     server_state &server = found->second;
-    server_weights &known = server.runs.at(event.run).known;
+    run_progress &progress = server.runs.at(event.run);
+    server_weights &known = progress.known;
     server.ordersUnderWay -= server.ordersUnderWay > 0 ? 1 : 0;
     server.loadAt = std::min(server.loadAt, m_now); // What the server reports decides, not what the order's answer implies.
+    if (event.operation == switchOperation) {
+        server.switchesUnderWay -= server.switchesUnderWay > 0 ? 1 : 0;
+    } else if (event.operation == stageOperation && known.staging == event.version) {
+        known.staging = 0;
+    }
     using outcome = deputy_input::order_answered::outcome;
     if (event.result == outcome::Done) {
         known.failures = 0;
         if (event.operation == stageOperation) {
             known.staged = std::max(known.staged, event.version);
+            known.stageMs = std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(m_now - progress.stageBegan).count());
         }
     } else {
         ++known.failures;
@@ -140,6 +197,7 @@
         }
     }
     changed(event.run);
+    passWaitingSwitches();
 }
 
 void zone_weights::handle(const deputy_input::load_read &event)
--- a/weights/zone_weights.h
+++ b/weights/zone_weights.h
@@ -30,6 +30,7 @@
     duration loadIntervalBusy = std::chrono::milliseconds(500); ///< While orders are under way for it.
     duration reportInterval = std::chrono::seconds(5); ///< Between reports of a run while nothing changes.
     duration reportDelay = std::chrono::milliseconds(100); ///< Gathers changes before they are reported.
+    double swappingShare = 0.5; ///< Share of the zone's servers that may swap at once, so that interactive work is always served.
     duration silentAfter = std::chrono::seconds(10); ///< A server without any answer for this long is silent.
 };
 
@@ -137,6 +138,7 @@
     struct run_progress
     {
         server_weights known;
+        time_point stageBegan{};
         weight_version newestSwitch = 0; ///< Newest version that a switch was passed on for.
     };
     struct server_state
@@ -146,8 +148,16 @@
         time_point lastAnswerAt;
         time_point loadAt; ///< Next read of its load.
         std::size_t ordersUnderWay = 0;
+        std::size_t switchesUnderWay = 0;
         bool isLoadAsked = false;
     };
+    /** A switch that waits until fewer servers swap. */
+    struct waiting_switch
+    {
+        weight_order order;
+        server_id server;
+        time_point notAfter;
+    };
     struct run_state_known
     {
         epoch_number epoch = 0;
@@ -161,6 +171,9 @@
     void handle(const deputy_input::timer &event);
 
     void passOn(const weight_order &order, server_state &server, time_point notAfter);
+    bool isToBePassedOn(const weight_order &order, server_state &server, time_point notAfter);
+    bool isSwappingFull() const;
+    void passWaitingSwitches();
     void changed(const run_id &run);
     void reportRun(const run_id &run, run_state_known &state);
 
@@ -169,6 +182,7 @@
     time_point m_now;
     std::map<server_id, server_state> m_servers;
     std::map<run_id, run_state_known> m_runs;
+    std::vector<waiting_switch> m_waiting; ///< At most one for each server and run.
     std::uint64_t m_refusedOrders = 0;
     std::vector<deputy_action_item> m_actions;
 };
