--- a/spool/spool_service.cpp
+++ b/spool/spool_service.cpp
@@ -30,7 +30,7 @@
     explicit spool_service(process_context &context)
         : m_control(context.control)
         , m_settings(context.settings)
-        , m_bus(context.control, {})
+        , m_bus(context.control, busOptions(context.settings))
         , m_journal(m_files, optionsOf(context.settings))
         , m_stored(context.metrics.counter("reedtrail_spool_stored_total", "Payloads stored"))
         , m_refused(context.metrics.counter("reedtrail_spool_refused_total", "Payloads refused"))
@@ -97,6 +97,13 @@
     }
 
 private:
+    static peer_bus_options busOptions(const node_settings &settings)
+    {
+        peer_bus_options options;
+        options.transport.tls = settings.peerTls;
+        return options;
+    }
+
     static journal_options optionsOf(const node_settings &settings)
     {
         journal_options options;
