--- a/standins/standin_host.h
+++ b/standins/standin_host.h
@@ -40,6 +40,11 @@
     void reject(std::string_view name, const std::string &allowed);
     /** Prints the first error. @return the exit code if there was one */
     std::optional<int> finish() const;
+    /** Returns the first error, or an empty text. */
+    const std::string &firstError() const
+    {
+        return m_firstError;
+    }
 
 private:
     std::string m_program;
