--- a/once/key_ranges.cpp
+++ b/once/key_ranges.cpp
@@ -22,6 +22,12 @@
 {
     range_state &state = m_ranges[range];
     const bool isTakenOver = owner == m_self && state.owner != m_self && wasOwnedBefore;
+    const bool isNewlyFree = !owner && (state.owner || !state.isKnown);
+    if (isNewlyFree) {
+        const std::uint64_t rank = rendezvousRank(std::to_string(range), m_self.node.view());
+        state.tryAt = now + duration(static_cast<std::int64_t>(rank % static_cast<std::uint64_t>(m_options.takeSpread.count())));
+    }
+    state.isKnown = true;
     state.owner = std::move(owner);
     if (isTakenOver) {
         state.blindUntil = now + m_options.blindTime;
@@ -48,7 +54,7 @@
     }
     for (std::size_t range = 0; range < m_ranges.size(); ++range) {
         range_state &state = m_ranges[range];
-        if (!state.owner && state.tryAt <= now) {
+        if (state.isKnown && !state.owner && state.tryAt <= now) {
             state.tryAt = now + m_options.retryDelay;
             out.push_back(take_range{ range, m_self });
         }
--- a/once/key_ranges.h
+++ b/once/key_ranges.h
@@ -41,6 +41,7 @@
     duration leaseMargin = std::chrono::seconds(1); ///< Nothing is run in the last part of a lease.
     duration blindTime = std::chrono::seconds(60); ///< After a takeover: as long as callers may repeat a key that the owner before has run.
     duration retryDelay = std::chrono::milliseconds(500);
+    duration takeSpread = std::chrono::seconds(1); ///< Gates try to take a free range at times that differ by up to this, so that they share them.
 };
 
 /** Resolves keys by their range; a pure core. */
@@ -73,6 +74,7 @@
         std::optional<request_issuer> owner;
         time_point blindUntil;
         time_point tryAt;
+        bool isKnown = false;
     };
     request_issuer m_self;
     key_range_options m_options;
