--- a/sampling/run_events.h
+++ b/sampling/run_events.h
@@ -61,6 +61,12 @@
     std::vector<draft_gate> gates;
 };
 
+/** The nodes whose spools can be reached, whole. */
+struct spools_changed
+{
+    std::vector<node_id> nodes;
+};
+
 /** Newest weight version in the weight store, and newest that every engine of the pool was seen to serve. */
 struct versions_seen
 {
@@ -132,6 +138,7 @@
                                run_event::ownership_gained,
                                run_event::ownership_lost,
                                run_event::gates_changed,
+                               run_event::spools_changed,
                                run_event::versions_seen,
                                run_event::draft_ended,
                                run_event::gate_reported,
--- a/sampling/run_owner.cpp
+++ b/sampling/run_owner.cpp
@@ -165,6 +165,14 @@
     }
 }
 
+void run_owner::handle(const run_event::spools_changed &event)
+{
+    m_spools = std::set<node_id>(event.nodes.begin(), event.nodes.end());
+    for (const node_id &node : event.nodes) {
+        m_spoolGoneAt.erase(node);
+    }
+}
+
 void run_owner::handle(const run_event::versions_seen &event)
 {
     if (event.published > m_published) {
@@ -178,6 +186,7 @@
 {
     if (m_now >= m_nextTick && isOwner()) {
         watchStragglers();
+        loseUnreachable();
     }
     if (m_write && m_write->isWaiting && m_now >= m_write->retryAt) {
         sendWrite();
--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -39,6 +39,7 @@
     duration draftRetryLongest = std::chrono::seconds(5);
     duration adoptionWindow = std::chrono::milliseconds(1500); ///< After a takeover gates may report drafts under way before new ones are ordered.
     duration reportTimeout = std::chrono::seconds(6); ///< A draft that its gate no longer reports is lost after this.
+    duration spoolPatience = std::chrono::seconds(20); ///< A spool that cannot be reached for longer has lost its payloads.
     duration tick = std::chrono::milliseconds(250); ///< Least time between two looks over all drafts.
     std::size_t maximumWaitingPulls = 64;
     std::size_t recordsPerRemoval = 100; ///< Records removed by one transaction (etcd takes 128 operations).
@@ -117,6 +118,7 @@
     void handle(const run_event::ownership_gained &event);
     void handle(const run_event::ownership_lost &event);
     void handle(const run_event::gates_changed &event);
+    void handle(const run_event::spools_changed &event);
     void handle(const run_event::versions_seen &event);
     void handle(const run_event::draft_ended &event);
     void handle(const run_event::gate_reported &event);
@@ -160,6 +162,8 @@
     bool isSealDue(const step_slots &slots) const;
     void startSeal(step_slots &slots);
     bool startAmendment();
+    void loseUnreachable();
+    bool isSpoolLost(const node_id &node) const;
     void loseSample(slot_entry &entry, std::uint64_t number, error_kind cause);
     const seal_record *recordOf(const slot_id &slot) const;
     bool isFreshEnough(const seal_record &record);
@@ -192,6 +196,8 @@
     std::uint64_t m_nextDraft = 0;
     std::vector<draft_gate> m_gates;
     std::map<node_id, std::uint64_t> m_activeByGate;
+    std::optional<std::set<node_id>> m_spools; ///< Reachable ones; none while not known.
+    std::map<node_id, time_point> m_spoolGoneAt; ///< Since when a spool that samples are in cannot be reached.
     std::set<node_id> m_reportingGates; ///< Those that have sent a report since this node owns the run.
     time_point m_orderFrom; ///< No drafts are ordered before.
     std::map<std::uint64_t, slot_id> m_slotOfDraft; ///< Of the drafts under way.
--- a/sampling/run_owner_seals.cpp
+++ b/sampling/run_owner_seals.cpp
@@ -221,6 +221,38 @@
     }
 }
 
+bool run_owner::isSpoolLost(const node_id &node) const
+{
+    const auto gone = m_spoolGoneAt.find(node);
+    return gone != m_spoolGoneAt.end() && m_now - gone->second >= m_options.spoolPatience;
+}
+
+/** Draws anew what lies in spools that have been out of reach for long: ready samples, and sealed ones that the trainer does not hold. */
+void run_owner::loseUnreachable()
+{
+    if (!m_spools || !maySeal()) {
+        return;
+    }
+    for (auto &[step, slots] : m_book.steps()) {
+        for (slot_entry &entry : slots.slots) {
+            const bool isKept = entry.phase == slot_phase::Ready || entry.phase == slot_phase::Sealed;
+            if (!isKept || m_spools->contains(entry.sample.spoolNode)) {
+                continue;
+            }
+            m_spoolGoneAt.try_emplace(entry.sample.spoolNode, m_now);
+            if (!isSpoolLost(entry.sample.spoolNode)) {
+                continue;
+            }
+            const seal_record *record = entry.phase == slot_phase::Sealed ? recordOf(entry.slot) : nullptr;
+            if (entry.phase == slot_phase::Ready) {
+                dropDraft(entry, error_kind::PeerUnreachable, false);
+            } else if (record != nullptr && record->number > m_acknowledged) {
+                loseSample(entry, record->number, error_kind::PeerUnreachable);
+            }
+        }
+    }
+}
+
 void run_owner::loseSample(slot_entry &entry, std::uint64_t number, error_kind cause)
 {
     note(decision_kind::Dropped,
--- a/sampling/testing/fake_fleet.cpp
+++ b/sampling/testing/fake_fleet.cpp
@@ -104,7 +104,11 @@
 {
     std::vector<std::string> alive;
     std::vector<draft_gate> gates;
+    run_event::spools_changed spools;
     for (const node &each : m_nodes) {
+        if (each.isKnownUp && each.hasDisk) {
+            spools.nodes.emplace_back(each.name);
+        }
         if (each.isKnownUp) {
             alive.push_back(each.name);
             gates.push_back({ node_id(each.name), 0 });
@@ -123,9 +127,10 @@
                     rank = place;
                 }
             }
-            deliver(index, m_nodes[index].life, [this, index, run = run, rank, gates] {
+            deliver(index, m_nodes[index].life, [this, index, run = run, rank, gates, spools] {
                 tellClaim(index, run, ownership_event::rank_changed{ rank });
                 tellOwner(index, run, run_event::gates_changed{ gates });
+                tellOwner(index, run, spools);
             });
         }
     }
--- a/sampling/testing/run_test.cpp
+++ b/sampling/testing/run_test.cpp
@@ -129,6 +129,20 @@
     }
 }
 
+TEST(run, payloadsOfASpoolThatIsGoneForGoodAreDrawnAnew)
+{
+    const trainer_record record = trainUnderFaults({ .seed = 3, .nodes = 5, .spools = 3 }, std::chrono::minutes(10), [&](fake_fleet &fleet) {
+        fleet.world().at(time_point(std::chrono::seconds(67)), [&fleet] {
+            fleet.killNode(0, std::chrono::hours(1), true);
+        });
+        fleet.world().at(time_point(std::chrono::seconds(163)), [&fleet] {
+            fleet.killNode(1, std::chrono::hours(1), true);
+        });
+    });
+    expectPromises(record);
+    EXPECT_GE(record.stepsWhole, 15U);
+}
+
 /** Causes one fault of the closed list, chosen at random. */
 void causeFault(fake_fleet &fleet, random_source &random)
 {
--- a/steward/run_service.cpp
+++ b/steward/run_service.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 
 namespace reedtrail {
@@ -31,6 +32,10 @@
 /** How often an owner announces itself while nothing changes. */
 constexpr duration announceInterval = std::chrono::seconds(5);
 
+/** Results of drafts kept while no owner can be reached. */
+constexpr std::size_t maximumKeptResults = 8192;
+constexpr duration keptResultPatience = std::chrono::seconds(60);
+
 constexpr duration forwardMargin = std::chrono::seconds(2);
 
 pull_answer refusedPull(const pull_question &question, error_kind kind)
@@ -68,6 +73,12 @@
         peer_bus::reply<pull_answer> reply;
     };
 
+    struct kept_result
+    {
+        draft_result result;
+        time_point until{};
+    };
+
     explicit implementation(process_context &newContext)
         : context(newContext)
         , timer(newContext.control)
@@ -81,6 +92,7 @@
     void fleetChanged();
     void setRank(run_unit &unit);
     void setGates(run_unit &unit);
+    void setSpools(run_unit &unit);
     void review();
     void tellNeeds();
     void announce(const run_id &run, run_unit &unit);
@@ -95,8 +107,11 @@
 
     void takePull(link_id from, pull_question question, peer_bus::reply<pull_answer> reply);
     void forwardPull(pull_question question, const peer_bus::reply<pull_answer> &reply);
+    /** Takes a message as the owner, or passes it on. @return false if no owner can be reached */
     template<class Message>
-    void forward(const run_id &run, const Message &message);
+    bool forward(const run_id &run, const Message &message);
+    void takeResult(const draft_result &result);
+    void forwardKept();
     void linkClosed(link_id link);
     std::optional<run_owner_view> ownerOf(const run_id &run) const;
 
@@ -116,6 +131,7 @@
     std::map<run_id, run_unit> units;
     std::map<run_id, run_need> needs;
     std::map<pull_token, open_pull> pulls;
+    std::deque<kept_result> keptResults; ///< Results of drafts while no owner can be reached.
     pull_token nextToken = 1;
     std::vector<std::function<void(const run_ownership_news &)>> listeners;
     std::function<void()> onDrained;
@@ -218,7 +234,7 @@
     });
     bus.onMessage<draft_result>([self = weak_from_this()](link_id, const draft_result &result) {
         if (const auto strong = self.lock()) {
-            strong->forward(result.slot.run, result);
+            strong->takeResult(result);
         }
     });
     bus.onMessage<draft_progress>([self = weak_from_this()](link_id, const draft_progress &progress) {
@@ -356,6 +372,20 @@
     tellOwner(unit.settings.id, event);
 }
 
+void run_service::implementation::setSpools(run_unit &unit)
+{
+    if (!unit.claim.isOwning()) {
+        return;
+    }
+    run_event::spools_changed event;
+    for (const member_card &member : fleet->members()) {
+        if (!member.spoolAddress.empty()) {
+            event.nodes.push_back(member.node);
+        }
+    }
+    tellOwner(unit.settings.id, event);
+}
+
 void run_service::implementation::startReview()
 {
     reviewTimer.expires_after(reviewInterval);
@@ -377,8 +407,10 @@
     for (auto &[run, unit] : units) {
         setRank(unit);
         setGates(unit);
+        setSpools(unit);
         announce(run, unit);
     }
+    forwardKept();
     tellNeeds();
     finishDrainIfDone();
     armTimer();
@@ -605,7 +637,7 @@
 }
 
 template<class Message>
-void run_service::implementation::forward(const run_id &run, const Message &message)
+bool run_service::implementation::forward(const run_id &run, const Message &message)
 {
     const auto unit = units.find(run);
     if (unit != units.end() && unit->second.claim.isOwning()) {
@@ -616,12 +648,28 @@
         } else {
             tellOwner(run, run_event::payload_lost{ message.slot, message.draft });
         }
-        return;
+        return true;
     }
     const std::optional<run_owner_view> owner = ownerOf(run);
     const std::optional<link_id> link = owner && owner->node != fleet->self() ? fleet->linkToSteward(owner->node) : std::nullopt;
-    if (link) {
-        fleet->bus().send(*link, message);
+    return link && fleet->bus().send(*link, message);
+}
+
+void run_service::implementation::takeResult(const draft_result &result)
+{
+    if (!forward(result.slot.run, result) && keptResults.size() < maximumKeptResults) {
+        keptResults.push_back({ result, monotonicNow() + keptResultPatience });
+    }
+}
+
+void run_service::implementation::forwardKept()
+{
+    std::deque<kept_result> kept;
+    kept.swap(keptResults);
+    for (const kept_result &each : kept) {
+        if (monotonicNow() < each.until && !forward(each.result.slot.run, each.result)) {
+            keptResults.push_back(each);
+        }
     }
 }
 
--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -387,7 +387,8 @@
                     if (!strong || strong->isStopped) {
                         return;
                     }
-                    deputy_input::load_read event{ .server = server };
+                    deputy_input::load_read event;
+        event.server = server;
                     const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
                     event.isAnswered = end.error == error_kind::None && response.status == 200 && body.is_object();
                     if (event.isAnswered) {
