--- /dev/null
+++ b/bench/outage_bench.cpp
@@ -0,0 +1,181 @@
+// Does the fleet go on with the store down for an hour, and with each zone cut off in turn? In virtual time, with nodes restarting all the while. A request
+// that needs only its zone arrives at a random running node of the zone; it can be answered if the node has settings in force and sees its zone. A promise
+// broken is a failed internal check (a revision that fell) or an accepted change that is not in force everywhere, or not in the store, in the end. The queues
+// and servers behind the gate are not part of this: bench routing measures them.
+
+#include "bench/benchmark.h"
+
+#include "base/check.h"
+#include "fleet/testing/fleet_world.h"
+
+#include <algorithm>
+
+namespace reedtrail::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::fleet_world;
+using testing::fleet_world_options;
+
+constexpr duration settleTime = 15s;
+constexpr duration storeOutage = 1h;
+constexpr duration zoneOutage = 5min;
+constexpr duration requestInterval = 50ms;
+constexpr duration restartInterval = 90s;
+constexpr duration restartTakes = 2s;
+constexpr duration longestCatchUp = 60s;
+constexpr double targetAnswered = 0.99;
+constexpr double targetCatchUp = 10;
+
+/** Requests that need only their zone. */
+class zone_load
+{
+public:
+    zone_load(fleet_world &world, std::uint64_t seed)
+        : m_world(world)
+        , m_random(seed)
+    {
+        arrive();
+        restart();
+    }
+
+    void setRunning(bool isRunning)
+    {
+        m_isRunning = isRunning;
+    }
+    double answeredShare() const
+    {
+        return m_arrived == 0 ? 0 : static_cast<double>(m_answered) / static_cast<double>(m_arrived);
+    }
+    std::uint64_t restarts() const
+    {
+        return m_restarts;
+    }
+
+private:
+    void arrive()
+    {
+        const std::size_t node = m_random.below(m_world.size());
+        if (m_isRunning && m_world.isUp(node)) {
+            ++m_arrived;
+            m_answered += m_world.settings(node).revision() > 0 && m_world.gossip(node).isZoneReachable(m_world.gossip(node).self().zone) ? 1 : 0;
+        }
+        m_world.after(requestInterval, [this] {
+            arrive();
+        });
+    }
+
+    void restart()
+    {
+        m_world.after(restartInterval, [this] {
+            const std::size_t node = m_random.below(m_world.size());
+            if (m_isRunning && m_world.isUp(node)) {
+                ++m_restarts;
+                m_world.kill(node);
+                m_world.after(restartTakes, [this, node] {
+                    m_world.start(node);
+                });
+            }
+            restart();
+        });
+    }
+
+    fleet_world &m_world;
+    random_source m_random;
+    bool m_isRunning = false;
+    std::uint64_t m_arrived = 0;
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_restarts = 0;
+};
+
+/** Accepted changes, to be found again in the end. */
+struct accepted_changes
+{
+    std::uint64_t newest = 0;
+    std::uint64_t refused = 0;
+
+    void confirmAt(fleet_world &world, std::size_t node)
+    {
+        world.confirm(node, "change", [this](const settings_confirm_end &end) {
+            refused += end.error ? 1 : 0;
+            newest = std::max(newest, end.revision);
+        });
+    }
+};
+
+/** Returns the seconds until all nodes agree and have the newest settings. */
+double catchUp(fleet_world &world, std::uint64_t revision)
+{
+    const time_point start = world.now();
+    while ((!world.isAgreed() || world.lowestRevision() < revision) && world.now() - start < longestCatchUp) {
+        world.run(100ms);
+    }
+    return toSeconds(world.now() - start);
+}
+
+/** Returns the seconds until a change is accepted again, from the return of the store. */
+double acceptAgain(fleet_world &world, accepted_changes &changes)
+{
+    const time_point start = world.now();
+    const std::uint64_t before = changes.newest;
+    changes.confirmAt(world, 0);
+    while (changes.newest == before && world.now() - start < longestCatchUp) {
+        world.run(50ms);
+    }
+    return toSeconds(world.now() - start) + catchUp(world, changes.newest);
+}
+
+void runOutage(const bench_options &options, bench_report &report)
+{
+    const std::uint64_t failedBefore = failedChecks();
+    const auto nodes = static_cast<std::size_t>(options.nodes);
+    fleet_world_options setup;
+    setup.nodes = nodes;
+    setup.zones = nodes < 20 ? 4 : 5;
+    setup.loss = 0.01;
+    fleet_world world(setup, options.seed);
+    accepted_changes changes;
+    world.run(settleTime);
+    changes.confirmAt(world, 0);
+    world.run(settleTime);
+
+    progress("outage: the store is down for an hour");
+    zone_load storeLoad(world, options.seed + 1);
+    storeLoad.setRunning(true);
+    world.store().setDown(true);
+    world.run(storeOutage / 2);
+    changes.confirmAt(world, 1);
+    world.run(storeOutage / 2);
+    storeLoad.setRunning(false);
+    world.run(2 * restartTakes);
+    world.store().setDown(false);
+    report.figure("answeredStoreDown", storeLoad.answeredShare(), "share", atLeast(targetAnswered));
+    report.figure("restartsStoreDown", static_cast<double>(storeLoad.restarts()), "restarts");
+    report.figure("changesRefusedStoreDown", static_cast<double>(changes.refused), "changes");
+    report.figure("catchUpStore", acceptAgain(world, changes), "s", atMost(targetCatchUp));
+
+    zone_load cutLoad(world, options.seed + 2);
+    double worst = 0;
+    for (std::size_t zone = 0; zone < setup.zones; ++zone) {
+        progress("outage: zone " + std::to_string(zone) + " is cut off");
+        cutLoad.setRunning(true);
+        world.cutZone(zone, true);
+        world.run(zoneOutage / 2);
+        changes.confirmAt(world, (zone + 1) % setup.zones);
+        world.run(zoneOutage / 2);
+        cutLoad.setRunning(false);
+        world.run(2 * restartTakes);
+        world.cutZone(zone, false);
+        worst = std::max(worst, catchUp(world, changes.newest));
+    }
+    report.figure("answeredZoneCut", cutLoad.answeredShare(), "share", atLeast(targetAnswered));
+    report.figure("catchUpZone", worst, "s", atMost(targetCatchUp));
+    const bool isKept = world.store().peek(settings_keys::history(changes.newest)).has_value() && world.lowestRevision() == changes.newest;
+    report.figure("promisesBroken", static_cast<double>(failedChecks() - failedBefore) + (isKept ? 0 : 1), "promises", exactly(0));
+    report.figure("changesAccepted", static_cast<double>(changes.newest), "changes");
+}
+
+const registered_benchmark outage("outage", "An hour without the store, and each zone cut off in turn", { .nodes = 40 }, runOutage);
+
+} // namespace
+} // namespace reedtrail::bench
--- /dev/null
+++ b/bench/store_bench.cpp
@@ -0,0 +1,213 @@
+// Store calls a second of the whole fleet, in virtual time: at rest, at 440 settings changes a day (one in the measured half minute, six times as many) with 3
+// runs, and in the minute after a 10-minute outage. The runs are those of sampling/: three candidates each, their lease, polls and watches; a batch of samples
+// is sealed by each owner at sealInterval. Baseline: each node watches the settings and polls them itself. Not counted: calls that gates make for requests with
+// an idempotency key. Gossip makes no store calls, so its heartbeats are slowed down here to shorten the run.
+
+#include "bench/benchmark.h"
+
+#include "base/check.h"
+#include "fleet/testing/fleet_world.h"
+#include "sampling/run_ownership.h"
+#include "sampling/run_store.h"
+
+#include <algorithm>
+
+namespace reedtrail::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::fleet_world;
+using testing::fleet_world_options;
+
+constexpr std::size_t runs = 3;
+constexpr duration sealInterval = 2s;
+constexpr duration slowHeartbeat = 1500ms;
+constexpr duration settleTime = 15s;
+constexpr duration quietTime = 30s;
+constexpr duration outageTime = 10min;
+constexpr duration afterTime = 60s;
+constexpr double targetWrites = 200;
+constexpr double targetReads = 500;
+
+/** One candidate of one run, driven against the fake store. */
+class run_candidate
+{
+public:
+    run_candidate(fleet_world &world, const run_id &run, std::size_t rank)
+        : m_world(world)
+        , m_run(run)
+        , m_name("candidate-" + run.str() + "-" + std::to_string(rank))
+        , m_client(world.store().client(m_name))
+        , m_claim(node_id(m_name), m_name, "127.0.0.1:1", {})
+    {
+        tell(ownership_event::rank_changed{ rank });
+        openWatch();
+        seal();
+    }
+
+    bool isOwning() const
+    {
+        return m_claim.isOwning();
+    }
+
+private:
+    void tell(const ownership_input &event)
+    {
+        for (const ownership_action_item &action : m_claim.onEvent(m_world.now(), event)) {
+            perform(action);
+        }
+        const time_point deadline = m_claim.nextDeadline();
+        if (deadline != timeNever && deadline != m_timerAt) {
+            m_timerAt = deadline;
+            m_world.after(std::max(duration{}, deadline - m_world.now()), [this, deadline] {
+                if (m_timerAt == deadline) {
+                    m_timerAt = timeNever;
+                    tell(ownership_event::timer{});
+                }
+            });
+        }
+    }
+
+    void perform(const ownership_action_item &item)
+    {
+        if (std::holds_alternative<ownership_action::poll_owner>(item)) {
+            m_client.range({ ownerKey(m_run), false, 0 }, [this](const store_range_answer &answer) {
+                if (answer.error) {
+                    tell(ownership_event::poll_failed{});
+                } else {
+                    tell(ownership_event::owner_changed{ ownerRead(answer) });
+                }
+            });
+        } else if (const auto *grant = std::get_if<ownership_action::grant_lease>(&item)) {
+            m_client.grant({ grant->seconds }, [this](const store_lease_answer &answer) {
+                tell(ownership_event::lease_granted{ answer.error, answer.lease });
+            });
+        } else if (const auto *claim = std::get_if<ownership_action::claim>(&item)) {
+            m_client.txn(claimTxn(m_run, *claim), [this](const store_txn_answer &answer) {
+                tell(claimEnded(answer));
+            });
+        } else if (std::holds_alternative<ownership_action::read_batches>(item)) {
+            m_client.range(batchesRange(m_run), [this](const store_range_answer &answer) {
+                tell(batchesRead(m_run, answer));
+            });
+        } else if (const auto *keep = std::get_if<ownership_action::keep_alive>(&item)) {
+            m_client.keepAlive({ keep->lease }, [this, askedAt = m_world.now()](const store_lease_answer &answer) {
+                tell(ownership_event::lease_kept{ askedAt, answer.error });
+            });
+        } else if (const auto *revoke = std::get_if<ownership_action::revoke_lease>(&item)) {
+            m_client.revoke({ revoke->lease }, [](const store_lease_answer &) {});
+        }
+    }
+
+    void openWatch()
+    {
+        m_client.watch({ ownerKey(m_run), false, 0 },
+                       { [](const store_watch_report &) {},
+                         [this](const store_watch_end &) {
+                             m_world.after(1s, [this] {
+                                 openWatch();
+                             });
+                         } });
+    }
+
+    void seal()
+    {
+        if (m_claim.isOwning()) {
+            store_txn write;
+            write.onSuccess.emplace_back(store_put{ "reedtrail/runs/" + m_run.str() + "/seal/" + std::to_string(m_seals++), std::string(500, 's'), 0 });
+            m_client.txn(write, [](const store_txn_answer &) {});
+        }
+        m_world.after(sealInterval, [this] {
+            seal();
+        });
+    }
+
+    fleet_world &m_world;
+    run_id m_run;
+    std::string m_name;
+    harness::fake_store_client m_client;
+    run_ownership m_claim;
+    time_point m_timerAt = timeNever;
+    std::uint64_t m_seals = 0;
+};
+
+/** Calls a second over a span. */
+struct call_rates
+{
+    double writes = 0;
+    double reads = 0;
+    double peakWrites = 0; ///< In the busiest second.
+    double peakReads = 0;
+};
+
+call_rates ratesOver(fleet_world &world, duration span)
+{
+    call_rates rates;
+    const std::uint64_t writesBefore = world.store().writes();
+    const std::uint64_t readsBefore = world.store().reads();
+    for (duration passed{}; passed < span; passed += 1s) {
+        const std::uint64_t writes = world.store().writes();
+        const std::uint64_t reads = world.store().reads();
+        world.run(1s);
+        rates.peakWrites = std::max(rates.peakWrites, static_cast<double>(world.store().writes() - writes));
+        rates.peakReads = std::max(rates.peakReads, static_cast<double>(world.store().reads() - reads));
+    }
+    rates.writes = static_cast<double>(world.store().writes() - writesBefore) / toSeconds(span);
+    rates.reads = static_cast<double>(world.store().reads() - readsBefore) / toSeconds(span);
+    return rates;
+}
+
+void show(const std::string &phase, const call_rates &rates, double pollsOfAll, bench_report &report)
+{
+    report.figure("writesPerSecond" + phase, rates.writes, "calls/s", atMost(targetWrites));
+    report.figure("readsPerSecond" + phase, rates.reads, "calls/s", atMost(targetReads)).baseline("watchAndPollOnEachNode", pollsOfAll);
+    report.figure("peakWrites" + phase, rates.peakWrites, "calls in the busiest second", atMost(targetWrites));
+    report.figure("peakReads" + phase, rates.peakReads, "calls in the busiest second", atMost(targetReads));
+}
+
+void runStore(const bench_options &options, bench_report &report)
+{
+    const std::uint64_t failedBefore = failedChecks();
+    const auto nodes = static_cast<std::size_t>(options.nodes);
+    fleet_world_options setup;
+    setup.nodes = nodes;
+    setup.zones = nodes < 20 ? 4 : 5;
+    setup.gossip.heartbeatInterval = slowHeartbeat;
+    setup.gossip.suspectAfter = 4 * slowHeartbeat;
+    setup.gossip.neighbourGrace = 5 * slowHeartbeat;
+    setup.gossip.zoneTimeout = 6 * slowHeartbeat;
+    fleet_world world(setup, options.seed);
+    progress("store: at rest");
+    world.run(settleTime);
+    const double pollsOfAll = static_cast<double>(nodes) / toSeconds(setup.settings.pollInterval);
+    show("AtRest", ratesOver(world, quietTime), pollsOfAll, report);
+
+    progress("store: 440 changes a day and 3 runs");
+    std::vector<std::unique_ptr<run_candidate>> candidates;
+    for (std::size_t run = 0; run < runs; ++run) {
+        for (std::size_t rank = 0; rank < ownership_options{}.candidates; ++rank) {
+            candidates.push_back(std::make_unique<run_candidate>(world, run_id("run-" + std::to_string(run)), rank));
+        }
+    }
+    world.run(5s);
+    random_source random(options.seed + 1);
+    world.confirm(random.below(nodes), "change");
+    show("WithRuns", ratesOver(world, quietTime), pollsOfAll, report);
+
+    progress("store: 10 minutes down, then the minute after");
+    world.store().setDown(true);
+    world.run(outageTime);
+    world.store().setDown(false);
+    show("AfterOutage", ratesOver(world, afterTime), pollsOfAll, report);
+    const auto owned = std::ranges::count_if(candidates, [](const auto &each) {
+        return each->isOwning();
+    });
+    report.figure("runsOwnedAMinuteAfter", static_cast<double>(owned), "runs", exactly(runs));
+    report.figure("watchesOpen", static_cast<double>(world.store().watches()), "watches").baseline("watchAndPollOnEachNode", static_cast<double>(nodes));
+    report.figure("failedChecks", static_cast<double>(failedChecks() - failedBefore), "checks", exactly(0));
+}
+
+const registered_benchmark storeBench("store", "Store calls a second of the whole fleet", { .nodes = 400, .servers = 600 }, runStore);
+
+} // namespace
+} // namespace reedtrail::bench
--- a/fleet/store_json.cpp
+++ b/fleet/store_json.cpp
@@ -217,7 +217,15 @@
         if (!object.is_object()) {
             return fail(kind, "the store's answer is no JSON object");
         }
-        return read(object);
+        Answer answer;
+        const std::optional<failure> error = failureOf([&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(answer, read(object));
+            return {};
+        });
+        if (error) {
+            return fail(kind, error->detail);
+        }
+        return answer;
     } catch (const json::exception &error) {
         return fail(kind, std::string("the store's answer cannot be read: ") + error.what());
     }
--- a/fleet/testing/fleet_world.cpp
+++ b/fleet/testing/fleet_world.cpp
@@ -192,6 +192,7 @@
         sendHeartbeat(index, send);
     }
     for (const membership_change &change : step.changes) {
+        m_nodes[index].suspicions += change.cause == "silent" ? 1 : 0;
         const bool isDeath = !change.node.empty() && change.state == member_state::Dead;
         const auto subject = std::ranges::find(m_nodes, change.node.str(), &world_node::name);
         if (isDeath && subject != m_nodes.end() && subject->isUp) {
@@ -208,13 +209,13 @@
 void fleet_world::refreshDuties(std::size_t index)
 {
     world_node &node = m_nodes[index];
-    if (node.isGossipScheduled) {
+    if (node.isDutyLookScheduled) {
         return;
     }
     node.areDutiesOld = false;
-    node.isGossipScheduled = true;
+    node.isDutyLookScheduled = true;
     m_time.after(dutyDelay, [this, index, generation = node.generation] {
-        m_nodes[index].isGossipScheduled = false;
+        m_nodes[index].isDutyLookScheduled = false;
         deliver(index, generation, [this, index] {
             world_node &node = m_nodes[index];
             const std::vector<member_card> &members = node.gossip->reachable();
--- a/fleet/testing/fleet_world.h
+++ b/fleet/testing/fleet_world.h
@@ -110,6 +110,12 @@
         return m_falseDeaths;
     }
 
+    /** Returns how often @p node suspected a neighbour because it heard nothing from it. */
+    std::uint64_t suspicionsBy(std::size_t node) const
+    {
+        return m_nodes[node].suspicions;
+    }
+
     std::size_t size() const
     {
         return m_nodes.size();
@@ -157,11 +163,11 @@
         std::optional<settings_record> disk;
         std::uint64_t generation = 0; ///< Of the process; events for an earlier one go nowhere.
         std::uint64_t highestRevision = 0; ///< Of the process, or of its disk.
-        std::uint64_t lastNumber = 0;
+        std::uint64_t suspicions = 0;
         bool isUp = false;
         bool isPaused = false;
         bool areDutiesOld = true;
-        bool isGossipScheduled = false;
+        bool isDutyLookScheduled = false;
         time_point gossipAt = timeNever;
         time_point settingsAt = timeNever;
         std::deque<std::function<void()>> held;
--- a/fleet/testing/membership_test.cpp
+++ b/fleet/testing/membership_test.cpp
@@ -86,6 +86,14 @@
     EXPECT_TRUE(world.isAgreed());
 }
 
+TEST_P(membership_in, blamesNobodyForItsOwnPause)
+{
+    const std::uint64_t before = world.suspicionsBy(1);
+    world.pause(1, 2s);
+    world.run(2500ms);
+    EXPECT_EQ(world.suspicionsBy(1), before);
+}
+
 TEST_P(membership_in, killsNobodyForAOneWayLink)
 {
     for (std::size_t other = 1; other < world.size(); other += 2) {
--- /dev/null
+++ b/steward/testing/store_service_test.cpp
@@ -0,0 +1,218 @@
+#include "net/http_server.h"
+#include "steward/store_service.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t storePort = 33950;
+
+/** A store service against a server whose answers the test writes. */
+class store_contract : public ::testing::Test
+{
+protected:
+    using page = std::function<void(const std::shared_ptr<http_exchange> &)>;
+
+    store_contract()
+    {
+        m_settings.stores.push_back({ "127.0.0.1", storePort });
+    }
+
+    void serve(page answer)
+    {
+        m_server = std::make_unique<http_server>(m_io, http_server_options{ .address = { "127.0.0.1", storePort } }, std::move(answer));
+        ASSERT_TRUE(m_server->start());
+    }
+
+    store_service &service()
+    {
+        if (!m_service) {
+            store_service_options options;
+            options.callTimeout = 300ms;
+            m_service = std::make_unique<store_service>(m_context, options);
+        }
+        return *m_service;
+    }
+
+    template<class Answer>
+    Answer await(const std::function<void(std::function<void(const Answer &)>)> &begin)
+    {
+        std::optional<Answer> received;
+        begin([&](const Answer &answer) {
+            EXPECT_FALSE(received) << "a handler must run once";
+            received = answer;
+            m_io.stop();
+        });
+        EXPECT_FALSE(received) << "a handler must not run from inside the call";
+        m_io.restart();
+        m_io.run_for(10s);
+        return received.value_or(Answer{ .error = failure{ error_kind::Internal, "no answer" } });
+    }
+
+    store_txn_answer write()
+    {
+        return await<store_txn_answer>([this](const auto &onAnswer) {
+            store_txn call;
+            call.onSuccess.emplace_back(store_put{ "key", "value", 0 });
+            service().txn(call, onAnswer);
+        });
+    }
+    store_range_answer read()
+    {
+        return await<store_range_answer>([this](const auto &onAnswer) {
+            service().range({ "key", false, 0 }, onAnswer);
+        });
+    }
+
+    boost::asio::io_context m_io;
+    node_settings m_settings;
+    metric_registry m_metrics;
+    kernel m_kernel;
+    std::map<std::string, http_server::handler> m_pages;
+    process_context m_context{ m_io, m_settings, m_metrics, m_kernel, 1, m_pages };
+    std::unique_ptr<http_server> m_server;
+    std::unique_ptr<store_service> m_service;
+};
+
+/** What the store does with a call, and what must be concluded. */
+struct answer_case
+{
+    const char *name;
+    std::function<void(const std::shared_ptr<http_exchange> &)> answer; ///< None: nothing listens.
+    error_kind afterWrite;
+    error_kind afterRead;
+};
+
+class store_contract_with : public store_contract, public ::testing::WithParamInterface<answer_case>
+{
+};
+
+TEST_P(store_contract_with, concludesNoMoreThanItKnows)
+{
+    if (GetParam().answer) {
+        serve(GetParam().answer);
+    }
+    const store_txn_answer written = write();
+    EXPECT_EQ(written.error ? written.error->kind : error_kind::None, GetParam().afterWrite);
+    const store_range_answer found = read();
+    EXPECT_EQ(found.error ? found.error->kind : error_kind::None, GetParam().afterRead);
+}
+
+void respond(const std::shared_ptr<http_exchange> &exchange, std::uint16_t status, const char *body)
+{
+    exchange->respond(jsonResponse(status, body));
+}
+
+INSTANTIATE_TEST_SUITE_P(answers,
+                         store_contract_with,
+                         ::testing::Values(answer_case{ "good",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange, 200, R"({"header":{"revision":"7"},"succeeded":true})");
+                                                        },
+                                                        error_kind::None,
+                                                        error_kind::None },
+                                           answer_case{ "nobodyListens", {}, error_kind::StoreUnavailable, error_kind::StoreUnavailable },
+                                           answer_case{ "silence",
+                                                        [held = std::make_shared<std::vector<std::shared_ptr<http_exchange>>>()](const auto &exchange) {
+                                                            held->push_back(exchange);
+                                                        },
+                                                        error_kind::StoreUnknown,
+                                                        error_kind::StoreUnavailable },
+                                           answer_case{ "connectionCut",
+                                                        [](const auto &exchange) {
+                                                            exchange->abort();
+                                                        },
+                                                        error_kind::StoreUnknown,
+                                                        error_kind::StoreUnavailable },
+                                           answer_case{ "leaderLost",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange, 503, R"({"error":"etcdserver: leader changed"})");
+                                                        },
+                                                        error_kind::StoreUnknown,
+                                                        error_kind::StoreUnavailable },
+                                           answer_case{ "tooMany",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange, 429, R"({"error":"etcdserver: too many requests"})");
+                                                        },
+                                                        error_kind::StoreUnavailable,
+                                                        error_kind::StoreUnavailable },
+                                           answer_case{ "leaseGone",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange, 404, R"({"error":"etcdserver: requested lease not found","code":5})");
+                                                        },
+                                                        error_kind::NotFound,
+                                                        error_kind::NotFound },
+                                           answer_case{ "noJson",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange, 200, "<html>");
+                                                        },
+                                                        error_kind::StoreUnknown,
+                                                        error_kind::StoreUnavailable },
+                                           answer_case{ "wrongTypes",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange, 200, R"({"header":{"revision":[1]},"succeeded":"x","kvs":3})");
+                                                        },
+                                                        error_kind::StoreUnknown,
+                                                        error_kind::StoreUnavailable },
+                                           answer_case{ "badBase64",
+                                                        [](const auto &exchange) {
+                                                            respond(exchange,
+                                                                    200,
+                                                                    R"({"kvs":[{"key":"!!!"}],"responses":[{"response_range":{"kvs":[{"key":"!!!"}]}}]})");
+                                                        },
+                                                        error_kind::StoreUnknown,
+                                                        error_kind::StoreUnavailable }),
+                         [](const auto &each) {
+                             return each.param.name;
+                         });
+
+TEST_F(store_contract, triesTheNextStoreAfterAFailure)
+{
+    m_settings.stores.insert(m_settings.stores.begin(), { "127.0.0.1", storePort + 1 });
+    serve([](const auto &exchange) {
+        respond(exchange, 200, R"({"header":{"revision":"7"}})");
+    });
+    EXPECT_EQ(read().error->kind, error_kind::StoreUnavailable);
+    EXPECT_FALSE(read().error);
+    EXPECT_TRUE(service().isReachable());
+}
+
+TEST_F(store_contract, readsAWatchLineByLineAndTellsItsEnd)
+{
+    serve([](const auto &exchange) {
+        exchange->startStream({ 200, {}, "" });
+        exchange->write(R"({"result":{"header":{"revision":"4"},"created":true}})"
+                        "\n"
+                        R"({"result":{"header":{"revision":"5"},"events":[{"kv":{"key":"a2V5","value":"dmFs)");
+        exchange->write(R"(dWU=","mod_revision":"5"}},{"type":"DELETE","kv":{"key":"a2V5","mod_revision":"6"}}]}})"
+                        "\n"
+                        R"({"result":{"canceled":true,"compact_revision":"9"}})"
+                        "\n");
+        exchange->finishStream();
+    });
+    std::vector<std::string> seen;
+    std::optional<store_watch_end> ended;
+    service().watch({ "key", false, 3 },
+                    { [&](const store_watch_report &report) {
+                         for (const store_watch_event &event : report.events) {
+                             seen.push_back(event.item.key + "=" + event.item.value + "@" + std::to_string(event.item.modRevision));
+                         }
+                     },
+                      [&](const store_watch_end &end) {
+                          EXPECT_FALSE(ended);
+                          ended = end;
+                          m_io.stop();
+                      } });
+    m_io.run_for(10s);
+    EXPECT_EQ(seen, (std::vector<std::string>{ "key=value@5", "key=@6" }));
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(ended->error.kind, error_kind::Stale);
+    EXPECT_EQ(ended->compactRevision, 9U);
+}
+
+} // namespace
+} // namespace reedtrail
