--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,9 @@
 step() { echo "[$(( SECONDS - started_at )) s] $*"; }
 started_at=$SECONDS
 echo "building (the first time takes some minutes)"
-./scripts/build.sh release >/dev/null
+./scripts/install_deps.sh
+cmake --preset release >/dev/null
+cmake --build build/release --target reedtrail-gate reedtrail-steward reedtrail-spool reedtrailctl reedtrail-standin reedtrail-load >/dev/null
 bin="$PWD/build/release/bin"
 folder=$(mktemp -d "${TMPDIR:-/tmp}/reedtrail-demo-XXXXXX")
 python3 scripts/demo/make_settings.py "$folder"
@@ -101,35 +103,97 @@
 
 step "a run is opened; a trainer pulls samples and publishes weights"
 check "plan and confirm the run" plan_and_confirm --patch "$folder/run.json"
-start trainer "$bin/reedtrail-standin" trainer --listen 127.0.0.1:19050 --run run-1 --token token-trust-a --steps 6 --staleness-bound 2 --weight-store 127.0.0.1:19002 \
-    --gate "$(callers a1)" --gate "$(callers b1)" --gate "$(callers c1)"
+start trainer "$bin/reedtrail-standin" trainer --listen 127.0.0.1:19050 --run run-1 --token token-trust-a --steps 20 --staleness-bound 2 --train-ms 1000 \
+    --weight-store 127.0.0.1:19002 --gate "$(callers a1)" --gate "$(callers b1)" --gate "$(callers c1)"
+
+load_arguments=(--customer trust-a=token-trust-a --customer trust-b=token-trust-b --customer printer-a=token-printer-a --note-rate 30 --summary-rate 6 --proof-rate 15)
+for node in "${nodes[@]}"; do load_arguments+=(--gate "$(callers "$node")"); done
+for port in 19010 19011 19012 19013 19014 19015 19020 19021 19022 19030 19031 19032; do load_arguments+=(--record "127.0.0.1:$port"); done
+load() { # NAME OPTIONS...
+    local name=$1
+    shift
+    "$bin/reedtrail-load" "${load_arguments[@]}" "$@" >"$folder/load-$name.out" 2>"$folder/load-$name.log"
+}
+load_verdict() { [ "$1" -eq 0 ] || { head -n -1 "$folder/load-$2.out"; return 1; }; }
+
+step "callers of three customers through all gates, without faults (8 s)"
+code=0
+load quiet --duration 8 --seed 11 || code=$?
+check "each answer whole, its own and once" load_verdict $code quiet
+
 owner_of_run() { ctl --json --steward "$(operators "$1")" dump fleet | python3 -c 'import json,sys; print(next((o["node"] for o in json.load(sys.stdin)["fleet"]["owners"]), ""))'; }
+fault() { curl -sf "http://127.0.0.1:$1/fault" -d "$2" >/dev/null; }
+kill_and_restart() { # NAME SECONDS COMMAND...
+    local name=$1 pause=$2
+    shift 2
+    kill -KILL "${pids[$name]}"
+    wait "${pids[$name]}" 2>/dev/null || true
+    sleep "$pause"
+    start "$name" "$@"
+}
+pause_steward() { # NODE SECONDS
+    kill -STOP "${pids[steward-$1]}"
+    sleep "$2"
+    kill -CONT "${pids[steward-$1]}"
+}
+step "the same for 40 s under faults"
+load faults --duration 40 --seed 12 --may-cut &
+load_pid=$!
+owner=$(owner_of_run b1 || true)
+step "  kill -9 of the run's owner: steward of ${owner:-none}"
+[ -z "$owner" ] || kill_and_restart "steward-$owner" 4 "$bin/reedtrail-steward" --settings "$folder/node-$owner.json"
+step "  silent connections to engine-b1; lost answers at proof-a1"
+fault 19012 '{"kind":"silent"}'
+fault 19030 '{"kind":"lost-answer","forMs":3000,"chance":0.3}'
+sleep 2
+step "  kill -9 of the spool of a1"
+kill_and_restart spool-a1 2 "$bin/reedtrail-spool" --settings "$folder/node-a1.json"
+owner=$(owner_of_run b1 || true)
+step "  SIGSTOP of the run's owner for 8 s: steward of ${owner:-none}"
+[ -z "$owner" ] || pause_steward "$owner" 8
+step "  the store is down for 4 s, then loses answers for 3 s"
+fault 19000 '{"kind":"store-down","forMs":4000}'
+sleep 4
+fault 19000 '{"kind":"store-answer-lost","forMs":3000,"chance":0.5,"path":"/v3/kv/txn"}'
 sleep 3
-step "weights, faults on the owner of the run"
-owner=$(owner_of_run a1 || true)
-if [ -n "$owner" ]; then
-    kill -KILL "${pids[steward-$owner]}"
-    wait "${pids[steward-$owner]}" 2>/dev/null || true
-    echo "  killed the steward of the owner ($owner)"
-    sleep 6
-    start "steward-$owner" "$bin/reedtrail-steward" --settings "$folder/node-$owner.json"
-fi
+step "  kill -9 of the gate of b2; a weight switch fails partway on engine-c1"
+fault 19014 '{"kind":"swap-failed-partway","forMs":2000}'
+kill_and_restart gate-b2 2 "$bin/reedtrail-gate" --settings "$folder/node-b2.json"
+code=0
+wait $load_pid || code=$?
+check "nothing ran twice, none falsely told \"not run\", none lost, doubled or crossed" load_verdict $code faults
+
+step "a gate is stopped gracefully under load"
+load drain --duration 6 --seed 13 &
+load_pid=$!
+sleep 2
+kill -TERM "${pids[gate-a2]}"
+gate_stopped() { ! kill -0 "${pids[gate-a2]}" 2>/dev/null; }
+check "gate drained and ended" wait_for 20 gate_stopped
+code=0
+wait $load_pid || code=$?
+check "no request was cut" load_verdict $code drain
+
+step "the trainer's steps, the weights"
 trainer_done() { [ -s "$folder/trainer.out" ]; }
 check "trainer gets all its steps" wait_for 90 trainer_done
-engine_has_new_weights() { curl -sf http://127.0.0.1:19010/load | python3 -c 'import json,sys; sys.exit(0 if json.load(sys.stdin)["versions"].get("run-1", 0) > 1 else 1)'; }
-check "new weights reached the engines" wait_for 10 engine_has_new_weights
+engines_have_new_weights() {
+    local port
+    for port in 19010 19011 19012 19013 19014 19015; do
+        curl -sf "http://127.0.0.1:$port/load" | python3 -c 'import json,sys; v=json.load(sys.stdin)["versions"].get("run-1", 0); print(v); sys.exit(0 if v >= 20 else 1)' || return 1
+    done
+}
+check "new weights reached all engines" wait_for 20 engines_have_new_weights
 
 step "state of each process, explained"
 for node in "${nodes[@]}"; do
-    check "dump of the gate and steward of $node" bash -c "curl -sf http://127.0.0.1:$((first_port[$node] + 2))/dump && curl -sf http://$(operators "$node")/dump"
+    [ "$node" = a2 ] || check "dump of the gate of $node" curl -sf "http://127.0.0.1:$((first_port[$node] + 2))/dump"
+    check "dump of the steward of $node" curl -sf "http://$(operators "$node")/dump"
 done
 check "dump of a spool" curl -sf "http://127.0.0.1:$((first_port[a1] + 6))/dump"
 check "explain the change" ctl --steward "$(operators b1)" explain change 2
+check "status" ctl --steward "$(operators c1)" status
 
-step "a gate is stopped gracefully"
-kill -TERM "${pids[gate-a2]}"
-gate_stopped() { ! kill -0 "${pids[gate-a2]}" 2>/dev/null; }
-check "gate drained and ended" wait_for 20 gate_stopped
 step "what happened"
 python3 scripts/demo/summary.py "$folder"
 if grep -l "internal check failed" "$folder"/*.log >/dev/null 2>&1; then
--- a/standins/load/load_driver.cpp
+++ b/standins/load/load_driver.cpp
@@ -160,8 +160,8 @@
     attempt.latency = standInNow() - began;
     attempt.isOverdue = attempt.latency > caller(kind).deadline + overdueSlack;
     if (!end.hasHead) {
-        attempt.outcome = seen_outcome::NoAnswer;
-        attempt.error = "no-answer";
+        attempt.outcome = end.isHandedOver ? seen_outcome::Dropped : seen_outcome::NoConnection;
+        attempt.error = end.isHandedOver ? "dropped" : "no-connection";
         return attempt;
     }
     const std::string outcome(response.fields.get("Reedtrail-Outcome"));
--- a/standins/load/load_ledger.cpp
+++ b/standins/load/load_ledger.cpp
@@ -117,7 +117,7 @@
         addExample(verdict, "answer of another request: " + detail, name);
     }
     for (const load_attempt &attempt : each.attempts) {
-        if (attempt.outcome == seen_outcome::Truncated) {
+        if (attempt.outcome == seen_outcome::Truncated || attempt.outcome == seen_outcome::Dropped) {
             ++verdict.cut;
             addExample(verdict, "cut off", name);
         }
--- a/standins/load/load_ledger.h
+++ b/standins/load/load_ledger.h
@@ -39,7 +39,8 @@
     Done, ///< A whole answer.
     NotRun, ///< Refused, and told that it did not run.
     Unknown, ///< Refused, and told that it may have run.
-    NoAnswer, ///< The connection to the entry VM failed before an answer.
+    NoConnection, ///< No connection to the entry VM was made.
+    Dropped, ///< The request was handed over and the connection ended without an answer.
     Truncated, ///< An answer that began and did not end.
 };
 
@@ -47,7 +48,7 @@
 struct load_attempt
 {
     std::uint32_t number = 0; ///< Raised by the caller to send again what was refused as not run.
-    seen_outcome outcome = seen_outcome::NoAnswer;
+    seen_outcome outcome = seen_outcome::NoConnection;
     duration latency{};
     bool isOverdue = false; ///< The answer came well after the deadline.
     std::string error; ///< Name of the error kind, if refused.
@@ -62,7 +63,7 @@
     std::uint64_t lost = 0; ///< Answered as done though no server ran it.
     std::uint64_t doubled = 0; ///< Two different answers to one operation.
     std::uint64_t crossed = 0; ///< An answer that belongs to another request.
-    std::uint64_t cut = 0; ///< Answers that began and broke off.
+    std::uint64_t cut = 0; ///< Requests dropped without an answer, and answers that began and broke off.
     std::vector<std::string> examples; ///< A few of them, for a person.
 
     /** Tells whether any promise was broken. Cut answers count only where none may be cut. */
@@ -78,7 +79,7 @@
     std::uint64_t operations = 0;
     std::uint64_t done = 0;
     std::uint64_t notRun = 0;
-    std::uint64_t unknown = 0; ///< Unknown, no answer or truncated.
+    std::uint64_t unknown = 0; ///< Neither answered nor surely not run.
     std::uint64_t attempts = 0;
     std::uint64_t overdue = 0;
     double p50Ms = 0; ///< Of attempts that were done.
--- a/standins/load/testing/load_ledger_test.cpp
+++ b/standins/load/testing/load_ledger_test.cpp
@@ -56,7 +56,8 @@
         { "unknown, then refused under the same number", caller_kind::Proof, { { 0, Unknown }, { 0, NotRun } }, 1, false, "falseNotRun " },
         { "done, then refused under the same number", caller_kind::Proof, { { 0, Done, "a" }, { 0, NotRun } }, 1, true, "falseNotRun " },
         { "unknown may have run", caller_kind::Proof, { { 0, Unknown } }, 1, false, "" },
-        { "no answer may not have run", caller_kind::Proof, { { 0, NoAnswer } }, 0, false, "" },
+        { "no connection", caller_kind::Proof, { { 0, NoConnection } }, 0, false, "" },
+        { "dropped", caller_kind::Proof, { { 0, Dropped } }, 0, false, "cut " },
         { "cut", caller_kind::Summary, { { 0, Truncated } }, 1, false, "cut " },
     };
     for (const verdict_case &each : cases) {
