--- a/spool/testing/faulty_files.h
+++ b/spool/testing/faulty_files.h
@@ -17,6 +17,7 @@
 enum class death_kind : std::uint8_t {
     ProcessKilled, ///< What was written stays, synced or not.
     PowerLost, ///< Of what was written and not synced, a random part from the front stays.
+    PowerLostWithZeros, ///< The same, and the file keeps its size, with zeros for what was lost.
 };
 
 /** When what goes wrong. Operations that change something are counted from 1. */
@@ -49,7 +50,7 @@
     /** After the death: loses what a loss of power loses. */
     void settle()
     {
-        if (!m_isDead || m_faults.kind != death_kind::PowerLost) {
+        if (!m_isDead || m_faults.kind == death_kind::ProcessKilled) {
             return;
         }
         for (const auto &[path, size] : m_written) {
@@ -57,6 +58,9 @@
             int file = -1;
             if (size > synced && m_files.open(path, file) == 0) {
                 m_files.truncate(file, synced + m_random.below(size - synced + 1));
+                if (m_faults.kind == death_kind::PowerLostWithZeros) {
+                    m_files.truncate(file, size);
+                }
                 m_files.close(file);
             }
         }
--- a/standins/load/load_ledger.h
+++ b/standins/load/load_ledger.h
@@ -78,7 +78,7 @@
 {
     std::uint64_t operations = 0;
     std::uint64_t done = 0;
-    std::uint64_t notRun = 0;
+    std::uint64_t notRun = 0; ///< Refused as not run in every attempt, or no connection was made.
     std::uint64_t unknown = 0; ///< Neither answered nor surely not run.
     std::uint64_t attempts = 0;
     std::uint64_t overdue = 0;
