Contract tests of the gate: streams, tickets, keys, drain, leaving servers

Cause: what the gate promises on sockets was tested for plain services only. Change: engines that break off, go silent, repeat or forget a stream; tickets and keys through two gates with a store that loses an answer or is silent; drain with an open stream; servers that leave by the settings, the VM list or their own report. Waits in the fixture end with an error and not never.

--- a/gate/testing/gate_contract_test.cpp
+++ b/gate/testing/gate_contract_test.cpp
@@ -194,5 +194,452 @@
     }
 }
 
+/** One way in which a model engine answers. */
+struct engine_case
+{
+    std::string name;
+    raw_server::script script;
+    bool isWhole = true; ///< Whether the caller gets all tokens.
+};
+
+std::vector<engine_case> engineCases()
+{
+    const auto isResume = [](const raw_request &request) {
+        return request.method == "GET";
+    };
+    const auto offsetOf = [](const raw_request &request) {
+        return std::stoi(request.target.substr(request.target.find("offset=") + 7));
+    };
+    const auto resumeAfter = [isResume, offsetOf](auto breakOff) {
+        return [isResume, offsetOf, breakOff](raw_connection &connection, const raw_request &request) {
+            if (isResume(request)) {
+                streamWhole(connection, offsetOf(request));
+                return;
+            }
+            connection.beginStream();
+            streamTokens(connection, 0, 2);
+            breakOff(connection);
+        };
+    };
+    return {
+        { "streams whole",
+          [](raw_connection &c, const raw_request &) {
+              streamWhole(c, 0);
+          },
+          true },
+        { "breaks off and resumes",
+          resumeAfter([](raw_connection &c) {
+              c.close();
+          }),
+          true },
+        { "goes silent and resumes",
+          resumeAfter([](raw_connection &c) {
+              c.goSilent();
+          }),
+          true },
+        { "breaks off within an event and resumes",
+          resumeAfter([](raw_connection &c) {
+              c.chunk("data: {\"id\":\"x\",\"choi");
+              c.close();
+          }),
+          true },
+        { "ends without its end mark and resumes",
+          resumeAfter([](raw_connection &c) {
+              c.endStream();
+          }),
+          true },
+        { "breaks off after each token",
+          [isResume, offsetOf](raw_connection &c, const raw_request &request) {
+              const int from = isResume(request) ? offsetOf(request) : 0;
+              c.beginStream();
+              streamTokens(c, from, from + 1);
+              if (from + 1 == 5) {
+                  c.chunk("data: [DONE]\n\n");
+                  c.endStream();
+              } else {
+                  c.close();
+              }
+          },
+          true },
+        { "repeats tokens on resume",
+          [isResume](raw_connection &c, const raw_request &request) {
+              if (isResume(request)) {
+                  streamWhole(c, 0);
+                  return;
+              }
+              c.beginStream();
+              streamTokens(c, 0, 2);
+              c.close();
+          },
+          true },
+        { "forgets the stream",
+          [isResume](raw_connection &c, const raw_request &request) {
+              if (isResume(request)) {
+                  c.respond(404, "{}");
+                  return;
+              }
+              c.beginStream();
+              streamTokens(c, 0, 2);
+              c.close();
+          },
+          false },
+        { "sends an event that is none",
+          [](raw_connection &c, const raw_request &) {
+              c.beginStream();
+              streamTokens(c, 0, 2);
+              c.chunk("data: nonsense\n\n");
+              c.goSilent();
+          },
+          false },
+    };
+}
+
+std::string textOf(const std::string &stream)
+{
+    std::string text;
+    std::size_t at = 0;
+    while ((at = stream.find("data: {", at)) != std::string::npos) {
+        const nlohmann::json event = nlohmann::json::parse(stream.substr(at + 6, stream.find('\n', at) - at - 6), nullptr, false);
+        if (event.is_object() && event.contains("choices") && !event.at("choices").empty()) {
+            text += event.at("choices").front().value("text", "");
+        }
+        ++at;
+    }
+    return text;
+}
+
+TEST_F(GateContract, StreamsLoseAndDoubleNoToken)
+{
+    const std::string body = R"({"model":"model","prompt":"repair note","max_tokens":5,"stream":true})";
+    for (const engine_case &each : engineCases()) {
+        SCOPED_TRACE(each.name);
+        raw_server engine("engine-0", 31012, each.script);
+        const node_settings settings = testing::nodeOn("entry-a1", 31000);
+        testing::view_steward steward(settings.listen.stewardPeer, testing::viewOf({ 31012 }, {}));
+        testing::running_gate gate(settings);
+        gate.waitForServers(1);
+        const caller_answer answer = callGate(31000, "POST", "/v1/completions", body);
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(textOf(answer.body), each.isWhole ? "abcde" : "ab");
+        EXPECT_EQ(answer.body.find("[DONE]") != std::string::npos, each.isWhole) << "a stream that is not whole ends without its end mark";
+        EXPECT_EQ(answer.body.find("event: error") != std::string::npos, !each.isWhole);
+        if (each.isWhole) {
+            EXPECT_NE(answer.body.find(R"("weight_versions":[{"from":0,"to":3,"version":7},{"from":3,"to":5,"version":8}])"), std::string::npos) << answer.body;
+        }
+    }
+}
+
+TEST_F(GateContract, WholeCompletionsAreBegunAnewOnAnotherEngine)
+{
+    std::atomic<int> attempts{ 0 };
+    const auto breakFirst = [&attempts](raw_connection &connection, const raw_request &request) {
+        if (request.method != "POST") {
+            connection.respond(404, "{}");
+        } else if (++attempts == 1) {
+            connection.beginStream();
+            streamTokens(connection, 0, 2);
+            connection.close();
+        } else {
+            streamWhole(connection, 0);
+        }
+    };
+    raw_server one("engine-0", 31012, breakFirst);
+    raw_server other("engine-1", 31013, breakFirst);
+    const node_settings settings = testing::nodeOn("entry-a1", 31000);
+    testing::view_steward steward(settings.listen.stewardPeer, testing::viewOf({ 31012, 31013 }, {}));
+    testing::running_gate gate(settings);
+    gate.waitForServers(2);
+    const caller_answer answer = callGate(31000, "POST", "/v1/completions", R"({"model":"model","prompt":"p"})");
+    EXPECT_EQ(answer.status, 200) << answer.body;
+    const nlohmann::json body = nlohmann::json::parse(answer.body);
+    EXPECT_EQ(body.at("choices").front().at("text"), "abcde");
+    EXPECT_EQ(body.at("weight_versions").size(), 2U);
+    EXPECT_EQ(attempts, 2);
+}
+
+/** A store that keeps what is created, or does as its script says first. */
+class small_store
+{
+public:
+    explicit small_store(std::uint16_t port)
+        : m_server("store", port, [this](raw_connection &connection, const raw_request &request) {
+            answer(connection, request);
+        })
+    {
+    }
+    std::atomic<bool> isSilent{ false };
+    std::atomic<int> answersToLose{ 0 };
+
+private:
+    void answer(raw_connection &connection, const raw_request &request)
+    {
+        if (isSilent) {
+            connection.goSilent();
+            return;
+        }
+        if (request.target == "/v3/lease/grant") {
+            connection.respond(200, R"({"ID":"5","TTL":"86400"})");
+            return;
+        }
+        const nlohmann::json txn = nlohmann::json::parse(request.body);
+        const nlohmann::json &put = txn.at("success").front().begin().value();
+        const std::string key = put.at("key");
+        bool isNew = false;
+        std::string value;
+        {
+            const std::lock_guard lock(m_mutex);
+            isNew = m_values.try_emplace(key, put.at("value").get<std::string>()).second;
+            value = m_values.at(key);
+        }
+        if (answersToLose > 0) {
+            --answersToLose;
+            connection.close();
+            return;
+        }
+        nlohmann::json found{ { "key", key }, { "value", value }, { "create_revision", "2" }, { "mod_revision", "2" }, { "version", "1" } };
+        nlohmann::json range{ { "response_range", { { "kvs", nlohmann::json::array({ found }) }, { "count", "1" } } } };
+        nlohmann::json body{ { "header", { { "revision", "2" } } } };
+        body["succeeded"] = isNew;
+        body["responses"] = isNew ? nlohmann::json::array({ { { "response_put", nlohmann::json::object() } } }) : nlohmann::json::array({ range });
+        connection.respond(200, body.dump());
+    }
+
+    std::mutex m_mutex;
+    std::map<std::string, std::string> m_values;
+    raw_server m_server;
+};
+
+fleet_view withGates(fleet_view view, const std::vector<node_settings> &gates)
+{
+    for (const node_settings &gate : gates) {
+        view.nodes.push_back({ gate.node, gate.zone, gate.listen.gatePeer.text() });
+    }
+    return view;
+}
+
+/** Two gates, a service that counts, and a store. */
+class OnceContract : public GateContract
+{
+protected:
+    OnceContract()
+        : m_store(31040)
+        , m_server("desk-0",
+                   31010,
+                   [this](raw_connection &connection, const raw_request &request) {
+                       m_script(connection, request);
+                   })
+        , m_one(testing::nodeOn("entry-a1", 31000))
+        , m_other(testing::nodeOn("entry-b1", 31020))
+    {
+        m_one.stores = m_other.stores = { endpoint{ "127.0.0.1", 31040 } };
+        const fleet_view view = withGates(testing::viewOf({}, { 31010 }), { m_one, m_other });
+        m_firstSteward.emplace(m_one.listen.stewardPeer, view);
+        m_otherSteward.emplace(m_other.listen.stewardPeer, view);
+        m_firstGate.emplace(m_one, 1000);
+        m_otherGate.emplace(m_other, 1001);
+        m_firstGate->waitForServers(1);
+        m_otherGate->waitForServers(1);
+    }
+
+    static std::string ticketOf(std::uint16_t port)
+    {
+        return nlohmann::json::parse(callGate(port, "POST", "/v1/tickets", "").body).at("ticket");
+    }
+    static caller_answer order(std::uint16_t port, const testing::header_list &headers, const std::string &body = "menu")
+    {
+        return callGate(port, "POST", "/svc/desk/orders", body, headers);
+    }
+
+    raw_server::script m_script = [](raw_connection &connection, const raw_request &request) {
+        connection.respond(200, "proof " + std::to_string(request.number));
+    };
+    small_store m_store;
+    raw_server m_server;
+    node_settings m_one;
+    node_settings m_other;
+    std::optional<testing::view_steward> m_firstSteward;
+    std::optional<testing::view_steward> m_otherSteward;
+    std::optional<testing::running_gate> m_firstGate;
+    std::optional<testing::running_gate> m_otherGate;
+};
+
+TEST_F(OnceContract, ATicketRunsOnceThroughAnyGate)
+{
+    const testing::header_list headers{ { "Reedtrail-Ticket", ticketOf(31000) } };
+    EXPECT_EQ(order(31020, headers).body, "proof 1") << "the other gate passes it on";
+    EXPECT_EQ(order(31000, headers).body, "proof 1") << "the kept answer";
+    const caller_answer again = order(31020, headers);
+    EXPECT_EQ(again.body, "proof 1");
+    EXPECT_EQ(again.fields.at("Reedtrail-Replayed"), "1");
+    EXPECT_EQ(m_server.requests(), 1U);
+}
+
+TEST_F(OnceContract, ATicketIsBoundToItsCustomerAndContent)
+{
+    const std::string ticket = ticketOf(31000);
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", ticket } }).body, "proof 1");
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", ticket } }, "another menu").fields.at("Reedtrail-Error"), "ticket-unknown");
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", ticket }, { "Authorization", "Bearer t2" } }).fields.at("Reedtrail-Error"), "ticket-unknown");
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", "made up" } }).fields.at("Reedtrail-Error"), "ticket-unknown");
+    EXPECT_EQ(m_server.requests(), 1U);
+}
+
+TEST_F(OnceContract, ATicketOfAGateThatIsGoneIsUnknown)
+{
+    const testing::header_list headers{ { "Reedtrail-Ticket", ticketOf(31000) } };
+    m_firstGate.reset();
+    const caller_answer answer = order(31020, headers);
+    EXPECT_EQ(answer.fields.at("Reedtrail-Error"), "ticket-foreign");
+    EXPECT_EQ(answer.outcome(), "unknown");
+    m_firstGate.emplace(m_one, 2000);
+    m_firstGate->waitForServers(1);
+    EXPECT_EQ(order(31000, headers).fields.at("Reedtrail-Error"), "ticket-foreign") << "a later process of the node is another issuer";
+    EXPECT_EQ(m_server.requests(), 0U);
+}
+
+TEST_F(OnceContract, AnIdempotencyKeyRunsOnceThroughAnyGate)
+{
+    const testing::header_list headers{ { "Idempotency-Key", "k1" } };
+    EXPECT_EQ(order(31000, headers).body, "proof 1");
+    EXPECT_EQ(order(31020, headers).body, "proof 1");
+    EXPECT_EQ(order(31020, { { "Idempotency-Key", "k1" }, { "Authorization", "Bearer t2" } }).body, "proof 2") << "another customer's key of the same text";
+    EXPECT_EQ(m_server.requests(), 2U);
+}
+
+TEST_F(OnceContract, AKeyWhoseClaimAnswerIsLostStillRunsOnce)
+{
+    const testing::header_list headers{ { "Idempotency-Key", "k1" } };
+    m_store.answersToLose = 1;
+    EXPECT_EQ(order(31000, headers).body, "proof 1") << "the claim is sent again and finds its own record";
+    EXPECT_EQ(order(31020, headers).body, "proof 1");
+    EXPECT_EQ(m_server.requests(), 1U);
+}
+
+TEST_F(OnceContract, AKeyIsUnknownWhileTheStoreIsOutAndTicketsGoOn)
+{
+    m_store.isSilent = true;
+    const caller_answer answer = order(31000, { { "Idempotency-Key", "k1" } });
+    EXPECT_EQ(answer.outcome(), "unknown");
+    EXPECT_NE(answer.body.find(R"("retrySafe":true)"), std::string::npos);
+    EXPECT_EQ(m_server.requests(), 0U);
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", ticketOf(31000) } }).body, "proof 1");
+}
+
+TEST_F(OnceContract, AnOutcomeThatIsUnknownStaysUnknown)
+{
+    m_script = [](raw_connection &connection, const raw_request &) {
+        connection.close();
+    };
+    const testing::header_list headers{ { "Reedtrail-Ticket", ticketOf(31000) } };
+    EXPECT_EQ(order(31000, headers).outcome(), "unknown");
+    EXPECT_EQ(order(31020, headers).outcome(), "unknown");
+    EXPECT_EQ(order(31000, headers).outcome(), "unknown");
+    EXPECT_EQ(m_server.requests(), 1U);
+}
+
+TEST_F(OnceContract, NotRunIsFinalUntilTheCallerRaisesItsAttempt)
+{
+    m_script = [](raw_connection &connection, const raw_request &request) {
+        if (request.number <= 3) {
+            connection.respond(503, "", "Reedtrail-Not-Started: 1\r\n");
+        } else {
+            connection.respond(200, "proof");
+        }
+    };
+    const testing::header_list headers{ { "Reedtrail-Ticket", ticketOf(31000) }, { "Reedtrail-Deadline-Ms", "400" } };
+    const caller_answer refused = order(31000, headers);
+    ASSERT_EQ(refused.outcome(), "not-run") << refused.body;
+    const std::uint64_t sent = m_server.requests();
+    EXPECT_EQ(order(31000, headers).outcome(), "not-run");
+    EXPECT_EQ(m_server.requests(), sent) << "a copy that comes late does not run after all";
+    m_script = [](raw_connection &connection, const raw_request &) {
+        connection.respond(200, "proof");
+    };
+    EXPECT_EQ(order(31000, { headers.front(), { "Reedtrail-Attempt", "1" } }).body, "proof");
+    EXPECT_EQ(order(31000, headers).body, "proof");
+}
+
+TEST_F(OnceContract, ADrainingGateGivesKeptAnswersAndRunsNothingNew)
+{
+    const std::string used = ticketOf(31000);
+    const std::string unused = ticketOf(31000);
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", used } }).body, "proof 1");
+    std::future<void> drained = m_firstGate->drain();
+    EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", used } }).body, "proof 1");
+    const caller_answer refused = order(31000, { { "Reedtrail-Ticket", unused } });
+    EXPECT_EQ(refused.fields.at("Reedtrail-Error"), "draining");
+    EXPECT_EQ(refused.outcome(), "not-run");
+    drained.wait();
+    EXPECT_EQ(m_server.requests(), 1U);
+}
+
+TEST_F(GateContract, DrainFinishesStreamsThatAreOpen)
+{
+    std::promise<void> begun;
+    std::promise<void> goOn;
+    std::shared_future<void> mayGoOn = goOn.get_future().share();
+    raw_server engine("engine-0", 31012, [&](raw_connection &connection, const raw_request &) {
+        connection.beginStream();
+        streamTokens(connection, 0, 2);
+        begun.set_value();
+        mayGoOn.wait();
+        streamTokens(connection, 2, 5);
+        connection.chunk("data: [DONE]\n\n");
+        connection.endStream();
+    });
+    const node_settings settings = testing::nodeOn("entry-a1", 31000);
+    fleet_view view = testing::viewOf({ 31012 }, {});
+    view.document["pools"][0]["silenceTimeoutMs"] = 20000;
+    view.document["pools"][0]["defaultDeadlineMs"] = 30000;
+    testing::view_steward steward(settings.listen.stewardPeer, view);
+    testing::running_gate gate(settings);
+    gate.waitForServers(1);
+    std::future<caller_answer> answer = std::async(std::launch::async, [] {
+        return callGate(31000, "POST", "/v1/completions", R"({"model":"model","prompt":"p","stream":true})");
+    });
+    begun.get_future().wait();
+    std::future<void> drained = gate.drain();
+    EXPECT_EQ(callGate(31000, "GET", "/svc/desk/menu", "").fields["Reedtrail-Error"], "draining");
+    EXPECT_EQ(drained.wait_for(std::chrono::seconds(0)), std::future_status::timeout);
+    goOn.set_value();
+    EXPECT_EQ(textOf(answer.get().body), "abcde");
+    drained.wait();
+}
+
+TEST_F(GateContract, LeavingServersGetNothingNewWhicheverHintComes)
+{
+    const auto answer = [](raw_connection &connection, const raw_request &) {
+        connection.respond(200, "fine");
+    };
+    const std::vector<std::string> hints{ "settings", "VM list", "load report" };
+    for (const std::string &hint : hints) {
+        SCOPED_TRACE(hint);
+        raw_server leaving("desk-0", 31010, answer);
+        raw_server staying("desk-1", 31011, answer);
+        const node_settings settings = testing::nodeOn("entry-a1", 31000);
+        fleet_view view = testing::viewOf({}, { 31010, 31011 });
+        testing::view_steward steward(settings.listen.stewardPeer, view);
+        testing::running_gate gate(settings);
+        gate.waitForServers(2);
+        view.revision = 2;
+        if (hint == "settings") {
+            view.document["pools"][1]["servers"][0]["isLeaving"] = true;
+        } else if (hint == "VM list") {
+            view.leavingServers = { server_id("desk-0") };
+        } else {
+            leaving.setState("leaving");
+        }
+        steward.change(view);
+        gate.waitUntil([](const nlohmann::json &state) {
+            return state.at("traffic").at("broker").dump().find(R"("leaving":true)") != std::string::npos;
+        });
+        const std::uint64_t before = leaving.requests();
+        for (int request = 0; request < 20; ++request) {
+            EXPECT_EQ(callGate(31000, "GET", "/svc/desk/menu", "").status, 200);
+        }
+        EXPECT_EQ(leaving.requests(), before);
+    }
+}
+
 } // namespace
 } // namespace reedtrail
--- a/gate/testing/gate_fixture.h
+++ b/gate/testing/gate_fixture.h
@@ -176,12 +176,24 @@
         });
         return state;
     }
-    /** Waits until the gate knows @p servers backend servers. */
-    void waitForServers(std::size_t servers)
+    /** Waits until @p isSo holds of the dump; throws if it does not come to hold. */
+    void waitUntil(const std::function<bool(const nlohmann::json &state)> &isSo)
     {
-        while (dump().at("traffic").at("serversPolled") != servers) {
+        constexpr int maximumLooks = 3000;
+        for (int look = 0; look < maximumLooks; ++look) {
+            if (isSo(dump())) {
+                return;
+            }
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
+        throw std::runtime_error("the gate did not come to the state waited for");
+    }
+    /** Waits until the gate knows @p servers backend servers. */
+    void waitForServers(std::size_t servers)
+    {
+        waitUntil([servers](const nlohmann::json &state) {
+            return state.at("traffic").at("serversPolled") == servers;
+        });
     }
 
 private:
