--- a/gate/traffic_service.cpp
+++ b/gate/traffic_service.cpp
@@ -2,8 +2,7 @@
 // passes as a closure posted to the other loop. Latencies are gathered here and handed to the control thread in batches, because a histogram belongs to the
 // thread that makes the metrics page.
 //
-// Drain: new requests are refused with their reason for announceTime, in which the callers' balancer sees it; what is in flight is finished, streams included;
-// then the listener closes, kept connections are left open for lingerTime so that an answer on its way is not cut, and the loop ends.
+// How a drain proceeds is decided by gate_drain.
 
 #include "gate/traffic_service.h"
 
@@ -86,7 +85,7 @@
     std::vector<duration> latencies;
     std::uint64_t answeredWell = 0;
     std::uint64_t answeredBadly = 0;
-    time_point drainBegin = timeNever;
+    gate_drain drain;
     std::function<void()> onDrained;
 
     implementation(process_context &theContext, control_service &theControl, traffic_options theOptions)
@@ -114,6 +113,7 @@
                  })
         , metricsTimer(io)
         , drainTimer(io)
+        , drain(options.drain)
     {
     }
 
@@ -250,51 +250,33 @@
     void beginDrain(std::function<void()> done)
     {
         onDrained = std::move(done);
-        drainBegin = monotonicNow();
+        drain.begin(monotonicNow());
         api.beginDrain();
         desk.beginDrain();
         drafts.beginDrain();
         continueDrain();
     }
 
-    bool hasWork() const
+    std::size_t workLeft() const
     {
-        return server.exchangesInFlight() > 0 || broker.inFlight() > 0 || desk.waiting() > 0 || drafts.inFlight() > 0;
+        return server.exchangesInFlight() + broker.inFlight() + desk.waiting() + drafts.inFlight();
     }
 
     void continueDrain()
     {
-        const bool isAnnounced = monotonicNow() - drainBegin >= options.announceTime;
-        if (!isAnnounced || hasWork()) {
-            waitInDrain(drainCheckPeriod, [this] {
-                continueDrain();
-            });
+        const drain_phase phase = drain.onCheck(monotonicNow(), workLeft());
+        if (phase == drain_phase::Done) {
+            handOverMetrics();
+            boost::asio::post(context.control, std::exchange(onDrained, nullptr));
             return;
         }
-        server.stopAccepting();
-        waitInDrain(options.lingerTime, [this] {
-            finishDrain();
-        });
-    }
-
-    void finishDrain()
-    {
-        if (hasWork()) {
-            waitInDrain(drainCheckPeriod, [this] {
-                finishDrain();
-            });
-            return;
+        if (phase == drain_phase::Lingering) {
+            server.stopAccepting();
         }
-        handOverMetrics();
-        boost::asio::post(context.control, std::exchange(onDrained, nullptr));
-    }
-
-    void waitInDrain(duration delay, std::function<void()> action)
-    {
-        drainTimer.expires_after(delay);
-        drainTimer.async_wait([action = std::move(action)](const boost::system::error_code &error) {
+        drainTimer.expires_after(drainCheckPeriod);
+        drainTimer.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
-                action();
+                continueDrain();
             }
         });
     }
@@ -308,7 +290,7 @@
                  { "exchangesInFlight", server.exchangesInFlight() },
                  { "connections", server.connections() },
                  { "idleServerConnections", client.idleConnections() },
-                 { "isDraining", drainBegin != timeNever } };
+                 { "drain", drainPhaseName(drain.phase()) } };
     }
 };
 
--- a/gate/traffic_service.h
+++ b/gate/traffic_service.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "gate/control_service.h"
+#include "gate/gate_drain.h"
 #include "kernel/service.h"
 #include "node/process_host.h"
 
@@ -20,8 +21,7 @@
 /** Times of the traffic side. */
 struct traffic_options
 {
-    duration announceTime = std::chrono::milliseconds(500); ///< How long a draining gate still accepts connections, to refuse them with its reason.
-    duration lingerTime = std::chrono::milliseconds(250); ///< How long kept connections stay open after the last answer.
+    gate_drain_options drain;
     duration metricsPeriod = std::chrono::seconds(1);
 };
 
