Routing: ring points by one seeded source, acceptance for prefixes, tuned bounds

Cause: the ring's points came from one hash under 64 seeds; short ids that differ in one digit then share points, and servers s0-s8 got a third more load than s10-s18. Loads swung because all gates followed reports a second old. Change: points are drawn from a generator seeded by one hash; frequent prefixes are spread over several places of the ring and give way first; a server accepts by a ramp as wide as the load renewed within the age of a report.

--- a/routing/prefix_index.cpp
+++ b/routing/prefix_index.cpp
@@ -12,7 +12,7 @@
 namespace {
 constexpr std::uint64_t setMultiplier = 0x9E3779B97F4A7C15U;
 constexpr float memoryRequests = 2000; ///< Requests after which an older one counts 1/e.
-}
+} // namespace
 
 prefix_index::prefix_index(std::size_t bound)
     : m_entries(std::max(ways, std::bit_floor(std::max<std::size_t>(bound, 1))))
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -30,13 +30,13 @@
 
     // Choice of a server.
     std::uint32_t choices = 2; ///< Servers compared for each decision, besides those for the prefix.
-    double affinityRateBound = 1.25; ///< Requests sent to a server for its prefixes are at most this many times its part of the gate's rate.
+    double affinityRateBound = 1.5; ///< Requests sent to a server for its prefixes are at most this many times its part of the gate's rate.
     double affinityBurst = 4; ///< Requests it may get at once for its prefixes.
-    double prefixSavingSeconds = 0.02; ///< Prefill time that one cached prefix block saves.
+    double prefixSavingSeconds = 0.05; ///< What a cached prefix block is worth: the prefill it saves, and the blocks of others it does not push out.
     std::uint32_t lookAhead = 16; ///< Waiting requests that may be overtaken by one whose prefix is on a server with room.
     duration prefixPatience = std::chrono::milliseconds(300); ///< Time that a waiting request waits for a server with its prefix before it takes any.
     double otherZoneSeconds = 0.003; ///< Cost of a call into another availability zone, as seconds of wait.
-    double queueAllowance = 0.1; ///< Requests sent to a server beyond its slots, as a share of the slots.
+    double queueAllowance = 0.05; ///< Requests sent to a server beyond its slots, as a share of the slots.
     duration reportLag = std::chrono::seconds(1); ///< Age of a load report when it arrives.
     duration reportLifetime = std::chrono::seconds(10); ///< A load report older than this says nothing more.
 
--- a/routing/server_choice.cpp
+++ b/routing/server_choice.cpp
@@ -25,9 +25,9 @@
 
 namespace {
 
-constexpr std::uint32_t pointsPerServer = 32;
+constexpr std::uint32_t pointsPerServer = 64;
 constexpr std::uint32_t drawsPerChoice = 6;
-constexpr std::uint32_t ringCandidates = 6; ///< Servers of the ring that are asked for one prefix.
+constexpr std::uint32_t ringCandidates = 12; ///< Servers of the ring that are asked for one prefix.
 constexpr double loadOfOnePart = 0.5; ///< A prefix is spread so that none of its servers gets more than this part of its normal load from it.
 constexpr double mostParts = 256;
 constexpr std::uint64_t partMultiplier = 0xD6E8FEB86659FD93U; ///< Sends the parts of a prefix to places far apart on the ring.
@@ -57,8 +57,10 @@
         std::vector<ring_point> &ring = m_rings[pool];
         ring.reserve(servers.pool(pool).servers.size() * pointsPerServer);
         for (const std::uint32_t server : servers.pool(pool).servers) {
+            // One hash seeds the points: hashes of short ids under several seeds collide.
+            random_source points(stableHash(servers.server(server).id.view()));
             for (std::uint32_t point = 0; point < pointsPerServer; ++point) {
-                ring.push_back({ stableHash(servers.server(server).id.view(), point + 1), server });
+                ring.push_back({ points.next(), server });
             }
         }
         std::ranges::sort(ring, {}, &ring_point::hash);
@@ -91,12 +93,8 @@
     return (wait + batch + firstTokenSeconds - saving) / row.speed + zone + late;
 }
 
-void server_choice::consider(time_point now,
-                             candidate &best,
-                             const server_table &servers,
-                             const server_wish &wish,
-                             std::uint32_t server,
-                             std::uint32_t cachedBlocks) const
+void server_choice::consider(
+    time_point now, candidate &best, const server_table &servers, const server_wish &wish, std::uint32_t server, std::uint32_t cachedBlocks) const
 {
     const double value = cost(now, servers, servers.server(server), wish, cachedBlocks);
     if (best.server == noIndex || value < best.cost) {
@@ -104,10 +102,10 @@
     }
 }
 
-bool server_choice::accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish)
+bool server_choice::accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish, bool isForPrefix)
 {
     const server_row &row = servers.server(server);
-    return fits(servers, row, wish) && (wish.hasWaited || m_random.unit() < servers.acceptance(now, row));
+    return fits(servers, row, wish) && (wish.hasWaited || m_random.unit() < servers.acceptance(now, row, isForPrefix));
 }
 
 void server_choice::considerDraws(time_point now, candidate &best, const server_table &servers, const server_wish &wish)
@@ -116,7 +114,7 @@
     std::uint32_t accepted = 0;
     for (std::uint32_t draw = 0; draw < m_options.choices * drawsPerChoice && accepted < m_options.choices; ++draw) {
         const std::uint32_t server = open[m_random.below(open.size())];
-        if (accepts(now, servers, server, wish)) {
+        if (accepts(now, servers, server, wish, false)) {
             ++accepted;
             consider(now, best, servers, wish, server, 0);
         }
@@ -145,26 +143,36 @@
     start.hash = wish.prefixHashes[start.blocks - 1];
     const double load = prefixes.useShare(start.hash) * static_cast<double>(servers.pool(wish.pool).servers.size());
     const auto parts = static_cast<std::uint64_t>(std::min(load / loadOfOnePart, mostParts));
-    start.isShared = parts > 0;
-    if (parts > 0) {
-        start.hash += m_random.below(parts + 1) * partMultiplier;
-    }
+    start.frequency = std::min(1.0, load / loadOfOnePart);
+    start.parts = parts + 1;
     return start;
 }
 
+bool server_choice::takesForPrefix(time_point now, server_table &servers, std::uint32_t server, const server_wish &wish, const ring_start &start)
+{
+    const bool hasToken = wish.hasWaited || servers.hasAffinityToken(now, server, start.frequency);
+    return hasToken && accepts(now, servers, server, wish, true);
+}
+
 std::uint32_t server_choice::walkRing(time_point now, server_table &servers, const server_wish &wish, const ring_start &start)
 {
     const std::vector<ring_point> &ring = m_rings[wish.pool];
-    auto point = std::ranges::lower_bound(ring, start.hash, {}, &ring_point::hash);
     std::uint32_t previous = noIndex;
-    for (std::uint32_t found = 0, steps = 0; found < ringCandidates && steps < pointsPerServer; ++steps, ++point) {
+    auto point = ring.end();
+    for (std::uint32_t found = 0, steps = 0; found < ringCandidates && steps < pointsPerServer; ++steps) {
+        if (found == 0 || start.parts > 1) {
+            const std::uint64_t part = m_random.below(start.parts);
+            point = std::ranges::lower_bound(ring, start.hash + part * partMultiplier, {}, &ring_point::hash);
+        } else {
+            ++point;
+        }
         point = point == ring.end() ? ring.begin() : point;
         if (point->server == previous) {
             continue;
         }
         previous = point->server;
         ++found;
-        if ((wish.hasWaited || servers.hasAffinityToken(now, previous, start.isShared)) && accepts(now, servers, previous, wish)) {
+        if (takesForPrefix(now, servers, previous, wish, start)) {
             return previous;
         }
     }
@@ -194,7 +202,8 @@
         return;
     }
     for (const std::uint32_t server : known.holders) {
-        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server, true) && accepts(now, servers, server, wish)) {
+        if (server != noIndex && servers.server(server).pool == wish.pool && servers.hasAffinityToken(now, server, start.frequency)
+            && accepts(now, servers, server, wish, true)) {
             consider(now, best, servers, wish, server, known.blocks);
         }
     }
--- a/routing/server_choice.h
+++ b/routing/server_choice.h
@@ -65,20 +65,18 @@
     {
         std::uint64_t hash = 0;
         std::uint32_t blocks = 0; ///< Length of the prefix that is searched for.
-        bool isShared = false; ///< Whether it is so frequent that several servers hold it.
+        std::uint64_t parts = 1; ///< Places on the ring among which the prefix is spread.
+        double frequency = 0; ///< 0 for a rare prefix to 1 for one so frequent that several servers hold it.
     };
     bool fits(const server_table &servers, const server_row &row, const server_wish &wish) const;
     double cost(time_point now, const server_table &servers, const server_row &row, const server_wish &wish, std::uint32_t cachedBlocks) const;
-    void consider(time_point now,
-                  candidate &best,
-                  const server_table &servers,
-                  const server_wish &wish,
-                  std::uint32_t server,
-                  std::uint32_t cachedBlocks) const;
-    bool accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish);
+    void
+    consider(time_point now, candidate &best, const server_table &servers, const server_wish &wish, std::uint32_t server, std::uint32_t cachedBlocks) const;
+    bool accepts(time_point now, const server_table &servers, std::uint32_t server, const server_wish &wish, bool isForPrefix);
     known_prefix findKnown(prefix_index &prefixes, const server_wish &wish) const;
     void considerPrefix(time_point now, candidate &best, server_table &servers, prefix_index &prefixes, const server_wish &wish);
     ring_start startOf(prefix_index &prefixes, const server_table &servers, const server_wish &wish, const known_prefix &known);
+    bool takesForPrefix(time_point now, server_table &servers, std::uint32_t server, const server_wish &wish, const ring_start &start);
     std::uint32_t walkRing(time_point now, server_table &servers, const server_wish &wish, const ring_start &start);
     void considerDraws(time_point now, candidate &best, const server_table &servers, const server_wish &wish);
     std::uint32_t scan(const server_table &servers, const server_wish &wish);
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -21,7 +21,7 @@
 constexpr std::uint32_t paceSamplesNeeded = 5;
 constexpr double meanGain = 0.02; ///< Weight of a new sample in a pool's mean service time.
 constexpr double rateGain = 0.03; ///< Weight of the rate since the last refresh in the gate's mean rate.
-constexpr double leastAffinityFactor = 1.02;
+constexpr double leastAffinityFactor = 1.1;
 constexpr double leastTrust = 0.1;
 constexpr duration reportAgeMargin = std::chrono::milliseconds(250); ///< Mean time since the last report, on top of its age on arrival.
 constexpr double leastSpeed = 0.05;
@@ -207,7 +207,7 @@
     ++row.ownOpen;
     row.history.note(now, row.ownOpen);
     refillAffinity(now, row);
-    row.affinityTokens = std::max(-m_options.affinityBurst, row.affinityTokens - 1);
+    row.affinityTokens = std::max(-2 * m_options.affinityBurst, row.affinityTokens - 1);
     ++m_pools[row.pool].sentSinceRefresh;
     updateOpen(index);
 }
@@ -299,10 +299,11 @@
     return row.slots * (service > 0 ? std::min(1.0, age / service) : 1.0);
 }
 
-double server_table::acceptance(time_point now, const server_row &row) const
+double server_table::acceptance(time_point now, const server_row &row, bool isForPrefix) const
 {
     const double width = std::max(1.0, renewedLoad(row));
-    const double ceiling = std::min(row.slots, m_pools[row.pool].meanLoad * row.slots + width);
+    const double highest = isForPrefix ? row.slots + width : row.slots;
+    const double ceiling = std::min(highest, m_pools[row.pool].meanLoad * row.slots + width);
     const double byLoad = std::clamp((ceiling - row.load()) / width, 0.0, 1.0);
     return byLoad * row.speed * row.speed * row.speed * trust(now, row);
 }
@@ -316,10 +317,10 @@
     row.affinityAt = now;
 }
 
-bool server_table::hasAffinityToken(time_point now, std::uint32_t index, bool isShared)
+bool server_table::hasAffinityToken(time_point now, std::uint32_t index, double frequency)
 {
     refillAffinity(now, m_servers[index]);
-    return m_servers[index].affinityTokens >= (isShared ? 1 : 1 - m_options.affinityBurst);
+    return m_servers[index].affinityTokens >= m_options.affinityBurst * (1.5 * frequency - 1);
 }
 
 bool server_table::hasOwnRoom(const server_row &row) const
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -154,12 +154,14 @@
      * Returns the probability with which the server should accept a request drawn for it: falls with its load against the pool's mean, over a width as large as
      * the load that is renewed within the age of a report; falls with slowness; and is low after a return and while its reports stay away.
      */
-    double acceptance(time_point now, const server_row &row) const;
+    double acceptance(time_point now, const server_row &row, bool isForPrefix) const;
     /**
      * Tells whether this gate may send one more request to the server for the sake of its prefixes: such requests stay below a little more than the server's
-     * part of the gate's rate. @p isShared tells whether other servers hold the prefix as well; if not, the bound is wider. All gates keep this bound, so the server gets no more than that from all of them, however late its reports are.
+     * part of the gate's rate. The more frequent the prefix (@p frequency 0 to 1),
+     * the earlier it has to go elsewhere: it finds its prefix on other servers, while a rare one does not. All gates keep this bound, so the server gets no
+     * more than that from all of them, however late its reports are.
      */
-    bool hasAffinityToken(time_point now, std::uint32_t index, bool isShared);
+    bool hasAffinityToken(time_point now, std::uint32_t index, double frequency);
     /** Tells whether this gate may use room on the server that all gates with waiting requests see: each takes its part of it. */
     bool hasOwnRoom(const server_row &row) const;
     /** Sets how many gates there are. */
--- a/routing/testing/workload.h
+++ b/routing/testing/workload.h
@@ -113,7 +113,8 @@
     if (values.empty()) {
         return 0;
     }
-    const auto place = values.begin() + static_cast<std::ptrdiff_t>(std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size()))));
+    const auto place =
+        values.begin() + static_cast<std::ptrdiff_t>(std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size()))));
     std::ranges::nth_element(values, place);
     return *place;
 }
--- a/routing/usage_tree.cpp
+++ b/routing/usage_tree.cpp
@@ -1,7 +1,7 @@
-// Theory. The live nodes of a zone, sorted by id, form a heap-shaped tree: node i reports to node (i - 1) / fanIn. Each period a node adds its children's newest
-// sums to its own and reports upwards; node 0, the root, exchanges the zone's sum with the other zones' roots and sends the fleet's total down, where each node
-// passes it on at once. A node receives at most fanIn reports and one total a period, whatever the size of the fleet; a change reaches everybody after as many
-// periods as the tree is deep (4 levels for 85 nodes), plus one.
+// Theory. The live nodes of a zone, sorted by id, form a heap-shaped tree: node i reports to node (i - 1) / fanIn. Each period a node adds its children's
+// newest sums to its own and reports upwards; node 0, the root, exchanges the zone's sum with the other zones' roots and sends the fleet's total down, where
+// each node passes it on at once. A node receives at most fanIn reports and one total a period, whatever the size of the fleet; a change reaches everybody
+// after as many periods as the tree is deep (4 levels for 85 nodes), plus one.
 //
 // Parents are only tried: a child that hears no total moves on along its ancestors, then to nodes 1 and 2, the next in line for root, always to a smaller
 // index, so no circle can form; the last in line acts as root. Old sums expire, so a node that is gone stops counting, and a subtree that moved may count
@@ -18,7 +18,7 @@
 namespace {
 constexpr std::size_t rootsInLine = 3; ///< Nodes 0, 1 and 2 of a zone.
 constexpr std::size_t rootsTold = 2; ///< Nodes of another zone that get this zone's sum.
-}
+} // namespace
 
 usage_tree::usage_tree(usage_tree_options options, node_id node, zone_id zone)
     : m_options(options)
