--- a/routing/request_scheduler.cpp
+++ b/routing/request_scheduler.cpp
@@ -230,7 +230,7 @@
     wish.prefixHashes = row.request.prefixHashes;
     wish.tried = row.tried;
     wish.leavesReserve = row.isOverShare;
-    wish.hasWaited = row.arrivedAt != now;
+    wish.hasWaited = row.arrivedAt != now || row.isOverShare;
     wish.expectedSeconds = toSeconds(expectedService(row));
     wish.secondsLeft = row.request.deadline == timeNever ? std::numeric_limits<double>::infinity() : toSeconds(row.request.deadline - now);
     return wish;
@@ -245,7 +245,7 @@
     for (std::uint32_t step = 0; step < options.lookAhead && index != noIndex; ++step, index = links.next(index)) {
         request_row &row = requests[index];
         row.isOverShare = isOverShare;
-        if (row.arrivedAt == now || row.request.prefixHashes.empty()) {
+        if ((row.arrivedAt == now && !isOverShare) || row.request.prefixHashes.empty()) {
             continue;
         }
         const std::uint32_t server = choice.chooseByPrefix(now, servers, prefixes, wishOf(now, row));
@@ -368,6 +368,10 @@
         refuse(now, index, row.mayHaveRun && kind == error_kind::ServerRefused ? error_kind::ServerFailed : kind, out);
         return;
     }
+    // Once every server of the pool was tried, each may be tried again.
+    if (static_cast<std::size_t>(std::ranges::count(row.tried, noIndex)) + servers.pool(row.pool).usable <= triedServerCount) {
+        row.tried.fill(noIndex);
+    }
     ++counters.retried;
     log.add({ now,
               decision_kind::Retried,
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -13,6 +13,7 @@
 
 /** How the fleet's capacity is shared among customers. */
 enum class sharing_way : std::uint8_t {
+    Unshared, ///< One queue for all on each gate; only to compare with.
     LocalOnly, ///< Each gate shares only what it sees itself.
     GossipedUsage, ///< Gate-local fair queues that know the usage of the whole fleet, a little late.
     Credits, ///< Watchers of the servers grant credits; the local share is the fall-back.
--- a/routing/server_choice.cpp
+++ b/routing/server_choice.cpp
@@ -72,10 +72,10 @@
     if (wish.minimumVersion > 0 && (row.isVersionUnknown || row.version < wish.minimumVersion)) {
         return false;
     }
-    if (row.openPosition == noIndex || (wish.leavesReserve && row.load() + 1 > row.slots * (1 - m_options.reservedShare))) {
+    if (row.openPosition == noIndex || (wish.leavesReserve && row.load() + 1 > servers.limitWithReserve(row))) {
         return false;
     }
-    if (wish.hasWaited && !servers.hasOwnRoom(row)) {
+    if (wish.hasWaited && !servers.hasOwnRoom(row, wish.leavesReserve)) {
         return false;
     }
     return std::ranges::find(wish.tried, static_cast<std::uint32_t>(&row - &servers.server(0))) == wish.tried.end();
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -323,9 +323,9 @@
     return m_servers[index].affinityTokens >= m_options.affinityBurst * (1.5 * frequency - 1);
 }
 
-bool server_table::hasOwnRoom(const server_row &row) const
+bool server_table::hasOwnRoom(const server_row &row, bool leavesReserve) const
 {
-    const double room = limit(row) - row.othersLoad - row.ownReported;
+    const double room = (leavesReserve ? limitWithReserve(row) : limit(row)) - row.othersLoad - row.ownReported;
     const double taken = row.ownOpen - row.ownReported;
     return taken + row.drawnPart < room / m_gates;
 }
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -162,8 +162,13 @@
      * more than that from all of them, however late its reports are.
      */
     bool hasAffinityToken(time_point now, std::uint32_t index, double frequency);
+    /** Returns how many requests the server may hold while its reserve for customers below their share stays free. */
+    double limitWithReserve(const server_row &row) const
+    {
+        return row.slots * (1 - m_options.reservedShare);
+    }
     /** Tells whether this gate may use room on the server that all gates with waiting requests see: each takes its part of it. */
-    bool hasOwnRoom(const server_row &row) const;
+    bool hasOwnRoom(const server_row &row, bool leavesReserve) const;
     /** Sets how many gates there are. */
     void setGates(std::uint32_t gates)
     {
--- a/routing/testing/request_scheduler_test.cpp
+++ b/routing/testing/request_scheduler_test.cpp
@@ -114,6 +114,15 @@
                                            end_case{ attempt_end::Silent, true, false, error_kind::None },
                                            end_case{ attempt_end::Silent, false, false, error_kind::ServerSilent }));
 
+TEST_F(request_scheduler_test, triesTheOnlyServerOfAPoolAgain)
+{
+    apply(1, 1, 1);
+    arrive(makeRequest("r"));
+    end("r", 1, attempt_end::Failed);
+    ASSERT_EQ(all<dispatch_request>().size(), 1U);
+    EXPECT_EQ(all<dispatch_request>()[0].attempt, 2U);
+}
+
 TEST_F(request_scheduler_test, ignoresTheEndOfAnOldAttempt)
 {
     apply(4, 1, 1);
