--- a/steward/fleet_service.cpp
+++ b/steward/fleet_service.cpp
@@ -117,6 +117,7 @@
     {
         peer_bus_options options;
         options.seed = context.processIncarnation;
+        options.transport.tls = context.settings.peerTls;
         return options;
     }
 
--- a/steward/store_service.cpp
+++ b/steward/store_service.cpp
@@ -7,6 +7,8 @@
 #include "fleet/store_json.h"
 #include "kernel/log.h"
 
+#include <boost/asio/post.hpp>
+
 namespace reedtrail {
 namespace {
 
@@ -15,6 +17,14 @@
     return kind != store_call_kind::Read && kind != store_call_kind::Watch;
 }
 
+store_priority priorityOf(store_call_kind kind)
+{
+    if (kind == store_call_kind::Read) {
+        return store_priority::Background;
+    }
+    return kind == store_call_kind::Write || kind == store_call_kind::Watch ? store_priority::Promise : store_priority::Lease;
+}
+
 /** Returns what a call of @p kind ended with, or nothing if its answer can be read. */
 std::optional<failure> failureOfCall(store_call_kind kind, const http_call_end &end, const http_response &response)
 {
@@ -44,7 +54,9 @@
         std::string partialLine;
     };
 
+    boost::asio::io_context &io;
     store_service_options options;
+    call_budget budget;
     std::vector<endpoint> stores;
     http_client client;
     std::size_t current = 0;
@@ -56,7 +68,9 @@
     std::string lastError;
 
     implementation(process_context &context, store_service_options theOptions)
-        : options(theOptions)
+        : io(context.control)
+        , options(theOptions)
+        , budget(theOptions.budget)
         , stores(context.settings.stores)
         , client(context.control, {})
     {
@@ -94,8 +108,19 @@
     template<class Answer, class Decode>
     void call(store_call_kind kind, const store_call &what, Decode decode, std::function<void(const Answer &)> onAnswer)
     {
-        ++counts.at(static_cast<std::size_t>(kind));
         const auto self = weak_from_this();
+        if (!budget.take(monotonicNow(), priorityOf(kind))) {
+            boost::asio::post(io, [self, onAnswer] {
+                const auto alive = self.lock();
+                if (alive && !alive->isStopped) {
+                    Answer refused;
+                    refused.error = failure{ error_kind::StoreUnavailable, "the call budget of this process is spent" };
+                    onAnswer(refused);
+                }
+            });
+            return;
+        }
+        ++counts.at(static_cast<std::size_t>(kind));
         client.call(
             stores.at(current), requestFor(what), callOptions(), [self, kind, decode, onAnswer](const http_call_end &end, const http_response &response) {
                 const auto alive = self.lock();
@@ -280,6 +305,10 @@
              { "isReachable", self.isReachable },
              { "lastError", self.lastError },
              { "watches", self.watches.size() },
+             { "refusedByBudget",
+               { { "lease", self.budget.refused(store_priority::Lease) },
+                 { "promise", self.budget.refused(store_priority::Promise) },
+                 { "background", self.budget.refused(store_priority::Background) } } },
              { "calls", self.counts } };
 }
 
--- a/steward/store_service.h
+++ b/steward/store_service.h
@@ -5,10 +5,12 @@
  *     BOOST_LEAF_AUTO(store, process.find<store_service>("store"));
  *     store->txn(create, [](const store_txn_answer &answer) { ... });
  *
- * Handlers run exactly once, on the control thread, never from inside the call. Nothing is repeated here: the caller knows what may be.
+ * Handlers run exactly once, on the control thread, never from inside the call. Nothing is repeated here: the caller knows what may be. Calls come out of one
+ * budget by priority: calls about leases first, then transactions and watches, then reads. A call beyond it is not made and ends in StoreUnavailable.
  */
 #pragma once
 
+#include "fleet/call_budget.h"
 #include "fleet/store_types.h"
 #include "kernel/service.h"
 #include "net/http_client.h"
@@ -25,6 +27,7 @@
 {
     duration callTimeout = std::chrono::seconds(2);
     duration connectTimeout = std::chrono::milliseconds(700);
+    call_budget_options budget{};
     duration watchSilence = std::chrono::minutes(11); ///< A watch without even a sign of life for longer has ended.
 };
 
--- a/steward/testing/store_service_test.cpp
+++ b/steward/testing/store_service_test.cpp
@@ -170,6 +170,22 @@
                              return each.param.name;
                          });
 
+TEST_F(store_contract, makesNoCallBeyondItsBudget)
+{
+    int received = 0;
+    serve([&](const auto &exchange) {
+        ++received;
+        respond(exchange, 200, "{}");
+    });
+    store_service_options options;
+    options.budget = { .callsPerSecond = 1e-6, .burst = 2, .promiseReserve = 0, .backgroundReserve = 0 };
+    m_service = std::make_unique<store_service>(m_context, options);
+    EXPECT_FALSE(read().error);
+    EXPECT_FALSE(read().error);
+    EXPECT_EQ(read().error->kind, error_kind::StoreUnavailable);
+    EXPECT_EQ(received, 2);
+}
+
 TEST_F(store_contract, triesTheNextStoreAfterAFailure)
 {
     m_settings.stores.insert(m_settings.stores.begin(), { "127.0.0.1", storePort + 1 });
