--- a/fleet/testing/fleet_world.cpp
+++ b/fleet/testing/fleet_world.cpp
@@ -192,6 +192,7 @@
         sendHeartbeat(index, send);
     }
     for (const membership_change &change : step.changes) {
+        m_zoneLosses += change.isReachable ? 0 : 1;
         m_nodes[index].suspicions += change.cause == "silent" ? 1 : 0;
         const bool isDeath = !change.node.empty() && change.state == member_state::Dead;
         const auto subject = std::ranges::find(m_nodes, change.node.str(), &world_node::name);
--- a/fleet/testing/fleet_world.h
+++ b/fleet/testing/fleet_world.h
@@ -116,6 +116,12 @@
         return m_nodes[node].suspicions;
     }
 
+    /** Returns how often any node held a zone for unreachable. */
+    std::uint64_t zoneLosses() const
+    {
+        return m_zoneLosses;
+    }
+
     std::size_t size() const
     {
         return m_nodes.size();
@@ -203,6 +209,7 @@
     std::uint64_t m_nextConfirm = 1;
     bool m_isCounting = false;
     std::uint64_t m_falseDeaths = 0;
+    std::uint64_t m_zoneLosses = 0;
 };
 
 } // namespace reedtrail::testing
--- a/fleet/testing/membership_test.cpp
+++ b/fleet/testing/membership_test.cpp
@@ -129,6 +129,23 @@
     EXPECT_TRUE(world.isAgreed());
 }
 
+TEST_P(membership_in, keepsAZoneReachableWhileItsDeputyDies)
+{
+    const std::uint64_t before = world.zoneLosses();
+    for (std::size_t zone = 0; zone < GetParam().zones; ++zone) {
+        const std::optional<node_id> deputy = world.gossip(0).deputyOf(zone_id("zone-" + std::to_string(zone)));
+        ASSERT_TRUE(deputy);
+        const std::size_t index = std::stoul(deputy->str().substr(std::string("node-").size()));
+        if (index != 0) {
+            world.kill(index);
+            world.run(10s);
+            world.start(index);
+            world.run(10s);
+        }
+    }
+    EXPECT_EQ(world.zoneLosses(), before);
+}
+
 TEST_P(membership_in, findsBothRegionsAgain)
 {
     world.cutRegion(0, true);
