reedtrailctl: watch, report, completion

report samples the dumps of all addresses each second and plots trainers' idle time, versions behind, weight versions and requests by customer.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -1,13 +1,15 @@
 /**
  * @file
- * The commands of reedtrailctl, each a call to a steward.
+ * The commands of reedtrailctl, most of them one call to a steward.
  */
 #pragma once
 
 #include "ctl/steward_client.h"
 
+#include <functional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace reedtrail {
 
@@ -15,7 +17,10 @@
 struct command_context
 {
     steward_client &client;
-    std::string patchFile; ///< Of --patch, for plan.
+    std::string patchFile = {}; ///< Of --patch, for plan.
+    std::vector<steward_client> each = {}; ///< One client for each address given, for report.
+    std::vector<std::string> optionNames = {}; ///< For completion.
+    std::function<void(const nlohmann::json &answer)> show = {}; ///< Shows an answer before the command has ended, for watch.
 };
 
 /** One command. */
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <unistd.h>
 
 namespace reedtrail {
 namespace {
@@ -33,7 +34,21 @@
     return parsed.value("token", fromEnvironment == nullptr ? "" : fromEnvironment);
 }
 
-result<void> runLine(const parsed_line &parsed)
+std::string shownText(const nlohmann::json &answer, bool asJson)
+{
+    return asJson ? answer.dump(2) + "\n" : readableText(answer);
+}
+
+/** Shows an answer in place of the one before on a terminal, below it elsewhere. */
+void showLive(const nlohmann::json &answer, bool asJson)
+{
+    constexpr const char *clearScreen = "\x1b[H\x1b[2J";
+    const bool isTerminal = ::isatty(STDOUT_FILENO) != 0;
+    std::fputs(((isTerminal ? clearScreen : "") + shownText(answer, asJson)).c_str(), stdout);
+    std::fflush(stdout);
+}
+
+result<void> runLine(const parsed_line &parsed, std::vector<std::string> optionNames)
 {
     std::vector<std::string> addresses = parsed.values("steward");
     if (addresses.empty()) {
@@ -44,11 +59,20 @@
         BOOST_LEAF_AUTO(where, parseEndpoint(text));
         stewards.push_back(where);
     }
-    steward_client client(std::move(stewards), tokenOf(parsed), tls_files{ "", "", parsed.value("authority") });
-    command_context context{ client, parsed.value("patch") };
+    const tls_files tls{ "", "", parsed.value("authority") };
+    std::vector<steward_client> each;
+    for (const endpoint &where : stewards) {
+        each.emplace_back(std::vector<endpoint>{ where }, tokenOf(parsed), tls);
+    }
+    const bool asJson = parsed.has("json");
+    steward_client client(std::move(stewards), tokenOf(parsed), tls);
+    command_context context{ client, parsed.value("patch"), std::move(each), std::move(optionNames), [asJson](const nlohmann::json &answer) {
+                                showLive(answer, asJson);
+                            } };
     BOOST_LEAF_AUTO(answer, runCommand(context, parsed.words));
-    const std::string text = parsed.has("json") ? answer.dump(2) + "\n" : readableText(answer);
-    std::fputs(text.c_str(), stdout);
+    if (!answer.is_null()) {
+        std::fputs(shownText(answer, asJson).c_str(), stdout);
+    }
     return {};
 }
 
@@ -58,12 +82,13 @@
 int main(int argc, char **argv)
 {
     using namespace reedtrail;
-    const parsed_line parsed = makeCommandLine().parse(argc, argv);
+    const command_line line = makeCommandLine();
+    const parsed_line parsed = line.parse(argc, argv);
     if (parsed.exitCode) {
         return *parsed.exitCode;
     }
     const std::optional<failure> error = failureOf([&] {
-        return runLine(parsed);
+        return runLine(parsed, line.optionNames());
     });
     if (error) {
         std::fprintf(stderr, "reedtrailctl: %s: %s\n", std::string(answerFor(error->kind).name).c_str(), error->detail.c_str());
--- a/ctl/testing/ctl_test.cpp
+++ b/ctl/testing/ctl_test.cpp
@@ -16,8 +16,8 @@
 TEST(commands, refuseWrongWordsBeforeAnyCall)
 {
     const usage_case cases[] = {
-        { {}, "a command must be named: plan, confirm, status, settings, history, explain or dump" },
-        { { "plant" }, "a command must be named: plan, confirm, status, settings, history, explain or dump" },
+        { {}, "a command must be named: plan, confirm, status, settings, history, explain, dump, watch, report or completion" },
+        { { "plant" }, "a command must be named: plan, confirm, status, settings, history, explain, dump, watch, report or completion" },
         { { "plan" }, "plan takes either FILE or --patch FILE" },
         { { "plan", "a", "b" }, "plan takes: FILE | --patch FILE" },
         { { "confirm" }, "confirm takes: PLAN" },
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -137,6 +137,10 @@
     kill -CONT "${pids[steward-$1]}"
 }
 step "the same for 40 s under faults"
+report_arguments=()
+for node in "${nodes[@]}"; do report_arguments+=(--steward "$(operators "$node")" --steward "127.0.0.1:$((first_port[$node] + 2))"); done
+"$bin/reedtrailctl" --token operator-token "${report_arguments[@]}" report "$folder/report.svg" 40 >"$folder/report.out" 2>&1 &
+report_pid=$!
 load faults --duration 40 --seed 12 --may-cut &
 load_pid=$!
 owner=$(owner_of_run b1 || true)
@@ -161,6 +165,7 @@
 kill_and_restart gate-b2 2 "$bin/reedtrail-gate" --settings "$folder/node-b2.json"
 code=0
 wait $load_pid || code=$?
+check "report plotted" wait $report_pid
 check "nothing ran twice, none falsely told \"not run\", none lost, doubled or crossed" load_verdict $code faults
 
 step "a gate is stopped gracefully under load"
@@ -192,7 +197,7 @@
 done
 check "dump of a spool" curl -sf "http://127.0.0.1:$((first_port[a1] + 6))/dump"
 check "explain the change" ctl --steward "$(operators b1)" explain change 2
-check "status" ctl --steward "$(operators c1)" status
+check "status, watched" ctl --steward "$(operators c1)" watch 2
 
 step "what happened"
 python3 scripts/demo/summary.py "$folder"
