--- a/bench/drain_bench.cpp
+++ b/bench/drain_bench.cpp
@@ -309,30 +309,43 @@
 
     // Restarts.
 
+    /** Reports again and again: to a small fleet by each gate's own polls, to a large one by digests that its watchers pass on less often. */
     void reportLoad(std::size_t index)
     {
-        server &self = m_servers[index];
-        const duration period = m_gates.size() > 64 ? std::chrono::milliseconds(1000) : std::chrono::milliseconds(250);
-        if (self.machine->isUp()) {
-            const harness::fake_load load = self.machine->load();
-            const server_load report{
-                m_document.pools.front().servers[index].id, load.waiting, load.running, slotsOfServer, 1, m_useHints && self.saysLeaving, false, load.sequence
-            };
-            m_time.after(hop, [this, report] {
-                for (std::size_t each = 0; each < m_gates.size(); ++each) {
-                    if (m_gates[each].isUp) {
-                        request_scheduler::actions actions;
-                        m_gates[each].scheduler->onLoad(m_time.now(), report, actions);
-                        perform(each, actions);
-                    }
-                }
-            });
-        }
+        const duration period = isLargeFleet() ? std::chrono::milliseconds(4000) : std::chrono::milliseconds(250);
+        reportOnce(index);
         m_time.after(duration(static_cast<std::int64_t>(static_cast<double>(period.count()) * m_random.uniform(0.8, 1.2))), [this, index] {
             reportLoad(index);
         });
     }
 
+    bool isLargeFleet() const
+    {
+        constexpr std::size_t gatesThatPoll = 64;
+        return m_gates.size() > gatesThatPoll;
+    }
+
+    void reportOnce(std::size_t index)
+    {
+        server &self = m_servers[index];
+        if (!self.machine->isUp()) {
+            return;
+        }
+        const harness::fake_load load = self.machine->load();
+        const server_load report{
+            m_document.pools.front().servers[index].id, load.waiting, load.running, slotsOfServer, 1, m_useHints && self.saysLeaving, false, load.sequence
+        };
+        m_time.after(hop, [this, report] {
+            for (std::size_t each = 0; each < m_gates.size(); ++each) {
+                if (m_gates[each].isUp) {
+                    request_scheduler::actions actions;
+                    m_gates[each].scheduler->onLoad(m_time.now(), report, actions);
+                    perform(each, actions);
+                }
+            }
+        });
+    }
+
     void restartServersFrom(std::size_t first)
     {
         const std::size_t together = std::max<std::size_t>(1, m_servers.size() / restartsAtOnceDivisor);
@@ -360,6 +373,12 @@
                 if (hinted.lives == life) {
                     hinted.*hint = true;
                     hinted.firstHint = std::min(hinted.firstHint, m_time.now());
+                    if (hint == &server::saysLeaving && isLargeFleet()) {
+                        // A watcher sees the change at its next poll and passes it on.
+                        m_time.after(fromSeconds(m_random.uniform(0, 0.5)), [this, index] {
+                            reportOnce(index);
+                        });
+                    }
                 }
             });
         };
--- a/gate/testing/gate_contract_test.cpp
+++ b/gate/testing/gate_contract_test.cpp
@@ -136,7 +136,7 @@
     };
 }
 
-class GateContract : public ::testing::Test
+class gate_contract : public ::testing::Test
 {
 protected:
     void SetUp() override
@@ -153,7 +153,7 @@
     std::uint64_t m_checksBefore = 0;
 };
 
-TEST_F(GateContract, NonIdempotentRequestsOnAServiceThatFails)
+TEST_F(gate_contract, NonIdempotentRequestsOnAServiceThatFails)
 {
     for (const service_case &each : serviceCases()) {
         SCOPED_TRACE(each.name);
@@ -169,7 +169,7 @@
     }
 }
 
-TEST_F(GateContract, IdempotentRequestsAreRepeatedOnce)
+TEST_F(gate_contract, IdempotentRequestsAreRepeatedOnce)
 {
     for (const service_case &each : serviceCases()) {
         SCOPED_TRACE(each.name);
@@ -308,7 +308,7 @@
     return text;
 }
 
-TEST_F(GateContract, StreamsLoseAndDoubleNoToken)
+TEST_F(gate_contract, StreamsLoseAndDoubleNoToken)
 {
     const std::string body = R"({"model":"model","prompt":"repair note","max_tokens":5,"stream":true})";
     for (const engine_case &each : engineCases()) {
@@ -329,7 +329,7 @@
     }
 }
 
-TEST_F(GateContract, WholeCompletionsAreBegunAnewOnAnotherEngine)
+TEST_F(gate_contract, WholeCompletionsAreBegunAnewOnAnotherEngine)
 {
     std::atomic<int> attempts{ 0 };
     const auto breakFirst = [&attempts](raw_connection &connection, const raw_request &request) {
@@ -418,10 +418,10 @@
 }
 
 /** Two gates, a service that counts, and a store. */
-class OnceContract : public GateContract
+class once_contract : public gate_contract
 {
 protected:
-    OnceContract()
+    once_contract()
         : m_store(31040)
         , m_server("desk-0",
                    31010,
@@ -463,7 +463,7 @@
     std::optional<testing::running_gate> m_otherGate;
 };
 
-TEST_F(OnceContract, ATicketRunsOnceThroughAnyGate)
+TEST_F(once_contract, ATicketRunsOnceThroughAnyGate)
 {
     const testing::header_list headers{ { "Reedtrail-Ticket", ticketOf(31000) } };
     EXPECT_EQ(order(31020, headers).body, "proof 1") << "the other gate passes it on";
@@ -474,7 +474,7 @@
     EXPECT_EQ(m_server.requests(), 1U);
 }
 
-TEST_F(OnceContract, ATicketIsBoundToItsCustomerAndContent)
+TEST_F(once_contract, ATicketIsBoundToItsCustomerAndContent)
 {
     const std::string ticket = ticketOf(31000);
     EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", ticket } }).body, "proof 1");
@@ -484,7 +484,7 @@
     EXPECT_EQ(m_server.requests(), 1U);
 }
 
-TEST_F(OnceContract, ATicketOfAGateThatIsGoneIsUnknown)
+TEST_F(once_contract, ATicketOfAGateThatIsGoneIsUnknown)
 {
     const testing::header_list headers{ { "Reedtrail-Ticket", ticketOf(31000) } };
     m_firstGate.reset();
@@ -497,7 +497,7 @@
     EXPECT_EQ(m_server.requests(), 0U);
 }
 
-TEST_F(OnceContract, AnIdempotencyKeyRunsOnceThroughAnyGate)
+TEST_F(once_contract, AnIdempotencyKeyRunsOnceThroughAnyGate)
 {
     const testing::header_list headers{ { "Idempotency-Key", "k1" } };
     EXPECT_EQ(order(31000, headers).body, "proof 1");
@@ -506,7 +506,7 @@
     EXPECT_EQ(m_server.requests(), 2U);
 }
 
-TEST_F(OnceContract, AKeyWhoseClaimAnswerIsLostStillRunsOnce)
+TEST_F(once_contract, AKeyWhoseClaimAnswerIsLostStillRunsOnce)
 {
     const testing::header_list headers{ { "Idempotency-Key", "k1" } };
     m_store.answersToLose = 1;
@@ -515,7 +515,7 @@
     EXPECT_EQ(m_server.requests(), 1U);
 }
 
-TEST_F(OnceContract, AKeyIsUnknownWhileTheStoreIsOutAndTicketsGoOn)
+TEST_F(once_contract, AKeyIsUnknownWhileTheStoreIsOutAndTicketsGoOn)
 {
     m_store.isSilent = true;
     const caller_answer answer = order(31000, { { "Idempotency-Key", "k1" } });
@@ -525,7 +525,7 @@
     EXPECT_EQ(order(31000, { { "Reedtrail-Ticket", ticketOf(31000) } }).body, "proof 1");
 }
 
-TEST_F(OnceContract, AnOutcomeThatIsUnknownStaysUnknown)
+TEST_F(once_contract, AnOutcomeThatIsUnknownStaysUnknown)
 {
     m_script = [](raw_connection &connection, const raw_request &) {
         connection.close();
@@ -537,7 +537,7 @@
     EXPECT_EQ(m_server.requests(), 1U);
 }
 
-TEST_F(OnceContract, NotRunIsFinalUntilTheCallerRaisesItsAttempt)
+TEST_F(once_contract, NotRunIsFinalUntilTheCallerRaisesItsAttempt)
 {
     m_script = [](raw_connection &connection, const raw_request &request) {
         if (request.number <= 3) {
@@ -559,7 +559,7 @@
     EXPECT_EQ(order(31000, headers).body, "proof");
 }
 
-TEST_F(OnceContract, ADrainingGateGivesKeptAnswersAndRunsNothingNew)
+TEST_F(once_contract, ADrainingGateGivesKeptAnswersAndRunsNothingNew)
 {
     const std::string used = ticketOf(31000);
     const std::string unused = ticketOf(31000);
@@ -573,7 +573,7 @@
     EXPECT_EQ(m_server.requests(), 1U);
 }
 
-TEST_F(GateContract, DrainFinishesStreamsThatAreOpen)
+TEST_F(gate_contract, DrainFinishesStreamsThatAreOpen)
 {
     std::promise<void> begun;
     std::promise<void> goOn;
@@ -606,7 +606,7 @@
     drained.wait();
 }
 
-TEST_F(GateContract, LeavingServersGetNothingNewWhicheverHintComes)
+TEST_F(gate_contract, LeavingServersGetNothingNewWhicheverHintComes)
 {
     const auto answer = [](raw_connection &connection, const raw_request &) {
         connection.respond(200, "fine");
