--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -39,6 +39,7 @@
     double otherZoneSeconds = 0.003; ///< Cost of a call into another availability zone, as seconds of wait.
     double queueAllowance = 0.05; ///< Requests sent to a server beyond its slots, as a share of the slots.
     duration reportLag = std::chrono::seconds(1); ///< Age of a load report when it arrives.
+    duration reportPeriod = std::chrono::milliseconds(500); ///< Between two load reports of a server.
     duration reportLifetime = std::chrono::seconds(10); ///< A load report older than this says nothing more.
 
     // Health of servers.
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -23,7 +23,6 @@
 constexpr double rateGain = 0.03; ///< Weight of the rate since the last refresh in the gate's mean rate.
 constexpr double leastAffinityFactor = 1.1;
 constexpr double leastTrust = 0.1;
-constexpr duration reportAgeMargin = std::chrono::milliseconds(250); ///< Mean time since the last report, on top of its age on arrival.
 constexpr double leastSpeed = 0.05;
 constexpr duration quietAfter = std::chrono::seconds(3); ///< A server whose reports stay away this long, while others' arrive, is suspected.
 
@@ -294,7 +293,7 @@
 
 double server_table::renewedLoad(const server_row &row) const
 {
-    const double age = toSeconds(m_options.reportLag + reportAgeMargin);
+    const double age = toSeconds(m_options.reportLag + m_options.reportPeriod / 2);
     const double service = m_pools[row.pool].serviceSeconds;
     return row.slots * (service > 0 ? std::min(1.0, age / service) : 1.0);
 }
--- /dev/null
+++ b/routing/testing/tables_test.cpp
@@ -0,0 +1,84 @@
+#include "routing/deadline_heap.h"
+#include "routing/prefix_index.h"
+#include "routing/request_table.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+RC_GTEST_PROP(request_table, agreesWithAMap, ())
+{
+    constexpr std::size_t bound = 20;
+    request_table table(bound);
+    std::map<int, std::uint32_t> expected;
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
+    for (const int key : steps) {
+        const request_id id("r" + std::to_string(key));
+        const auto known = expected.find(key);
+        RC_ASSERT(table.find(id) == (known == expected.end() ? noIndex : known->second));
+        if (known != expected.end()) {
+            table.remove(known->second);
+            expected.erase(known);
+            continue;
+        }
+        arriving_request request;
+        request.id = id;
+        const std::uint32_t index = table.add(std::move(request));
+        RC_ASSERT((index == noIndex) == (expected.size() >= bound));
+        if (index != noIndex) {
+            expected[key] = index;
+        }
+    }
+    RC_ASSERT(table.size() == expected.size());
+}
+
+RC_GTEST_PROP(deadline_heap, agreesWithAMap, ())
+{
+    deadline_heap heap;
+    std::map<std::uint32_t, time_point> expected;
+    const auto steps = *rc::gen::container<std::vector<std::pair<std::uint32_t, int>>>(rc::gen::pair(rc::gen::inRange(0U, 12U), rc::gen::inRange(-3, 20)));
+    for (const auto &[request, due] : steps) {
+        if (due < 0) {
+            heap.remove(request);
+            expected.erase(request);
+        } else {
+            heap.set(request, time_point(duration(due)));
+            expected[request] = time_point(duration(due));
+        }
+        time_point earliest = timeNever;
+        for (const auto &[each, at] : expected) {
+            earliest = std::min(earliest, at);
+        }
+        RC_ASSERT(heap.earliest() == earliest);
+        RC_ASSERT((heap.first() == noIndex ? expected.empty() : expected.at(heap.first()) == earliest));
+    }
+}
+
+TEST(prefix_index, forgetsAServerAfterAGapAndKeepsItsBound)
+{
+    prefix_index index(8);
+    index.add(1, 5);
+    index.add(1, 6);
+    EXPECT_EQ(index.find(1)[0], 6U);
+    EXPECT_EQ(index.find(1)[1], 5U);
+    index.forget(6);
+    EXPECT_EQ(index.find(1)[0], noIndex);
+    EXPECT_EQ(index.find(1)[1], 5U);
+    index.remove(1, 5);
+    EXPECT_EQ(index.find(1)[1], noIndex);
+    std::size_t kept = 0;
+    for (std::uint64_t prefix = 1; prefix <= 100; ++prefix) {
+        index.add(prefix, 1);
+    }
+    for (std::uint64_t prefix = 1; prefix <= 100; ++prefix) {
+        kept += index.find(prefix)[0] == 1 ? 1 : 0;
+    }
+    EXPECT_LE(kept, 8U);
+    EXPECT_GT(kept, 0U);
+}
+
+} // namespace
+} // namespace reedtrail
