--- a/sampling/run_owner.cpp
+++ b/sampling/run_owner.cpp
@@ -109,6 +109,7 @@
     for (const auto &[number, record] : m_fixed) {
         adoptBatch(record);
     }
+    noteLostSpools();
     if (!m_fixed.empty()) {
         m_book.forgetBefore(m_fixed.begin()->second.step);
     }
@@ -167,10 +168,22 @@
 
 void run_owner::handle(const run_event::spools_changed &event)
 {
-    m_spools = std::set<node_id>(event.nodes.begin(), event.nodes.end());
-    for (const node_id &node : event.nodes) {
-        m_spoolGoneAt.erase(node);
+    std::set<node_id> reachable(event.nodes.begin(), event.nodes.end());
+    if (m_spools) {
+        for (const node_id &node : *m_spools) {
+            if (!reachable.contains(node)) {
+                m_spoolGoneAt.try_emplace(node, m_now);
+            }
+        }
+    }
+    const bool isFirst = !m_spools;
+    m_spools = std::move(reachable);
+    if (isFirst) {
+        noteLostSpools();
     }
+    std::erase_if(m_spoolGoneAt, [this](const auto &gone) {
+        return m_spools->contains(gone.first);
+    });
 }
 
 void run_owner::handle(const run_event::versions_seen &event)
@@ -184,7 +197,8 @@
 
 void run_owner::handle(const run_event::timer &)
 {
-    if (m_now >= m_nextTick && isOwner()) {
+    if (m_now >= m_nextWatch && isOwner()) {
+        m_nextWatch = m_now + m_options.watchInterval;
         watchStragglers();
         loseUnreachable();
     }
--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -40,7 +40,9 @@
     duration adoptionWindow = std::chrono::milliseconds(1500); ///< After a takeover gates may report drafts under way before new ones are ordered.
     duration reportTimeout = std::chrono::seconds(6); ///< A draft that its gate no longer reports is lost after this.
     duration spoolPatience = std::chrono::seconds(20); ///< A spool that cannot be reached for longer has lost its payloads.
-    duration tick = std::chrono::milliseconds(250); ///< Least time between two looks over all drafts.
+    duration tick = std::chrono::milliseconds(250); ///< Least time between two looks at what is ready.
+    duration watchInterval = std::chrono::seconds(1); ///< Least time between two looks over all drafts.
+    bool usesObjective = true; ///< Otherwise steps are drafted first come, first served, as far ahead as the staleness bound allows.
     std::size_t maximumWaitingPulls = 64;
     std::size_t recordsPerRemoval = 100; ///< Records removed by one transaction (etcd takes 128 operations).
     straggler_options stragglers;
@@ -163,7 +165,7 @@
     void startSeal(step_slots &slots);
     bool startAmendment();
     void loseUnreachable();
-    bool isSpoolLost(const node_id &node) const;
+    void noteLostSpools();
     void loseSample(slot_entry &entry, std::uint64_t number, error_kind cause);
     const seal_record *recordOf(const slot_id &slot) const;
     bool isFreshEnough(const seal_record &record);
@@ -191,6 +193,7 @@
     run_actions m_actions; ///< Of the event being handled.
     time_point m_now;
     time_point m_nextTick = timeNever;
+    time_point m_nextWatch{};
 
     epoch_number m_epoch = 0;
     std::uint64_t m_nextDraft = 0;
--- a/sampling/run_owner_drafts.cpp
+++ b/sampling/run_owner_drafts.cpp
@@ -62,6 +62,9 @@
     if (m_served != 0 && stepsBehind(step, m_served) > bound) {
         return false; // A draft that starts now could never be sealed.
     }
+    if (!m_options.usesObjective) {
+        return true;
+    }
     const bool isVersionComing = m_served != 0 && m_served < m_published && m_served < step;
     const time_point needed = m_objective.neededAt(step, m_now);
     if (isVersionComing && m_settings->idleTimeWeight < evenWeight && m_now < m_publishedAt + longestWaitForVersion) {
@@ -173,6 +176,9 @@
     entry->failures = 0;
     entry->sample = { result.slot, result.draft, result.versions, result.tokens, result.score, result.spoolNode, result.payloadKey };
     m_book.setPhase(*entry, slot_phase::Ready);
+    if (m_spools && !m_spools->contains(result.spoolNode)) {
+        m_spoolGoneAt.try_emplace(result.spoolNode, m_now);
+    }
     step_slots *slots = m_book.findStep(result.slot.step);
     if (!slots->isDraftTimeKnown && slots->count(slot_phase::Open) + slots->count(slot_phase::Drafting) == 0 && slots->firstOrderAt != timeNever) {
         slots->isDraftTimeKnown = true;
--- a/sampling/run_owner_seals.cpp
+++ b/sampling/run_owner_seals.cpp
@@ -221,26 +221,34 @@
     }
 }
 
-bool run_owner::isSpoolLost(const node_id &node) const
+/** Notes the spools that hold samples of the batches just read and cannot be reached; the patience with them starts now. */
+void run_owner::noteLostSpools()
 {
-    const auto gone = m_spoolGoneAt.find(node);
-    return gone != m_spoolGoneAt.end() && m_now - gone->second >= m_options.spoolPatience;
+    for (const auto &[number, record] : m_fixed) {
+        for (const sealed_sample &sample : record.samples) {
+            if (m_spools && !m_spools->contains(sample.spoolNode)) {
+                m_spoolGoneAt.try_emplace(sample.spoolNode, m_now);
+            }
+        }
+    }
 }
 
 /** Draws anew what lies in spools that have been out of reach for long: ready samples, and sealed ones that the trainer does not hold. */
 void run_owner::loseUnreachable()
 {
-    if (!m_spools || !maySeal()) {
+    std::set<node_id> lost;
+    for (const auto &[node, goneAt] : m_spoolGoneAt) {
+        if (m_now - goneAt >= m_options.spoolPatience) {
+            lost.insert(node);
+        }
+    }
+    if (lost.empty() || !maySeal()) {
         return;
     }
     for (auto &[step, slots] : m_book.steps()) {
         for (slot_entry &entry : slots.slots) {
             const bool isKept = entry.phase == slot_phase::Ready || entry.phase == slot_phase::Sealed;
-            if (!isKept || m_spools->contains(entry.sample.spoolNode)) {
-                continue;
-            }
-            m_spoolGoneAt.try_emplace(entry.sample.spoolNode, m_now);
-            if (!isSpoolLost(entry.sample.spoolNode)) {
+            if (!isKept || entry.isReplacement || !lost.contains(entry.sample.spoolNode)) {
                 continue;
             }
             const seal_record *record = entry.phase == slot_phase::Sealed ? recordOf(entry.slot) : nullptr;
--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -109,6 +109,7 @@
     std::map<run_id, weight_rollout> rollouts; ///< Of all runs; those not owned here stand by.
     std::map<zone_id, zone_weights> deputies;
     std::map<server_id, endpoint> addresses;
+    std::uint64_t deputyLives = 0;
     bool isStopped = false;
 };
 
@@ -268,6 +269,7 @@
 void weight_service::implementation::setDeputies(const fleet_document &document)
 {
     const std::set<zone_id> duties = dutyZones();
+    const std::string name = fleet->self().str() + "-" + std::to_string(context.processIncarnation) + "-" + std::to_string(++deputyLives);
     std::erase_if(deputies, [&duties](const auto &item) {
         return !duties.contains(item.first);
     });
@@ -281,7 +283,7 @@
                 }
             }
         }
-        deputies.try_emplace(zone, zone, deputy_options{});
+        deputies.try_emplace(zone, zone, name, deputy_options{});
         tellDeputy(zone, event);
     }
 }
--- a/weights/testing/fake_servers.cpp
+++ b/weights/testing/fake_servers.cpp
@@ -41,7 +41,7 @@
     }
     for (std::size_t zone = 0; zone < options.zones; ++zone) {
         m_deputies[zone].name = "deputy-" + std::to_string(zone);
-        m_deputies[zone].core = std::make_unique<zone_weights>(zone_id(std::to_string(zone)), deputy_options{});
+        m_deputies[zone].core = std::make_unique<zone_weights>(zone_id(std::to_string(zone)), m_deputies[zone].name, deputy_options{});
         tellDeputy(zone, zones[zone]);
     }
     addCoordinator(true);
--- a/weights/testing/fake_servers.h
+++ b/weights/testing/fake_servers.h
@@ -31,7 +31,6 @@
     double slowShare = 0.1;
     double slowFactor = 2;
     double failPartway = 0; ///< Share of switches that fail partway.
-    bool hasStaging = true; ///< Otherwise servers are told to switch at once and draw while they do (baseline).
     double bytesPerSecond = 20e9; ///< Of the weight store.
     double shardBytes = 2e9;
     double linkBytesPerSecond = 2e9; ///< Of one server.
--- a/weights/weight_messages.h
+++ b/weights/weight_messages.h
@@ -55,9 +55,11 @@
     static constexpr std::string_view messageName = "weight-report";
     run_id run;
     zone_id zone;
+    std::string deputy; ///< Tells one deputy, and one life of it, from another.
+    std::uint64_t number = 0; ///< Rises with each report of a deputy, so that one overtaken on its way is known.
     epoch_number epoch = 0; ///< Highest that the deputy has seen for the run.
     std::vector<server_weights> servers;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(weight_report, run, zone, epoch, servers)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(weight_report, run, zone, deputy, number, epoch, servers)
 };
 
 } // namespace reedtrail
--- a/weights/weight_rollout.cpp
+++ b/weights/weight_rollout.cpp
@@ -47,7 +47,8 @@
     if (phase() == rollout_phase::Standby) {
         return timeNever;
     }
-    return m_now + m_options.repeatInterval; // Reports wake it before if anything has changed.
+    const bool isBusy = phase() == rollout_phase::Switching;
+    return m_now + (isBusy ? m_options.firstRetry : m_options.repeatInterval); // Reports wake it before if anything has changed.
 }
 
 void weight_rollout::handle(const rollout_input::servers_changed &event)
@@ -102,6 +103,11 @@
     if (event.report.epoch > m_epoch && phase() != rollout_phase::Standby) {
         return; // A later owner orders this zone by now; the store will say so.
     }
+    report_mark &mark = m_reports[event.report.zone];
+    if (mark.deputy == event.report.deputy && event.report.number <= mark.number) {
+        return; // Doubled, or overtaken by a later one.
+    }
+    mark = { event.report.deputy, event.report.number };
     for (const server_weights &seen : event.report.servers) {
         const auto found = m_servers.find(seen.server);
         if (found == m_servers.end()) {
@@ -126,7 +132,8 @@
             server.stageOrdered = 0;
         }
         if (hasFailed && seen.failedOperation == switchOperation) {
-            server.switchOrderedAt = std::min(server.switchOrderedAt, m_now - m_options.switchTimeout + m_options.repeatInterval);
+            server.seen.failures = seen.failures;
+            server.switchOrderedAt = std::min(server.switchOrderedAt, m_now - m_options.switchTimeout + retryDelay(server));
         }
         if (seen.stageMs != server.seen.stageMs) {
             m_allotment.learn(std::chrono::milliseconds(seen.stageMs));
@@ -140,6 +147,17 @@
 {
 }
 
+duration weight_rollout::retryDelay(const server_progress &server) const
+{
+    const std::uint64_t doublings = std::min<std::uint64_t>(server.seen.failures, 10) - std::min<std::uint64_t>(server.seen.failures, 1);
+    return std::min(m_options.repeatInterval, m_options.firstRetry * (1 << doublings));
+}
+
+bool weight_rollout::isSwitching(const server_progress &server) const
+{
+    return server.switchOrdered != 0 && server.switchOrdered == m_switchVersion && server.seen.version < m_switchVersion;
+}
+
 bool weight_rollout::isBehind(const server_progress &server) const
 {
     return server.seen.version < m_target;
@@ -164,7 +182,7 @@
         m_machine.handle(rollout_event::Published);
     }
     stageServers();
-    if (phase() == rollout_phase::Staging && isStagingDone()) {
+    if (phase() == rollout_phase::Staging && (!m_options.isStaged || isStagingDone())) {
         m_switchVersion = m_target;
         m_switchingSince = m_now;
         m_machine.handle(rollout_event::Staged);
@@ -193,7 +211,7 @@
 
 void weight_rollout::stageServers()
 {
-    if (m_target == 0 || m_now < m_waitedOutAt || m_leaseUntil - m_now <= m_options.leaseMargin) {
+    if (m_target == 0 || !m_options.isStaged || m_now < m_waitedOutAt || m_leaseUntil - m_now <= m_options.leaseMargin) {
         return; // Another owner may let servers draw: an earlier one still, or a later one already.
     }
     std::vector<duration> draws = drawsUnderWay();
@@ -237,7 +255,7 @@
     for (auto &[id, server] : m_servers) {
         const bool isDone = server.seen.version >= m_switchVersion;
         const bool isUnderWay = server.switchOrdered == m_switchVersion && m_now - server.switchOrderedAt < m_options.switchTimeout;
-        if (isDone || isUnderWay || server.seen.staged < m_switchVersion || server.seen.state == "silent" || !mayOrder(server)) {
+        if (isDone || isUnderWay || (m_options.isStaged && server.seen.staged < m_switchVersion) || server.seen.state == "silent" || !mayOrder(server)) {
             continue;
         }
         server.switchOrdered = m_switchVersion;
@@ -298,7 +316,7 @@
 {
     std::vector<server_id> out;
     for (const auto &[id, server] : m_servers) {
-        if (!server.isHeard || server.seen.version == 0) {
+        if (!server.isHeard || server.seen.version == 0 || isSwitching(server)) {
             out.push_back(id);
         }
     }
--- a/weights/weight_rollout.h
+++ b/weights/weight_rollout.h
@@ -29,6 +29,7 @@
 /** Times of a rollout. */
 struct rollout_options
 {
+    bool isStaged = true; ///< Otherwise servers draw a version while they switch to it.
     duration stagePatience = std::chrono::minutes(4); ///< After this the switch goes on without servers that have not staged.
     duration stageTimeout = std::chrono::seconds(60); ///< A server that has not staged by then is asked again.
     duration switchTimeout = std::chrono::seconds(5); ///< The same for a switch.
@@ -36,6 +37,7 @@
     duration leaseMargin = std::chrono::milliseconds(500); ///< Left of the lease when an order for a server that ignores fencing numbers is sent.
     duration longestFlight = std::chrono::seconds(3); ///< Longest time an order can be on its way; a link silent for longer is closed.
     duration leaseLength = std::chrono::seconds(5); ///< Of an earlier owner, waited out before the first order to servers that ignore fencing numbers.
+    duration firstRetry = std::chrono::milliseconds(200); ///< After a switch that failed; doubled with each further failure up to repeatInterval.
     duration repeatInterval = std::chrono::seconds(2); ///< Between repeats of orders a zone has not confirmed.
 };
 
@@ -141,7 +143,7 @@
     weight_version newestServed() const;
     /** Returns how many servers serve @p version or a newer one. */
     std::size_t serversAt(weight_version version) const;
-    /** Returns servers whose version is not known: they take no sampling work. */
+    /** Returns servers whose version is not known, or that were told to switch and have not reported it yet: they take no sampling work. */
     std::vector<server_id> outOfSampling() const;
     /** Returns how often a server was seen to fall back to an older version than it was switched to. */
     std::uint64_t regressions() const
@@ -151,6 +153,12 @@
     nlohmann::json dump() const;
 
 private:
+    /** The newest report of a zone. */
+    struct report_mark
+    {
+        std::string deputy;
+        std::uint64_t number = 0;
+    };
     struct server_progress
     {
         rollout_server settings;
@@ -178,6 +186,8 @@
     std::vector<duration> drawsUnderWay() const;
     bool mayOrder(const server_progress &server) const;
     bool isBehind(const server_progress &server) const;
+    bool isSwitching(const server_progress &server) const;
+    duration retryDelay(const server_progress &server) const;
     void addOrder(const server_progress &server, std::string_view operation, weight_version version);
     void sendOrders();
 
@@ -189,6 +199,7 @@
     time_point m_now;
     pool_id m_pool;
     std::map<server_id, server_progress> m_servers;
+    std::map<zone_id, report_mark> m_reports;
     epoch_number m_epoch = 0;
     time_point m_leaseUntil;
     time_point m_waitedOutAt; ///< From then on no order of an earlier owner can still arrive.
--- a/weights/zone_weights.cpp
+++ b/weights/zone_weights.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-zone_weights::zone_weights(zone_id zone, deputy_options options)
+zone_weights::zone_weights(zone_id zone, std::string name, deputy_options options)
     : m_zone(std::move(zone))
+    , m_name(std::move(name))
     , m_options(options)
 {
 }
@@ -116,6 +117,10 @@
 
 void zone_weights::passWaitingSwitches()
 {
+    std::ranges::stable_sort(m_waiting, std::ranges::greater{}, [this](const waiting_switch &waiting) {
+        const auto found = m_servers.find(waiting.server);
+        return found == m_servers.end() ? duration{} : found->second.switchTime; // The slowest first, so that none is left for the end.
+    });
     std::vector<waiting_switch> still;
     for (const waiting_switch &waiting : m_waiting) {
         const auto found = m_servers.find(waiting.server);
@@ -155,6 +160,7 @@
     if (order.operation == switchOperation) {
         progress.newestSwitch = order.version;
         ++server.switchesUnderWay;
+        server.switchBegan = m_now;
     } else if (order.operation == stageOperation) {
         progress.known.staging = order.version;
         progress.stageBegan = m_now;
@@ -179,6 +185,7 @@
     server.loadAt = std::min(server.loadAt, m_now); // What the server reports decides, not what the order's answer implies.
     if (event.operation == switchOperation) {
         server.switchesUnderWay -= server.switchesUnderWay > 0 ? 1 : 0;
+        server.switchTime = m_now - server.switchBegan;
     } else if (event.operation == stageOperation && known.staging == event.version) {
         known.staging = 0;
     }
@@ -220,6 +227,10 @@
         const bool isDoubtful = event.state == "unknown-version" && reported == 0;
         const weight_version version = event.isAnswered && !isDoubtful ? reported : 0;
         const std::string state = event.isAnswered ? event.state : std::string(silentState);
+        if (version != 0 && version < progress.newestSeen) {
+            progress.known.staged = 0; // It has started anew, or was told so by an earlier owner: what it had staged is in doubt.
+        }
+        progress.newestSeen = version != 0 ? version : progress.newestSeen;
         if (version != progress.known.version || state != progress.known.state) {
             progress.known.version = version;
             progress.known.state = state;
@@ -257,6 +268,8 @@
     weight_report report;
     report.run = run;
     report.zone = m_zone;
+    report.deputy = m_name;
+    report.number = ++m_reports;
     report.epoch = state.epoch;
     for (const auto &[id, server] : m_servers) {
         const auto found = server.runs.find(run);
--- a/weights/zone_weights.h
+++ b/weights/zone_weights.h
@@ -2,7 +2,7 @@
  * @file
  * Carries out weight orders in one availability zone: the deputy between the owners of runs and the zone's servers. Pure core.
  *
- *     zone_weights deputy(zone, {});
+ *     zone_weights deputy(zone, name, {});
  *     perform(deputy.onEvent(now, deputy_input::servers_changed{...}));
  *     perform(deputy.onEvent(now, deputy_input::order_received{order}));
  *     ... answers of servers come back as events; reports for owners come out as actions ...
@@ -123,7 +123,8 @@
 class zone_weights
 {
 public:
-    zone_weights(zone_id zone, deputy_options options);
+    /** @param name differs for each life of each deputy */
+    zone_weights(zone_id zone, std::string name, deputy_options options);
 
     std::vector<deputy_action_item> onEvent(time_point now, const deputy_event &event);
     time_point nextDeadline() const;
@@ -138,6 +139,7 @@
     struct run_progress
     {
         server_weights known;
+        weight_version newestSeen = 0; ///< Last version other than 0 that the server reported.
         time_point stageBegan{};
         weight_version newestSwitch = 0; ///< Newest version that a switch was passed on for.
     };
@@ -149,6 +151,8 @@
         time_point loadAt; ///< Next read of its load.
         std::size_t ordersUnderWay = 0;
         std::size_t switchesUnderWay = 0;
+        time_point switchBegan{};
+        duration switchTime{}; ///< Of its last switch.
         bool isLoadAsked = false;
     };
     /** A switch that waits until fewer servers swap. */
@@ -178,6 +182,8 @@
     void reportRun(const run_id &run, run_state_known &state);
 
     zone_id m_zone;
+    std::string m_name;
+    std::uint64_t m_reports = 0;
     deputy_options m_options;
     time_point m_now;
     std::map<server_id, server_state> m_servers;
