--- a/fleet/testing/membership_test.cpp
+++ b/fleet/testing/membership_test.cpp
@@ -191,6 +191,28 @@
                              return each.param.name;
                          });
 
+TEST(membership, joinsAgainThoughBothSidesHeldEachOtherForDead)
+{
+    fleet_world_options options;
+    options.nodes = 6;
+    options.zones = 1;
+    fleet_world world(options, 21);
+    world.run(10s);
+    const auto cutOff = [&](bool isCut) {
+        for (std::size_t other = 0; other + 1 < world.size(); ++other) {
+            world.cut(other, 5, isCut);
+            world.cut(5, other, isCut);
+        }
+    };
+    cutOff(true);
+    world.run(1min);
+    EXPECT_EQ(world.believersIn(5), 0U);
+    EXPECT_EQ(world.gossip(5).reachable().size(), 1U);
+    cutOff(false);
+    world.run(10s);
+    EXPECT_TRUE(world.isAgreed());
+}
+
 TEST(membership, agreesAfterRandomFaults)
 {
     const std::uint64_t failedBefore = failedChecks();
