--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -61,6 +61,7 @@
     }
     const tls_files tls{ "", "", parsed.value("authority") };
     std::vector<steward_client> each;
+    each.reserve(stewards.size());
     for (const endpoint &where : stewards) {
         each.emplace_back(std::vector<endpoint>{ where }, tokenOf(parsed), tls);
     }
--- a/ctl/text_table.cpp
+++ b/ctl/text_table.cpp
@@ -80,6 +80,7 @@
     text_table table(heading);
     for (const nlohmann::json &object : objects) {
         std::vector<std::string> row;
+        row.reserve(heading.size());
         for (const std::string &key : heading) {
             row.push_back(object.contains(key) ? cellText(object.at(key)) : "");
         }
