--- a/sampling/run_owner.cpp
+++ b/sampling/run_owner.cpp
@@ -136,6 +136,7 @@
         endAttempt(*entry);
         m_book.setPhase(*entry, slot_phase::Sealed);
         entry->sample = sample;
+        entry->batch = record.number;
         entry->isReplacement = false;
     }
 }
--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -167,7 +167,7 @@
     void loseUnreachable();
     void noteLostSpools();
     void loseSample(slot_entry &entry, std::uint64_t number, error_kind cause);
-    const seal_record *recordOf(const slot_id &slot) const;
+    bool isUndelivered(const slot_entry &entry) const;
     bool isFreshEnough(const seal_record &record);
     void sendWrite();
     void retryWriteLater();
--- a/sampling/run_owner_seals.cpp
+++ b/sampling/run_owner_seals.cpp
@@ -71,16 +71,9 @@
     sendWrite();
 }
 
-const seal_record *run_owner::recordOf(const slot_id &slot) const
+bool run_owner::isUndelivered(const slot_entry &entry) const
 {
-    for (const auto &[number, record] : m_fixed) {
-        if (record.step == slot.step && std::ranges::any_of(record.samples, [&slot](const sealed_sample &sample) {
-                return sample.slot == slot;
-            })) {
-            return &record;
-        }
-    }
-    return nullptr;
+    return entry.phase == slot_phase::Sealed && entry.batch > m_acknowledged && m_fixed.contains(entry.batch);
 }
 
 bool run_owner::startAmendment()
@@ -179,6 +172,7 @@
                         "a slot is sealed once, with the draft written");
         if (entry != nullptr) {
             m_book.setPhase(*entry, slot_phase::Sealed);
+            entry->batch = record.number;
             entry->isReplacement = false;
         }
     }
@@ -215,9 +209,8 @@
         dropDraft(*entry, error_kind::NotFound, false);
         return;
     }
-    const seal_record *record = entry->phase == slot_phase::Sealed ? recordOf(event.slot) : nullptr;
-    if (record != nullptr && record->number > m_acknowledged) {
-        loseSample(*entry, record->number, error_kind::NotFound);
+    if (isUndelivered(*entry)) {
+        loseSample(*entry, entry->batch, error_kind::NotFound);
     }
 }
 
@@ -251,11 +244,10 @@
             if (!isKept || entry.isReplacement || !lost.contains(entry.sample.spoolNode)) {
                 continue;
             }
-            const seal_record *record = entry.phase == slot_phase::Sealed ? recordOf(entry.slot) : nullptr;
             if (entry.phase == slot_phase::Ready) {
                 dropDraft(entry, error_kind::PeerUnreachable, false);
-            } else if (record != nullptr && record->number > m_acknowledged) {
-                loseSample(entry, record->number, error_kind::PeerUnreachable);
+            } else if (isUndelivered(entry)) {
+                loseSample(entry, entry.batch, error_kind::PeerUnreachable);
             }
         }
     }
@@ -341,7 +333,7 @@
         }
         isFresh = false; // The operators lowered the bound after it was sealed.
         slot_entry *entry = m_book.find(sample.slot);
-        if (entry != nullptr && entry->phase == slot_phase::Sealed && record.number > m_acknowledged) {
+        if (entry != nullptr && isUndelivered(*entry)) {
             loseSample(*entry, record.number, error_kind::Stale);
         }
     }
--- a/sampling/step_book.h
+++ b/sampling/step_book.h
@@ -56,6 +56,7 @@
     bool isReplacement = false; ///< Sealed before, but its payload was lost before it was delivered.
     time_point retryAt{}; ///< Not drafted before.
     draft_attempt attempt{}; ///< Valid while Drafting.
+    std::uint64_t batch = 0; ///< Number of the record it is in; valid while Sealed.
     sealed_sample sample{}; ///< Valid from Ready on.
 };
 
