--- a/ctl/fleet_report.cpp
+++ b/ctl/fleet_report.cpp
@@ -28,7 +28,8 @@
 {
     std::map<std::string, nlohmann::json> owners;
     for (const nlohmann::json &dump : dumps) {
-        for (const auto &item : memberOf(memberOf(dump, "runs"), "runs").items()) {
+        const nlohmann::json runs = memberOf(memberOf(dump, "runs"), "runs");
+        for (const auto &item : runs.items()) {
             const nlohmann::json owner = memberOf(item.value(), "owner");
             nlohmann::json &best = owners[item.key()];
             if (numberAt(owner, "epoch") > 0 && (best.is_null() || numberAt(owner, "epoch") > numberAt(best, "epoch"))) {
@@ -74,7 +75,8 @@
         underWay[customer] = 0;
     }
     for (const nlohmann::json &dump : dumps) {
-        for (const nlohmann::json &request : memberOf(memberOf(memberOf(dump, "traffic"), "broker"), "requests")) {
+        const nlohmann::json requests = memberOf(memberOf(memberOf(dump, "traffic"), "broker"), "requests");
+        for (const nlohmann::json &request : requests) {
             underWay[request.value("customer", "")] += 1;
         }
     }
