Watchers' counts of open requests: a load a tenth of a second old

Change: open_sums.h: gates tell a server's watcher their open requests, and the watcher tells all gates the sum; the scheduler uses it in place of the server's own report while it is fresh. The virtual fleet carries it.

--- a/bench/sharing_bench.cpp
+++ b/bench/sharing_bench.cpp
@@ -1,6 +1,7 @@
 // Eight customers of equal weight, one of which asks for ten times its share. Measured: how long the others wait with the greedy one against without it, how
 // even their throughput is, how much of the capacity is used, and how soon shares are fair again after a node is lost or cut off. Each figure is taken for the
-// shares known from the usage tree, and for two baselines: gates that share only what they see themselves, and one queue per gate for all.
+// shares known from the usage tree with the watchers' counts of open requests, and for three baselines: the same with the servers' late reports only, gates
+// that share only what they see themselves, and one queue per gate for all.
 
 #include "bench/benchmark.h"
 
@@ -28,12 +29,15 @@
     double p99Wait = 0; ///< Milliseconds to the first token, the worst of the customers that are not greedy.
     double jain = 0; ///< Of the throughput of customers that want more than their share, or of goodput over demand.
     double used = 0;
+    double usageBytesPerSecond = 0; ///< A node, for the usage tree.
+    double openSumBytesPerSecond = 0; ///< A node, for the watchers' counts.
 };
 
 struct sharing_case
 {
     sharing_way way = sharing_way::GossipedUsage;
     std::vector<double> rates; ///< Of each customer, in shares of the capacity that would be its fair one.
+    bool hasOpenSums = true; ///< Whether watchers count open requests.
     std::int64_t lostGate = -1; ///< Killed at half time.
     std::int64_t cutGate = -1; ///< Cut off from the other nodes at half time.
     duration from = warmUp; ///< Begin of the measured span.
@@ -80,6 +84,7 @@
     setup.servers = static_cast<std::uint32_t>(options.servers);
     setup.customerWeights.assign(customerCount, 1);
     setup.scheduler.sharing = wanted.way;
+    setup.hasOpenSums = wanted.hasOpenSums;
     harness::virtual_time world;
     virtual_fleet fleet(world, setup, options.seed);
     workload_options requests;
@@ -109,6 +114,9 @@
     world.runUntil(time_point(wanted.until));
     sharing_run run = summarise(fleet, wanted);
     run.used = (fleet.busySeconds() - busyBefore) / (toSeconds(wanted.until - wanted.from) * slots);
+    const double nodeSeconds = toSeconds(wanted.until) * setup.gates;
+    run.usageBytesPerSecond = static_cast<double>(fleet.usageBytes()) / nodeSeconds;
+    run.openSumBytesPerSecond = static_cast<double>(fleet.openSumBytes()) / nodeSeconds;
     return run;
 }
 
@@ -144,6 +152,15 @@
     report.figure("othersP99Wait", with.p99Wait, "ms");
     bench_figure jain = report.figure("jain", all.jain, "index", atLeast(0.99));
     bench_figure used = report.figure("capacityUsed", with.used, "share", atLeast(0.97));
+    report.figure("usageBytesPerNode", with.usageBytesPerSecond, "B/s");
+    report.figure("openSumBytesPerNode", with.openSumBytesPerSecond, "B/s");
+    progress("reports only");
+    absent.hasOpenSums = present.hasOpenSums = crowded.hasOpenSums = false;
+    const sharing_run reportsOnly = measure(present, options);
+    wait.baseline("reportsOnly", reportsOnly.p99Wait / measure(absent, options).p99Wait);
+    used.baseline("reportsOnly", reportsOnly.used);
+    jain.baseline("reportsOnly", measure(crowded, options).jain);
+    absent.hasOpenSums = present.hasOpenSums = crowded.hasOpenSums = true;
     for (const named_way &each : baselines) {
         progress(each.name);
         absent.way = present.way = crowded.way = each.way;
--- a/routing/request_scheduler.h
+++ b/routing/request_scheduler.h
@@ -150,6 +150,10 @@
     usage_report makeUsageReport(const node_id &node);
     /** Takes the sum over the fleet, this gate's own usage included. */
     void onUsageTotal(time_point now, const usage_total &total, actions &out);
+    /** Returns how many requests this gate has open on each server of the document; the caller splits it by watcher. @param node this node */
+    open_report makeOpenReport(const node_id &node);
+    /** Takes a watcher's sums over all gates, this one included. */
+    void onOpenTotal(time_point now, const open_total &total, actions &out);
     /** Returns the requests for credits to be sent now, each to the watcher of its server. @param node this node */
     std::vector<credit_request> makeCreditRequests(time_point now, const node_id &node);
     /** Takes credits. */
--- a/routing/scheduler_options.h
+++ b/routing/scheduler_options.h
@@ -40,6 +40,8 @@
     double queueAllowance = 0.05; ///< Requests sent to a server beyond its slots, as a share of the slots.
     duration reportLag = std::chrono::seconds(1); ///< Age of a load report when it arrives.
     duration reportPeriod = std::chrono::milliseconds(500); ///< Between two load reports of a server.
+    duration openTotalLag = std::chrono::milliseconds(60); ///< Age of a watcher's count of open requests when it arrives.
+    duration openTotalLifetime = std::chrono::milliseconds(500); ///< Without a newer count, the server's own reports are used again.
     duration reportLifetime = std::chrono::seconds(10); ///< A load report older than this says nothing more.
 
     // Health of servers.
--- a/routing/scheduler_sharing.cpp
+++ b/routing/scheduler_sharing.cpp
@@ -128,6 +128,33 @@
     }
 }
 
+open_report request_scheduler::makeOpenReport(const node_id &node)
+{
+    implementation &self = *m_implementation;
+    open_report report{ node, ++self.reportSequence, {} };
+    for (std::uint32_t index = 0; index < self.servers.serverCount(); ++index) {
+        const server_row &row = self.servers.server(index);
+        if (row.isListed) {
+            report.open.push_back({ row.id, row.ownOpen });
+        }
+    }
+    return report;
+}
+
+void request_scheduler::onOpenTotal(time_point now, const open_total &total, actions &out)
+{
+    implementation &self = *m_implementation;
+    for (const server_open &each : total.open) {
+        const std::uint32_t server = self.servers.findServer(each.server);
+        if (server != noIndex) {
+            self.servers.onOpenTotal(now, server, static_cast<double>(each.open));
+        }
+    }
+    for (std::uint32_t pool = 0; pool < self.pools.size(); ++pool) {
+        self.pump(now, pool, out);
+    }
+}
+
 std::vector<credit_request> request_scheduler::makeCreditRequests(time_point, const node_id &)
 {
     return {};
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -182,9 +182,9 @@
     row.version = load.version;
     row.isVersionUnknown = load.isVersionUnknown;
     const auto total = static_cast<double>(load.waiting + load.running);
-    row.ownReported = row.history.at(now - reportLag);
-    row.othersLoad = std::max(0.0, total - row.ownReported);
-    row.drawnPart = m_random.unit();
+    if (!isCounted(now, row)) {
+        setTotal(now, row, total, reportLag);
+    }
     const bool isBack = wasQuiet && row.isEjected;
     if (wasQuiet) {
         row.isEjected = false;
@@ -200,6 +200,26 @@
     return isBack;
 }
 
+bool server_table::isCounted(time_point now, const server_row &row) const
+{
+    return row.countedAt != time_point{} && now - row.countedAt < m_options.openTotalLifetime;
+}
+
+void server_table::setTotal(time_point now, server_row &row, double total, duration lag)
+{
+    row.ownReported = row.history.at(now - lag);
+    row.othersLoad = std::max(0.0, total - row.ownReported);
+    row.drawnPart = m_random.unit();
+}
+
+void server_table::onOpenTotal(time_point now, std::uint32_t index, double total)
+{
+    server_row &row = m_servers[index];
+    row.countedAt = now;
+    setTotal(now, row, total, m_options.openTotalLag);
+    updateOpen(index);
+}
+
 void server_table::onSent(time_point now, std::uint32_t index)
 {
     server_row &row = m_servers[index];
@@ -285,22 +305,22 @@
 
 double server_table::uncertainty(time_point now, const server_row &row) const
 {
-    const double age = toSeconds(now - row.reportedAt + m_options.reportLag);
+    const double age = toSeconds(isCounted(now, row) ? now - row.countedAt + m_options.openTotalLag : now - row.reportedAt + m_options.reportLag);
     const double service = m_pools[row.pool].serviceSeconds;
     const double renewed = service > 0 ? std::min(1.0, age / service) : 1.0;
     return std::sqrt(2 * row.othersLoad * renewed);
 }
 
-double server_table::renewedLoad(const server_row &row) const
+double server_table::renewedLoad(time_point now, const server_row &row) const
 {
-    const double age = toSeconds(m_options.reportLag + m_options.reportPeriod / 2);
+    const double age = toSeconds(isCounted(now, row) ? m_options.openTotalLag : m_options.reportLag + m_options.reportPeriod / 2);
     const double service = m_pools[row.pool].serviceSeconds;
     return row.slots * (service > 0 ? std::min(1.0, age / service) : 1.0);
 }
 
 double server_table::acceptance(time_point now, const server_row &row, bool isForPrefix) const
 {
-    const double width = std::max(1.0, renewedLoad(row));
+    const double width = std::max(1.0, renewedLoad(now, row));
     const double highest = isForPrefix ? row.slots + width : row.slots;
     const double ceiling = std::min(highest, m_pools[row.pool].meanLoad * row.slots + width);
     const double byLoad = std::clamp((ceiling - row.load()) / width, 0.0, 1.0);
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -63,6 +63,7 @@
     open_history history;
     std::uint64_t sequence = 0; ///< Of the last report.
     time_point reportedAt;
+    time_point countedAt; ///< When the watcher's last count arrived; time 0 if none did.
     std::int32_t failuresInRow = 0;
     std::int32_t ejectionsInRow = 0;
     time_point ejectedAt;
@@ -134,6 +135,8 @@
 
     /** Takes a load report. @return true if the server came back from silence or ejection */
     bool onLoad(time_point now, std::uint32_t index, const server_load &load, duration reportLag);
+    /** Takes the number of requests that all gates have open on the server, as its watcher counted them openTotalLag ago. */
+    void onOpenTotal(time_point now, std::uint32_t index, double total);
     /** Notes a request sent to the server. */
     void onSent(time_point now, std::uint32_t index);
     /** Notes that an own request on the server is over, however it ended. */
@@ -191,7 +194,9 @@
     std::uint32_t addServer(const server_id &id);
     double trust(time_point now, const server_row &row) const;
     void refillAffinity(time_point now, server_row &row) const;
-    double renewedLoad(const server_row &row) const;
+    bool isCounted(time_point now, const server_row &row) const;
+    void setTotal(time_point now, server_row &row, double total, duration lag);
+    double renewedLoad(time_point now, const server_row &row) const;
     bool isQuiet(time_point now, const server_row &row) const;
 
     const scheduler_options &m_options;
--- a/routing/sharing_messages.h
+++ b/routing/sharing_messages.h
@@ -71,6 +71,44 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(usage_total, node, sequence, gates, usage)
 };
 
+/** Requests open on one server. Written as an array to keep messages small. */
+struct server_open
+{
+    server_id server;
+    std::int64_t open = 0;
+    template<class Json>
+    friend void to_json(Json &out, const server_open &count)
+    {
+        out = Json::array({ count.server, count.open });
+    }
+    template<class Json>
+    friend void from_json(const Json &in, server_open &count)
+    {
+        count.server = in.at(0).template get<server_id>();
+        count.open = in.at(1).template get<std::int64_t>();
+    }
+};
+
+/** A gate tells the watcher of some servers how many requests it has open on each; see open_sums.h. */
+struct open_report
+{
+    static constexpr std::string_view messageName = "open-report";
+    node_id node;
+    std::uint64_t sequence = 0;
+    std::vector<server_open> open; ///< Of all servers the watcher watches, those with 0 included.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(open_report, node, sequence, open)
+};
+
+/** The watcher's sums over all gates. */
+struct open_total
+{
+    static constexpr std::string_view messageName = "open-total";
+    node_id node;
+    std::uint64_t sequence = 0;
+    std::vector<server_open> open;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(open_total, node, sequence, open)
+};
+
 /** A gate asks the watcher of a server for credits. */
 struct credit_request
 {
--- a/routing/testing/tables_test.cpp
+++ b/routing/testing/tables_test.cpp
@@ -1,4 +1,6 @@
+#include "base/cbor_codec.h"
 #include "routing/deadline_heap.h"
+#include "routing/open_sums.h"
 #include "routing/prefix_index.h"
 #include "routing/request_table.h"
 
@@ -80,5 +82,20 @@
     EXPECT_GT(kept, 0U);
 }
 
+TEST(open_sums, countsEachGateOnceAndForgetsTheSilent)
+{
+    using namespace std::chrono_literals;
+    open_sums sums({}, node_id("n0"));
+    const time_point start(10s);
+    sums.onReport(start, { node_id("n1"), 2, { { server_id("s"), 3 } } });
+    sums.onReport(start, { node_id("n1"), 1, { { server_id("s"), 9 } } });
+    sums.onReport(start + 900ms, { node_id("n2"), 1, { { server_id("s"), 4 } } });
+    EXPECT_EQ(sums.total(start + 900ms).open.at(0).open, 7);
+    EXPECT_EQ(sums.total(start + 1500ms).open.at(0).open, 4);
+    const result<envelope> received = decodeEnvelope(encodeMessage(sums.total(start + 1500ms)));
+    ASSERT_TRUE(received);
+    EXPECT_EQ(decodeBody<open_total>(*received)->open.at(0).open, 4);
+}
+
 } // namespace
 } // namespace reedtrail
--- a/routing/testing/virtual_fleet.cpp
+++ b/routing/testing/virtual_fleet.cpp
@@ -48,6 +48,7 @@
         gate->scheduler = std::make_unique<request_scheduler>(m_setup.scheduler, gate->zone, m_random.next());
         gate->scheduler->applyDocument(world.now(), document, {}, gate->actions);
         gate->tree = std::make_unique<usage_tree>(usage_tree_options{}, gate->node, gate->zone);
+        gate->sums = std::make_unique<open_sums>(open_sums_options{}, gate->node);
         gate->reported.assign(m_setup.servers, 0);
         m_gates.push_back(std::move(gate));
     }
@@ -108,6 +109,43 @@
             tickUsage(index);
         });
         armTimer(index);
+        if (m_setup.hasOpenSums) {
+            m_world.after(fromSeconds(toSeconds(m_setup.openSumsPeriod) * m_random.unit()), [this, index] {
+                tickOpenSums(index);
+            });
+        }
+    }
+}
+
+void virtual_fleet::tickOpenSums(std::uint32_t index)
+{
+    gate_state &gate = *m_gates[index];
+    if (!gate.isUp) {
+        return;
+    }
+    m_world.after(m_setup.openSumsPeriod, [this, index] {
+        tickOpenSums(index);
+    });
+    const open_report whole = gate.scheduler->makeOpenReport(gate.node);
+    const open_total total = gate.sums->total(m_world.now());
+    const std::size_t totalBytes = encodeMessage(total).size();
+    for (std::uint32_t other = 0; other < m_gates.size(); ++other) {
+        open_report part{ whole.node, whole.sequence, {} };
+        for (std::size_t server = other; server < whole.open.size(); server += m_gates.size()) {
+            part.open.push_back(whole.open[server]);
+        }
+        m_openSumBytes += encodeMessage(part).size() + totalBytes;
+        if (gate.isCut != m_gates[other]->isCut || (gate.isCut && other != index)) {
+            continue;
+        }
+        m_world.after(other == index ? duration{} : 2 * m_setup.networkDelay, [this, other, part = std::move(part), total] {
+            gate_state &receiver = *m_gates[other];
+            if (receiver.isUp) {
+                receiver.sums->onReport(m_world.now(), part);
+                receiver.scheduler->onOpenTotal(m_world.now(), total, receiver.actions);
+                perform(other);
+            }
+        });
     }
 }
 
--- a/routing/testing/virtual_fleet.h
+++ b/routing/testing/virtual_fleet.h
@@ -14,6 +14,7 @@
 #include "base/random.h"
 #include "harness/fake_server.h"
 #include "harness/virtual_time.h"
+#include "routing/open_sums.h"
 #include "routing/request_scheduler.h"
 #include "routing/usage_tree.h"
 
@@ -49,6 +50,8 @@
     duration reportPeriod = std::chrono::milliseconds(500);
     duration reportLag = std::chrono::seconds(1);
     double cacheEventGap = 0.01; ///< Share of cache events that are lost.
+    bool hasOpenSums = false; ///< Whether watchers count open requests; server i is watched by gate i modulo gates.
+    duration openSumsPeriod = std::chrono::milliseconds(50);
     bool hasRetries = true; ///< Of the simple policies: two more attempts at once, without a budget.
 };
 
@@ -127,6 +130,11 @@
     {
         return m_usageBytes;
     }
+    /** Returns the bytes of open counts and their sums sent so far. */
+    std::uint64_t openSumBytes() const
+    {
+        return m_openSumBytes;
+    }
     /** Called at each end of a request, with its index. */
     std::function<void(std::size_t)> onEnd;
     /** Called when a server begins an attempt of a request. */
@@ -139,6 +147,7 @@
         zone_id zone;
         std::unique_ptr<request_scheduler> scheduler;
         std::unique_ptr<usage_tree> tree;
+        std::unique_ptr<open_sums> sums;
         request_scheduler::actions actions;
         std::vector<double> reported; ///< Of the simple policies.
         std::uint32_t turn = 0;
@@ -157,6 +166,7 @@
     void finish(std::size_t index, bool isAnswered, error_kind kind);
     void armTimer(std::uint32_t gate);
     void reportLoad(std::uint32_t server);
+    void tickOpenSums(std::uint32_t gate);
     void tickUsage(std::uint32_t gate);
     void carry(std::uint32_t from, const std::vector<usage_send> &sends);
     void sendSimply(std::size_t index);
@@ -174,6 +184,7 @@
     std::vector<request_record> m_records;
     std::vector<open_request> m_open;
     std::uint64_t m_usageBytes = 0;
+    std::uint64_t m_openSumBytes = 0;
 };
 
 } // namespace reedtrail::testing
