--- a/fleet/testing/fleet_world.h
+++ b/fleet/testing/fleet_world.h
@@ -37,7 +37,6 @@
     std::size_t regions = 1;
     double loss = 0;
     bool hasDisk = false; ///< Whether nodes keep their settings over a restart.
-    bool countsBytes = false; ///< Whether sent messages are encoded and counted.
     membership_options gossip{};
     settings_options settings{};
     harness::fake_store_options store{};
@@ -91,6 +90,13 @@
 
     /** Confirms a change at @p node, planned on what that node has in force. @param onEnd may be empty */
     void confirm(std::size_t node, const std::string &text, std::function<void(const settings_confirm_end &end)> onEnd = {});
+    /** Sets whether messages are encoded, counted and decoded as between processes. */
+    void setCounting(bool isCounting)
+    {
+        m_isCounting = isCounting;
+    }
+    /** Returns bytes sent and received by all nodes so far, with the headers of WebSocket, TCP and IP. */
+    node_traffic totalTraffic() const;
 
     /** Returns how many running nodes, other than itself, count @p node among the reachable. */
     std::size_t believersIn(std::size_t node) const;
@@ -104,6 +110,18 @@
         return m_falseDeaths;
     }
 
+    /** Returns how often @p node suspected a neighbour because it heard nothing from it. */
+    std::uint64_t suspicionsBy(std::size_t node) const
+    {
+        return m_nodes[node].suspicions;
+    }
+
+    /** Returns how often any node held a zone for unreachable. */
+    std::uint64_t zoneLosses() const
+    {
+        return m_zoneLosses;
+    }
+
     std::size_t size() const
     {
         return m_nodes.size();
@@ -151,11 +169,11 @@
         std::optional<settings_record> disk;
         std::uint64_t generation = 0; ///< Of the process; events for an earlier one go nowhere.
         std::uint64_t highestRevision = 0; ///< Of the process, or of its disk.
-        std::uint64_t lastNumber = 0;
+        std::uint64_t suspicions = 0;
         bool isUp = false;
         bool isPaused = false;
         bool areDutiesOld = true;
-        bool isGossipScheduled = false;
+        bool isDutyLookScheduled = false;
         time_point gossipAt = timeNever;
         time_point settingsAt = timeNever;
         std::deque<std::function<void()>> held;
@@ -178,7 +196,7 @@
     void schedule(std::size_t node);
     void refreshDuties(std::size_t node);
     void countSent(std::size_t from, std::size_t to, std::uint64_t bytes);
-    std::uint64_t sizeOf(const std::shared_ptr<const heartbeat> &message);
+    std::shared_ptr<const heartbeat> throughCodec(std::size_t from, std::size_t to, const heartbeat &message);
     std::optional<std::size_t> indexOf(const std::string &address) const;
 
     fleet_world_options m_options;
@@ -188,10 +206,10 @@
     harness::fake_store m_store;
     std::vector<world_node> m_nodes;
     std::map<std::string, std::size_t> m_byAddress;
-    std::shared_ptr<const heartbeat> m_lastSized;
-    std::uint64_t m_lastSize = 0;
     std::uint64_t m_nextConfirm = 1;
+    bool m_isCounting = false;
     std::uint64_t m_falseDeaths = 0;
+    std::uint64_t m_zoneLosses = 0;
 };
 
 } // namespace reedtrail::testing
--- a/fleet/testing/membership_test.cpp
+++ b/fleet/testing/membership_test.cpp
@@ -86,6 +86,14 @@
     EXPECT_TRUE(world.isAgreed());
 }
 
+TEST_P(membership_in, blamesNobodyForItsOwnPause)
+{
+    const std::uint64_t before = world.suspicionsBy(1);
+    world.pause(1, 2s);
+    world.run(2500ms);
+    EXPECT_EQ(world.suspicionsBy(1), before);
+}
+
 TEST_P(membership_in, killsNobodyForAOneWayLink)
 {
     for (std::size_t other = 1; other < world.size(); other += 2) {
@@ -121,6 +129,23 @@
     EXPECT_TRUE(world.isAgreed());
 }
 
+TEST_P(membership_in, keepsAZoneReachableWhileItsDeputyDies)
+{
+    const std::uint64_t before = world.zoneLosses();
+    for (std::size_t zone = 0; zone < GetParam().zones; ++zone) {
+        const std::optional<node_id> deputy = world.gossip(0).deputyOf(zone_id("zone-" + std::to_string(zone)));
+        ASSERT_TRUE(deputy);
+        const std::size_t index = std::stoul(deputy->str().substr(std::string("node-").size()));
+        if (index != 0) {
+            world.kill(index);
+            world.run(10s);
+            world.start(index);
+            world.run(10s);
+        }
+    }
+    EXPECT_EQ(world.zoneLosses(), before);
+}
+
 TEST_P(membership_in, findsBothRegionsAgain)
 {
     world.cutRegion(0, true);
--- /dev/null
+++ b/fuzz/libfuzzer_main.cpp
@@ -0,0 +1,16 @@
+// One libFuzzer program for each entry point, named by REEDTRAIL_FUZZ_ENTRY. A failed check ends the program, so that libFuzzer keeps the input.
+
+#include "base/check.h"
+#include "fuzz/targets.h"
+
+#include <cstddef>
+#include <cstdint>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    reedtrail::setAbortOnFailedCheck(true);
+    reedtrail::REEDTRAIL_FUZZ_ENTRY(std::string_view(reinterpret_cast<const char *>(data), size));
+    return 0;
+}
--- a/sampling/run_owner_seals.cpp
+++ b/sampling/run_owner_seals.cpp
@@ -71,16 +71,9 @@
     sendWrite();
 }
 
-const seal_record *run_owner::recordOf(const slot_id &slot) const
+bool run_owner::isUndelivered(const slot_entry &entry) const
 {
-    for (const auto &[number, record] : m_fixed) {
-        if (record.step == slot.step && std::ranges::any_of(record.samples, [&slot](const sealed_sample &sample) {
-                return sample.slot == slot;
-            })) {
-            return &record;
-        }
-    }
-    return nullptr;
+    return entry.phase == slot_phase::Sealed && entry.batch > m_acknowledged && m_fixed.contains(entry.batch);
 }
 
 bool run_owner::startAmendment()
@@ -179,6 +172,7 @@
                         "a slot is sealed once, with the draft written");
         if (entry != nullptr) {
             m_book.setPhase(*entry, slot_phase::Sealed);
+            entry->batch = record.number;
             entry->isReplacement = false;
         }
     }
@@ -215,39 +209,45 @@
         dropDraft(*entry, error_kind::NotFound, false);
         return;
     }
-    const seal_record *record = entry->phase == slot_phase::Sealed ? recordOf(event.slot) : nullptr;
-    if (record != nullptr && record->number > m_acknowledged) {
-        loseSample(*entry, record->number, error_kind::NotFound);
+    if (isUndelivered(*entry)) {
+        loseSample(*entry, entry->batch, error_kind::NotFound);
     }
 }
 
-bool run_owner::isSpoolLost(const node_id &node) const
+/** Notes the spools that hold samples of the batches just read and cannot be reached; the patience with them starts now. */
+void run_owner::noteLostSpools()
 {
-    const auto gone = m_spoolGoneAt.find(node);
-    return gone != m_spoolGoneAt.end() && m_now - gone->second >= m_options.spoolPatience;
+    for (const auto &[number, record] : m_fixed) {
+        for (const sealed_sample &sample : record.samples) {
+            if (m_spools && !m_spools->contains(sample.spoolNode)) {
+                m_spoolGoneAt.try_emplace(sample.spoolNode, m_now);
+            }
+        }
+    }
 }
 
 /** Draws anew what lies in spools that have been out of reach for long: ready samples, and sealed ones that the trainer does not hold. */
 void run_owner::loseUnreachable()
 {
-    if (!m_spools || !maySeal()) {
+    std::set<node_id> lost;
+    for (const auto &[node, goneAt] : m_spoolGoneAt) {
+        if (m_now - goneAt >= m_options.spoolPatience) {
+            lost.insert(node);
+        }
+    }
+    if (lost.empty() || !maySeal()) {
         return;
     }
     for (auto &[step, slots] : m_book.steps()) {
         for (slot_entry &entry : slots.slots) {
             const bool isKept = entry.phase == slot_phase::Ready || entry.phase == slot_phase::Sealed;
-            if (!isKept || m_spools->contains(entry.sample.spoolNode)) {
-                continue;
-            }
-            m_spoolGoneAt.try_emplace(entry.sample.spoolNode, m_now);
-            if (!isSpoolLost(entry.sample.spoolNode)) {
+            if (!isKept || entry.isReplacement || !lost.contains(entry.sample.spoolNode)) {
                 continue;
             }
-            const seal_record *record = entry.phase == slot_phase::Sealed ? recordOf(entry.slot) : nullptr;
             if (entry.phase == slot_phase::Ready) {
                 dropDraft(entry, error_kind::PeerUnreachable, false);
-            } else if (record != nullptr && record->number > m_acknowledged) {
-                loseSample(entry, record->number, error_kind::PeerUnreachable);
+            } else if (isUndelivered(entry)) {
+                loseSample(entry, entry.batch, error_kind::PeerUnreachable);
             }
         }
     }
@@ -333,7 +333,7 @@
         }
         isFresh = false; // The operators lowered the bound after it was sealed.
         slot_entry *entry = m_book.find(sample.slot);
-        if (entry != nullptr && entry->phase == slot_phase::Sealed && record.number > m_acknowledged) {
+        if (entry != nullptr && isUndelivered(*entry)) {
             loseSample(*entry, record.number, error_kind::Stale);
         }
     }
