--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -21,7 +21,7 @@
 namespace reedtrail {
 namespace {
 
-constexpr duration publishedPollInterval = std::chrono::seconds(1);
+constexpr duration publishedPollInterval = std::chrono::milliseconds(500);
 
 constexpr http_call_options latestLimits{ .silenceTimeout = std::chrono::seconds(2), .deadline = std::chrono::seconds(2) };
 constexpr http_call_options loadLimits{ .silenceTimeout = std::chrono::seconds(2), .deadline = std::chrono::seconds(2) };
--- a/weights/zone_weights.cpp
+++ b/weights/zone_weights.cpp
@@ -207,6 +207,15 @@
     passWaitingSwitches();
 }
 
+/** Tells whether a server's report may change soon: an order is under way, or its lagging report does not show the last switch yet. */
+bool zone_weights::isExpectingChange(const server_state &server) const
+{
+    const bool isLagging = m_now - server.switchBegan < m_options.reportLag && std::ranges::any_of(server.runs, [](const auto &item) {
+                               return item.second.known.version < item.second.newestSwitch;
+                           });
+    return server.ordersUnderWay > 0 || isLagging;
+}
+
 void zone_weights::handle(const deputy_input::load_read &event)
 {
     const auto found = m_servers.find(event.server);
@@ -215,9 +224,9 @@
     }
     server_state &server = found->second;
     server.isLoadAsked = false;
-    server.loadAt = m_now + (server.ordersUnderWay > 0 ? m_options.loadIntervalBusy : m_options.loadInterval);
     server.lastAnswerAt = event.isAnswered ? m_now : server.lastAnswerAt;
     const bool isSilent = m_now - server.lastAnswerAt >= m_options.silentAfter;
+    server.loadAt = m_now + (isExpectingChange(server) ? m_options.loadIntervalBusy : m_options.loadInterval);
     if (!event.isAnswered && !isSilent) {
         return;
     }
--- a/weights/zone_weights.h
+++ b/weights/zone_weights.h
@@ -27,7 +27,8 @@
 struct deputy_options
 {
     duration loadInterval = std::chrono::seconds(3); ///< Between load reads of a server while nothing changes.
-    duration loadIntervalBusy = std::chrono::milliseconds(500); ///< While orders are under way for it.
+    duration loadIntervalBusy = std::chrono::milliseconds(250); ///< While orders are under way for it, or its report lags behind a switch.
+    duration reportLag = std::chrono::seconds(20); ///< After a switch the report is read often for at most this long.
     duration reportInterval = std::chrono::seconds(5); ///< Between reports of a run while nothing changes.
     duration reportDelay = std::chrono::milliseconds(100); ///< Gathers changes before they are reported.
     double swappingShare = 0.5; ///< Share of the zone's servers that may swap at once, so that interactive work is always served.
@@ -178,6 +179,7 @@
     bool isToBePassedOn(const weight_order &order, server_state &server, time_point notAfter);
     bool isSwappingFull() const;
     void passWaitingSwitches();
+    bool isExpectingChange(const server_state &server) const;
     void changed(const run_id &run);
     void reportRun(const run_id &run, run_state_known &state);
 
