--- a/sampling/run_owner.cpp
+++ b/sampling/run_owner.cpp
@@ -111,7 +111,7 @@
     }
     noteLostSpools();
     if (!m_fixed.empty()) {
-        m_book.forgetBefore(m_fixed.begin()->second.step);
+        forgetStepsBefore(m_fixed.begin()->second.step);
     }
     advanceTrainer(std::max(m_asked, m_acknowledged));
     note(decision_kind::TookOver,
--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -156,6 +156,8 @@
     void adoptAttempt(const node_id &gate, const draft_progress_item &item);
     void noteProgress(slot_entry &entry, const draft_progress_item &item);
     void endAttempt(slot_entry &entry);
+    void forgetStepsBefore(std::uint64_t step);
+    bool isWanted(const slot_entry &entry) const;
     draft_gate *leastLoadedGate();
     bool isGateKnown(const node_id &node) const;
 
--- a/sampling/run_owner_drafts.cpp
+++ b/sampling/run_owner_drafts.cpp
@@ -92,7 +92,7 @@
             continue;
         }
         for (slot_entry &entry : slots->slots) {
-            if (entry.phase != slot_phase::Open || entry.retryAt > m_now) {
+            if (entry.phase != slot_phase::Open || entry.retryAt > m_now || !isWanted(entry)) {
                 continue;
             }
             draft_gate *gate = leastLoadedGate();
@@ -128,6 +128,28 @@
     m_actions.emplace_back(run_action::order_draft{ gate.node, std::move(order) });
 }
 
+/** Tells whether an open slot needs a draft: of a whole step the book may hold only the batch that is kept, and its other slots were delivered long ago. */
+bool run_owner::isWanted(const slot_entry &entry) const
+{
+    return entry.slot.step >= m_nextStepToSeal || entry.isReplacement;
+}
+
+void run_owner::forgetStepsBefore(std::uint64_t step)
+{
+    for (auto &[number, slots] : m_book.steps()) {
+        if (number >= step) {
+            break;
+        }
+        for (slot_entry &entry : slots.slots) {
+            if (entry.phase == slot_phase::Drafting) {
+                m_actions.emplace_back(run_action::cancel_draft{ entry.attempt.gate, entry.attempt.draft });
+                endAttempt(entry);
+            }
+        }
+    }
+    m_book.forgetBefore(step);
+}
+
 void run_owner::endAttempt(slot_entry &entry)
 {
     if (entry.phase != slot_phase::Drafting) {
@@ -163,7 +185,7 @@
         return;
     }
     const bool isExpected = entry->phase == slot_phase::Drafting && entry->attempt.draft == result.draft;
-    const bool isOfEarlierOwner = entry->phase == slot_phase::Open && result.epoch < m_epoch;
+    const bool isOfEarlierOwner = entry->phase == slot_phase::Open && result.epoch < m_epoch && isWanted(*entry);
     if (!isExpected && !isOfEarlierOwner) {
         return; // Doubled, given up, or the slot has its draft already.
     }
@@ -212,7 +234,7 @@
         m_book.open(item.slot.step, shape());
     }
     slot_entry *entry = m_book.find(item.slot);
-    if (entry == nullptr || entry->phase != slot_phase::Open || !isOfEarlierOwner || m_machine.phase() != run_phase::Open) {
+    if (entry == nullptr || entry->phase != slot_phase::Open || !isOfEarlierOwner || !isWanted(*entry) || m_machine.phase() != run_phase::Open) {
         m_actions.emplace_back(run_action::cancel_draft{ gate, item.draft });
         return;
     }
--- a/sampling/run_owner_seals.cpp
+++ b/sampling/run_owner_seals.cpp
@@ -396,7 +396,7 @@
     if (!removal.batches.empty()) {
         m_actions.emplace_back(std::move(removal));
     }
-    m_book.forgetBefore(std::min(before, m_fixed.empty() ? before : m_fixed.begin()->second.step));
+    forgetStepsBefore(std::min(before, m_fixed.empty() ? before : m_fixed.begin()->second.step));
 }
 
 void run_owner::advanceTrainer(std::uint64_t askedNumber)
