--- a/fleet/membership_messages.h
+++ b/fleet/membership_messages.h
@@ -20,6 +20,12 @@
 /** What is known of a member. A later state wins over an earlier one of the same incarnation. */
 enum class member_state : std::uint8_t { Alive, Suspect, Dead, Left };
 
+/** Tells whether a member in @p state counts as alive. */
+inline bool isLive(member_state state)
+{
+    return state == member_state::Alive || state == member_state::Suspect;
+}
+
 /** Who a member is and where its processes accept links. */
 struct member_card
 {
--- /dev/null
+++ b/fleet/membership_view.cpp
@@ -0,0 +1,158 @@
+// What follows from the members known: the view of who is reachable, the neighbours in the overlay, digests and deputies of zones. All of it is kept until the
+// view changes; making it anew is linear in the members of the zones concerned, so a heartbeat at rest costs the same in a small fleet and in a large one.
+
+#include "base/hash.h"
+#include "fleet/membership.h"
+
+#include <algorithm>
+
+namespace reedtrail {
+namespace {
+
+constexpr std::size_t countersOfAZone = 3; // the deputy and those that stand in for it while its death is not yet certain
+
+} // namespace
+
+std::vector<const membership::member_record *> membership::membersOf(const zone_id &zone) const
+{
+    std::vector<const member_record *> members;
+    for (const auto &[node, record] : m_known) {
+        if (record.card.zone == zone && isLive(record.state)) {
+            members.push_back(&record);
+        }
+    }
+    return members;
+}
+
+/** Finds the next member after (or before) this node in the order of hashes, going round. */
+const membership::member_record *membership::ringNeighbour(const std::vector<const member_record *> &candidates, std::size_t ring, bool isSuccessor) const
+{
+    const std::uint64_t own = stableHash(m_self.node.view(), ring);
+    const member_record *best = nullptr;
+    std::uint64_t bestDistance = 0;
+    for (const member_record *candidate : candidates) {
+        const std::uint64_t place = stableHash(candidate->card.node.view(), ring);
+        const std::uint64_t distance = isSuccessor ? place - own : own - place;
+        if (best == nullptr || distance < bestDistance) {
+            best = candidate;
+            bestDistance = distance;
+        }
+    }
+    return best;
+}
+
+void membership::refreshNeighbours(time_point now)
+{
+    if (!m_neighboursAreOld) {
+        return;
+    }
+    m_neighboursAreOld = false;
+    std::set<node_id> chosen;
+    const std::vector<const member_record *> zoneMembers = membersOf(m_self.zone);
+    for (std::size_t ring = 0; ring < m_options.rings && !zoneMembers.empty(); ++ring) {
+        chosen.insert(ringNeighbour(zoneMembers, ring, true)->card.node);
+        chosen.insert(ringNeighbour(zoneMembers, ring, false)->card.node);
+    }
+    const std::vector<member_record *> before = std::move(m_neighbours);
+    m_neighbours.clear();
+    for (const node_id &node : chosen) {
+        member_record *record = &m_known.at(node);
+        m_neighbours.push_back(record);
+        if (std::ranges::find(before, record) == before.end()) {
+            record->heardAt = std::max(record->heardAt, now + m_options.neighbourGrace - m_options.suspectAfter);
+        }
+    }
+    m_crossZonePeers.clear();
+    for (const auto &[zone, record] : m_zones) {
+        std::vector<std::string> candidates;
+        for (const member_record *member : zone == m_self.zone ? std::vector<const member_record *>() : membersOf(zone)) {
+            candidates.push_back(member->card.stewardAddress);
+        }
+        for (const std::size_t chosen : rendezvousChoose(m_self.node.view(), candidates, 1)) {
+            m_crossZonePeers.push_back(candidates[chosen]);
+        }
+    }
+}
+
+const membership::zone_digest &membership::digestOf(const zone_id &zone) const
+{
+    const auto known = m_digests.find(zone);
+    if (known != m_digests.end()) {
+        return known->second;
+    }
+    zone_digest &made = m_digests[zone];
+    std::vector<std::string> names;
+    for (const member_record *member : membersOf(zone)) {
+        made.digest ^= stableHash(member->card.node.view(), member->card.number);
+        names.push_back(member->card.node.str());
+    }
+    if (zone == m_self.zone && !m_hasLeft) {
+        made.digest ^= stableHash(m_self.node.view(), m_self.number);
+        names.push_back(m_self.node.str());
+    }
+    made.alive = names.size();
+    for (const std::size_t chosen : rendezvousChoose("zone-deputy/" + zone.str(), names, countersOfAZone)) {
+        made.rankedDeputies.emplace_back(names[chosen]);
+    }
+    return made;
+}
+
+const std::vector<member_card> &membership::reachable() const
+{
+    if (m_viewIsOld) {
+        m_viewIsOld = false;
+        m_view.clear();
+        for (const auto &[node, record] : m_known) {
+            if (isLive(record.state) && isZoneReachable(record.card.zone)) {
+                m_view.push_back(record.card);
+            }
+        }
+        const auto place = std::ranges::lower_bound(m_view, m_self.node, {}, &member_card::node);
+        m_view.insert(place, m_self);
+    }
+    return m_view;
+}
+
+std::vector<member_rumor> membership::everything() const
+{
+    std::vector<member_rumor> all{ { m_self, m_hasLeft ? member_state::Left : member_state::Alive } };
+    for (const auto &[node, record] : m_known) {
+        all.push_back({ record.card, record.state });
+    }
+    return all;
+}
+
+std::vector<zone_sum> membership::sums() const
+{
+    std::vector<zone_sum> all;
+    for (const auto &[zone, record] : m_zones) {
+        if (record.sum.counter > 0) {
+            all.push_back(record.sum);
+        }
+    }
+    return all;
+}
+
+bool membership::isZoneReachable(const zone_id &zone) const
+{
+    const auto found = m_zones.find(zone);
+    return zone == m_self.zone || (found != m_zones.end() && found->second.isReachable);
+}
+
+std::optional<node_id> membership::deputyOf(const zone_id &zone) const
+{
+    const std::vector<node_id> &ranked = digestOf(zone).rankedDeputies;
+    return ranked.empty() ? std::nullopt : std::optional(ranked.front());
+}
+
+std::vector<std::string> membership::wantedPeers() const
+{
+    std::set<std::string> wanted(m_crossZonePeers.begin(), m_crossZonePeers.end());
+    wanted.insert(m_probes.begin(), m_probes.end());
+    for (const member_record *neighbour : m_neighbours) {
+        wanted.insert(neighbour->card.stewardAddress);
+    }
+    return { wanted.begin(), wanted.end() };
+}
+
+} // namespace reedtrail
--- a/steward/fleet_service.cpp
+++ b/steward/fleet_service.cpp
@@ -8,6 +8,7 @@
 
 #include "fleet/duties.h"
 #include "kernel/log.h"
+#include "steward/fleet_view_maker.h"
 #include "steward/link_book.h"
 #include "steward/settings_driver.h"
 #include "steward/vm_list_reader.h"
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr std::size_t settingsWatchersPerZone = 2;
-constexpr std::size_t vmListReadersPerZone = 2;
 constexpr std::size_t mostUnableInAZone = 4; // more nodes without the store mean that the store is away, not they
 constexpr std::uint64_t failedReadsUntilUnable = 4;
 constexpr duration neighbourLinkKept = std::chrono::seconds(30);
@@ -316,24 +316,6 @@
         }
     }
 
-    /** Collects what the readers of the VM list in all zones say is leaving. */
-    std::set<std::string> leavingNames() const
-    {
-        std::set<std::string> names;
-        for (const shared_fact &fact : members.facts().under("leaving/")) {
-            const std::string writer = fact.key.substr(std::string("leaving/").size());
-            const auto card = std::ranges::find(members.reachable(), node_id(writer), &member_card::node);
-            const bool hasDutyNow =
-                card != members.reachable().end() && hasDuty("vm-list-reader", card->zone, members.reachable(), vmListReadersPerZone, card->node);
-            if (hasDutyNow && fact.value.is_array()) {
-                for (const nlohmann::json &name : fact.value) {
-                    names.insert(name.is_string() ? name.get<std::string>() : std::string());
-                }
-            }
-        }
-        return names;
-    }
-
     void viewChanged()
     {
         if (isViewDue || isStopped) {
@@ -351,8 +333,8 @@
 
     void refreshView()
     {
-        refreshLeaving();
-        refreshOwners();
+        leaving = settings->document() ? leavingServersOf(*settings->document(), members) : std::vector<server_id>();
+        owners = runOwnersOf(members);
         if (const auto link = links.find(members.self().gateAddress)) {
             sendView(*link);
         }
@@ -361,51 +343,10 @@
         }
     }
 
-    void refreshLeaving()
-    {
-        leaving.clear();
-        if (!settings->document()) {
-            return;
-        }
-        const std::set<std::string> names = leavingNames();
-        for (const pool_settings &pool : settings->document()->pools) {
-            for (const server_settings &server : pool.servers) {
-                const std::string ip = server.address.substr(0, server.address.rfind(':'));
-                if (server.isLeaving || names.contains(server.address) || names.contains(ip) || names.contains(server.id.str())) {
-                    leaving.push_back(server.id);
-                }
-            }
-        }
-    }
-
-    void refreshOwners()
-    {
-        owners.clear();
-        for (const shared_fact &fact : members.facts().under("owner/")) {
-            failureOf([&]() -> result<void> {
-                BOOST_LEAF_AUTO(view, decodeBody<run_owner_fact>({ std::string(run_owner_fact::messageName), 0, false, fact.value }));
-                owners.push_back(view.owner);
-                return {};
-            });
-        }
-    }
-
     void sendView(link_id link)
     {
-        fleet_view view;
-        view.revision = settings->core().revision();
-        if (const auto &record = settings->core().inForce()) {
-            view.document = record->document;
-        }
-        view.leavingServers = leaving;
-        view.owners = owners;
-        for (const member_card &member : members.reachable()) {
-            view.nodes.push_back({ member.node, member.zone, member.gateAddress });
-            if (!member.spoolAddress.empty()) {
-                view.spools.push_back({ member.node, member.zone, member.spoolAddress });
-            }
-        }
-        viewsSent += bus.send(link, view) ? 1 : 0;
+        const bool isSent = bus.send(link, makeFleetView(members, settings->core().inForce().get(), leaving, owners));
+        viewsSent += isSent ? 1 : 0;
     }
 
     std::optional<link_id> linkTo(const std::string &address)
--- /dev/null
+++ b/steward/fleet_view_maker.cpp
@@ -0,0 +1,83 @@
+// A fact about the VM list counts only while its writer has the duty to read it: what a former reader said is no longer kept up to date.
+
+#include "steward/fleet_view_maker.h"
+
+#include "base/cbor_codec.h"
+#include "fleet/duties.h"
+
+#include <algorithm>
+#include <set>
+
+namespace reedtrail {
+namespace {
+
+constexpr std::string_view leavingPrefix = "leaving/";
+
+/** Collects the names and addresses that the readers of the VM list call leaving. */
+std::set<std::string> leavingNames(const membership &members)
+{
+    const std::vector<member_card> &reachable = members.reachable();
+    std::set<std::string> names;
+    for (const shared_fact &fact : members.facts().under(std::string(leavingPrefix))) {
+        const node_id writer(fact.key.substr(leavingPrefix.size()));
+        const auto card = std::ranges::find(reachable, writer, &member_card::node);
+        const bool hasDutyNow = card != reachable.end() && hasDuty("vm-list-reader", card->zone, reachable, vmListReadersPerZone, writer);
+        if (hasDutyNow && fact.value.is_array()) {
+            for (const nlohmann::json &name : fact.value) {
+                names.insert(name.is_string() ? name.get<std::string>() : std::string());
+            }
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+std::vector<server_id> leavingServersOf(const fleet_document &document, const membership &members)
+{
+    const std::set<std::string> names = leavingNames(members);
+    std::vector<server_id> leaving;
+    for (const pool_settings &pool : document.pools) {
+        for (const server_settings &server : pool.servers) {
+            const std::string ip = server.address.substr(0, server.address.rfind(':'));
+            if (server.isLeaving || names.contains(server.address) || names.contains(ip) || names.contains(server.id.str())) {
+                leaving.push_back(server.id);
+            }
+        }
+    }
+    return leaving;
+}
+
+std::vector<run_owner_view> runOwnersOf(const membership &members)
+{
+    std::vector<run_owner_view> owners;
+    for (const shared_fact &fact : members.facts().under("owner/")) {
+        failureOf([&]() -> result<void> {
+            BOOST_LEAF_AUTO(view, decodeBody<run_owner_fact>({ std::string(run_owner_fact::messageName), 0, false, fact.value }));
+            owners.push_back(view.owner);
+            return {};
+        });
+    }
+    return owners;
+}
+
+fleet_view
+makeFleetView(const membership &members, const settings_record *record, const std::vector<server_id> &leaving, const std::vector<run_owner_view> &owners)
+{
+    fleet_view view;
+    if (record != nullptr) {
+        view.revision = record->revision;
+        view.document = record->document;
+    }
+    view.leavingServers = leaving;
+    view.owners = owners;
+    for (const member_card &member : members.reachable()) {
+        view.nodes.push_back({ member.node, member.zone, member.gateAddress });
+        if (!member.spoolAddress.empty()) {
+            view.spools.push_back({ member.node, member.zone, member.spoolAddress });
+        }
+    }
+    return view;
+}
+
+} // namespace reedtrail
