--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -156,6 +156,8 @@
     void adoptAttempt(const node_id &gate, const draft_progress_item &item);
     void noteProgress(slot_entry &entry, const draft_progress_item &item);
     void endAttempt(slot_entry &entry);
+    void forgetStepsBefore(std::uint64_t step);
+    bool isWanted(const slot_entry &entry) const;
     draft_gate *leastLoadedGate();
     bool isGateKnown(const node_id &node) const;
 
@@ -167,7 +169,7 @@
     void loseUnreachable();
     void noteLostSpools();
     void loseSample(slot_entry &entry, std::uint64_t number, error_kind cause);
-    const seal_record *recordOf(const slot_id &slot) const;
+    bool isUndelivered(const slot_entry &entry) const;
     bool isFreshEnough(const seal_record &record);
     void sendWrite();
     void retryWriteLater();
