--- a/sampling/testing/fake_fleet.h
+++ b/sampling/testing/fake_fleet.h
@@ -240,6 +240,7 @@
     std::map<std::uint64_t, draft_state> m_drafts;
     std::deque<std::uint64_t> m_queue;
     std::uint64_t m_nextDraftKey = 1;
+    std::set<std::pair<run_id, std::uint64_t>> m_taken; ///< Orders that a gate has taken, each once.
     std::map<std::string, payload_truth> m_truth;
     std::map<pull_token, std::function<void(const pull_answer &)>> m_pulls;
     pull_token m_nextToken = 1;
--- a/sampling/testing/fake_fleet_drafts.cpp
+++ b/sampling/testing/fake_fleet_drafts.cpp
@@ -25,10 +25,7 @@
 void fake_fleet::takeOrder(std::size_t gate, const draft_order &order)
 {
     node &each = m_nodes[gate];
-    const bool isKnown = std::ranges::any_of(each.drafts, [this, &order](std::uint64_t key) {
-        return m_drafts.at(key).order.draft == order.draft && m_drafts.at(key).order.slot.run == order.slot.run;
-    });
-    if (isKnown) {
+    if (!m_taken.emplace(order.slot.run, order.draft).second) {
         return;
     }
     const std::uint64_t key = m_nextDraftKey++;
