--- a/sampling/testing/fake_fleet_drafts.cpp
+++ b/sampling/testing/fake_fleet_drafts.cpp
@@ -206,6 +206,7 @@
     }
     m_truth[result.payloadKey] = { draft.versions };
     sendResult(draft.gate, draft.gateLife, result, resultTries);
+    m_servers[draft.server].drafts.erase(key); // It may have been moved while it was scored.
     m_nodes[draft.gate].drafts.erase(key);
     m_drafts.erase(key);
 }
