Gates exchange what customers use, so that shares are those of the fleet

Cause: the usage tree ran only in the virtual fleet; real gates shared by their own use alone. Change: gate/usage_exchange gives the tree a timer and links, on the control thread; the traffic thread hands in its use and takes the sums. Measured: usage_exchange_test: eight gates in two zones on real links each get the sum of all (36 of 1 + ... + 8) over 8 gates. The watchers' counts of open requests (open_sums) are not carried yet.

--- a/gate/control_service.cpp
+++ b/gate/control_service.cpp
@@ -68,6 +68,7 @@
     : m_context(context)
     , m_bus(context.control, busOptions(context))
     , m_links(context.control, m_bus, {})
+    , m_usage(context.control, m_bus, m_links, context.settings.node, context.settings.zone)
     , m_sweepTimer(context.control)
     , m_progressTimer(context.control)
 {
@@ -98,6 +99,7 @@
     });
     BOOST_LEAF_CHECK(m_bus.listen(m_context.settings.listen.gatePeer));
     linkToSteward();
+    m_usage.start();
     sweepLater();
     reportProgressLater();
     return {};
@@ -133,6 +135,7 @@
         logLine(log_level::Warning, "fleet-view-refused", { { "reason", error->detail } });
         return;
     }
+    m_usage.useNodes(m_snapshot->nodes);
     m_traffic.useSnapshot(m_snapshot);
 }
 
@@ -403,6 +406,7 @@
 
 void control_service::stop()
 {
+    m_usage.stop();
     m_sweepTimer.cancel();
     m_progressTimer.cancel();
     m_bus.stop();
@@ -420,6 +424,7 @@
              { "owners", m_snapshot->owners },
              { "spools", m_snapshot->spools },
              { "nodes", m_snapshot->nodes },
+             { "usage", m_usage.dump() },
              { "ordersOpen", m_ordersOpen.size() },
              { "viewsRefused", m_viewsRefused },
              { "messages", std::move(traffic) } };
--- a/gate/control_service.h
+++ b/gate/control_service.h
@@ -12,6 +12,7 @@
 #include "gate/fleet_snapshot.h"
 #include "gate/gate_messages.h"
 #include "gate/link_pool.h"
+#include "gate/usage_exchange.h"
 #include "kernel/service.h"
 #include "net/http_message.h"
 #include "net/peer_bus.h"
@@ -36,6 +37,7 @@
     std::function<void(run_id run, std::uint64_t draft)> moveDraft;
     std::function<void(std::function<void(std::vector<draft_progress_item> items)> onProgress)> askProgress;
     std::function<void(forwarded_request request, std::function<void(forwarded_answer answer)> onAnswer)> takeForwarded;
+    usage_entry usage;
 };
 
 /** The service; everything runs on the control thread. */
@@ -48,6 +50,7 @@
     void setTraffic(traffic_entry traffic)
     {
         m_traffic = std::move(traffic);
+        m_usage.setEntry(m_traffic.usage);
     }
     /** Passes a trainer's pull to the owner of its run and gathers the payloads. */
     void pull(const pull_question &question, std::function<void(http_response response)> onResponse);
@@ -83,6 +86,7 @@
     process_context &m_context;
     peer_bus m_bus;
     link_pool m_links;
+    usage_exchange m_usage;
     boost::asio::steady_timer m_sweepTimer;
     boost::asio::steady_timer m_progressTimer;
     traffic_entry m_traffic;
--- a/gate/request_broker.cpp
+++ b/gate/request_broker.cpp
@@ -71,6 +71,12 @@
     perform();
 }
 
+void request_broker::takeUsage(const usage_total &total)
+{
+    m_scheduler.onUsageTotal(monotonicNow(), total, m_actions);
+    perform();
+}
+
 /** Carries out the actions in their order. Carrying one out may add more, which are then done by the same loop. */
 void request_broker::perform()
 {
--- a/gate/request_broker.h
+++ b/gate/request_broker.h
@@ -82,6 +82,13 @@
     void cancel(const request_id &id);
     /** Takes a load report. */
     void takeLoad(const server_load &load);
+    /** Returns what customers use of this gate. @param node this node */
+    usage_report makeUsageReport(const node_id &node)
+    {
+        return m_scheduler.makeUsageReport(node);
+    }
+    /** Takes what customers use of all gates. */
+    void takeUsage(const usage_total &total);
     /** Returns how many requests have no answer yet. */
     std::size_t inFlight() const
     {
