Drain test of the gate without a race

Cause: DrainFinishesStreamsThatAreOpen called the gate right after asking it to drain; on a busy machine the call came first and was answered no-server (seen once in a run of the whole check beside the demo), and half a second later the listener is closed. Change: the call goes over a connection that was answered before the drain, and only after the gate's own state says that it drains. The expected answer (draining) is the same, and the state before (no-server) is checked as well.

--- a/gate/testing/gate_contract_test.cpp
+++ b/gate/testing/gate_contract_test.cpp
@@ -382,8 +382,13 @@
         return callGate(31000, "POST", "/v1/completions", R"({"model":"model","prompt":"p","stream":true})");
     });
     begun.get_future().wait();
+    testing::kept_caller kept(31000);
+    EXPECT_EQ(kept.call("GET", "/svc/desk/menu", "").fields["Reedtrail-Error"], "no-server");
     std::future<void> drained = gate.drain();
-    EXPECT_EQ(callGate(31000, "GET", "/svc/desk/menu", "").fields["Reedtrail-Error"], "draining");
+    gate.waitUntil([](const nlohmann::json &state) {
+        return state.at("traffic").at("drain") != "serving";
+    });
+    EXPECT_EQ(kept.call("GET", "/svc/desk/menu", "").fields["Reedtrail-Error"], "draining");
     EXPECT_EQ(drained.wait_for(std::chrono::seconds(0)), std::future_status::timeout);
     goOn.set_value();
     EXPECT_EQ(textOf(answer.get().body), "abcde");
--- a/gate/testing/gate_fixture.h
+++ b/gate/testing/gate_fixture.h
@@ -222,41 +222,60 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
-/** Sends one request on a connection of its own and waits for the answer. */
-inline caller_answer
-callGate(std::uint16_t port, const std::string &method, const std::string &target, const std::string &body, const header_list &headers = {})
+/** A caller's connection, kept open from one request to the next. */
+class kept_caller
 {
-    namespace http = boost::beast::http;
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::socket socket(io);
-    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
-    http::request<http::string_body> request;
-    request.method_string(method);
-    request.target(target);
-    request.version(11);
-    request.set(http::field::host, "gate");
-    request.set(http::field::authorization, "Bearer t1");
-    request.set(http::field::connection, "close");
-    for (const auto &[name, value] : headers) {
-        request.set(name, value);
+public:
+    explicit kept_caller(std::uint16_t port)
+        : m_socket(m_io)
+    {
+        m_socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
     }
-    request.body() = body;
-    request.prepare_payload();
-    boost::system::error_code error;
-    http::write(socket, request, error);
-    boost::beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    http::read(socket, buffer, parser, error);
-    caller_answer answer;
-    answer.isWhole = parser.is_done();
-    if (parser.is_header_done()) {
-        answer.status = parser.get().result_int();
-        answer.body = parser.get().body();
-        for (const auto &field : parser.get()) {
-            answer.fields[std::string(field.name_string())] = std::string(field.value());
+
+    /** Sends one request and waits for its answer. */
+    caller_answer call(const std::string &method, const std::string &target, const std::string &body, const header_list &headers = {})
+    {
+        namespace http = boost::beast::http;
+        http::request<http::string_body> request;
+        request.method_string(method);
+        request.target(target);
+        request.version(11);
+        request.set(http::field::host, "gate");
+        request.set(http::field::authorization, "Bearer t1");
+        for (const auto &[name, value] : headers) {
+            request.set(name, value);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        boost::system::error_code error;
+        http::write(m_socket, request, error);
+        http::response_parser<http::string_body> parser;
+        http::read(m_socket, m_buffer, parser, error);
+        caller_answer answer;
+        answer.isWhole = parser.is_done();
+        if (parser.is_header_done()) {
+            answer.status = parser.get().result_int();
+            answer.body = parser.get().body();
+            for (const auto &field : parser.get()) {
+                answer.fields[std::string(field.name_string())] = std::string(field.value());
+            }
         }
+        return answer;
     }
-    return answer;
+
+private:
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+};
+
+/** Sends one request on a connection of its own and waits for the answer. */
+inline caller_answer
+callGate(std::uint16_t port, const std::string &method, const std::string &target, const std::string &body, const header_list &headers = {})
+{
+    header_list all = headers;
+    all.emplace_back("Connection", "close");
+    return kept_caller(port).call(method, target, body, all);
 }
 
 /** Returns a view with one engine and one plain service, each with the servers at @p enginePorts and @p servicePorts. */
