A node says that there is nothing new only after the store has said so

Cause: a reader whose watch had been open for 150 ms took its silence for proof. A watch that has gone deaf (its poll is never answered, up to 16.5 s) and one that reports late look the same, so the node told callers that a position was empty which another node had shown.

Change: what the store has is only taken from answers to questions, by the time of asking; where the last answer is over half a second old, one key (the next batch) is read before a caller is told that there is nothing. The validity of a lease is asked by the lease that a key stands under.

--- a/batch/job_session.h
+++ b/batch/job_session.h
@@ -21,7 +21,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace reedtrail {
 
@@ -53,7 +55,8 @@
 {
     duration retryDelay = std::chrono::milliseconds(150); ///< Of a call that failed, doubled up to retryDelayMost.
     duration retryDelayMost = std::chrono::milliseconds(1000); ///< Half of the lease, so that a takeover is never late by more.
-    duration reportTime = std::chrono::milliseconds(150); ///< A store that serves this node reports what is new by then.
+    duration confirmTime = std::chrono::milliseconds(500); ///< For which what the store has said counts as the present: half of the time in which every
+                                                           ///< node must show what one has shown.
     duration readInterval = std::chrono::milliseconds(250); ///< Between reports to a reader: callers look about twice a second.
 };
 
@@ -109,7 +112,7 @@
         if (m_image.isEnded()) {
             return !m_needsListing; // Nothing changes any more.
         }
-        return m_isWatching && (!m_isOwner || m_lease->validFor(m_loop.now()) > duration::zero());
+        return m_isWatching && (!m_isOwner || m_lease->validFor(m_image.ownerLease(), m_loop.now()) > duration::zero());
     }
 
     /** Records the job. @param done called once; for Unknown the session goes on and later calls onOwned if this node is the owner */
@@ -136,7 +139,7 @@
     /** Reads the job and follows it. @param done called once */
     void load(std::function<void(load_outcome)> done)
     {
-        m_store.range({ job_key::prefix(m_job), true, 0 }, [weak = this->weak_from_this(), done](const store_range_answer &answer) {
+        m_store.range({ job_key::prefix(m_job), true, 0 }, [weak = this->weak_from_this(), askedAt = m_loop.now(), done](const store_range_answer &answer) {
             const auto self = weak.lock();
             if (!self) {
                 return;
@@ -145,7 +148,7 @@
                 done(load_outcome::Unavailable);
                 return;
             }
-            self->takeListing(answer);
+            self->takeListing(answer, askedAt);
             if (!self->m_image.isPresent()) {
                 done(load_outcome::Absent);
                 return;
@@ -172,10 +175,33 @@
     {
         return !m_image.isPresent() || m_needsListing || (m_isOwner && !isSynced());
     }
-    /** Tells whether the image shows what the store had a moment ago: it follows, and what it might not know yet would have been reported by now. */
+    /** Tells whether the image shows what the store had a moment ago. A watch proves nothing: it may have gone deaf, and its reports may be late. */
     bool isCaughtUp() const
     {
-        return isSynced() && (m_isOwner || m_image.isEnded() || m_loop.now() - m_followedAt >= m_options.reportTime);
+        if (m_image.isEnded()) {
+            return m_isFinal;
+        }
+        const time_point oldest = m_loop.now() - m_options.confirmTime;
+        if (m_confirmedAt && *m_confirmedAt >= oldest) {
+            return true;
+        }
+        // Others may show a batch whose record this owner has not heard of yet.
+        return m_isOwner && isSynced() && (!m_isAppending || m_appendingSince >= oldest);
+    }
+    /**
+     * Asks the store whether there is more than the image shows, unless that is known.
+     * @param done called once, with whether the image is caught up; results found on the way are told by onResults before
+     */
+    void verify(std::function<void(bool)> done)
+    {
+        if (isCaughtUp()) {
+            done(true);
+            return;
+        }
+        m_verifying.push_back(std::move(done));
+        if (m_verifying.size() == 1) {
+            readNextBatch();
+        }
     }
 
     /** Appends results as the owner; one append at a time. @param drafts encoded texts under way, to be kept beside; may be empty */
@@ -184,6 +210,7 @@
         m_appending = std::move(results);
         m_draftsToKeep = std::move(drafts);
         m_isAppending = true;
+        m_appendingSince = m_loop.now();
         m_retryDelay = m_options.retryDelay;
         sendAppend();
     }
@@ -249,6 +276,47 @@
         return this->weak_from_this();
     }
 
+    /** Batches are numbered without a gap, so there are no further results while the next number is absent. */
+    void readNextBatch()
+    {
+        const store_range next{ job_key::resultBatch(m_job, m_image.nextBatch()), false, 0 };
+        m_store.range(next, [weak = weakSelf(), askedAt = m_loop.now(), wasEnded = m_image.isEnded()](const store_range_answer &answer) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (answer.error) {
+                self->verified(false);
+            } else if (answer.items.empty()) {
+                self->confirm(askedAt);
+                self->m_isFinal = self->m_isFinal || wasEnded;
+                self->verified(self->isCaughtUp());
+            } else {
+                logLine(
+                    log_level::Warning,
+                    "job-watch-missed-results",
+                    { { "job", self->m_job }, { "known", std::to_string(self->m_image.results().size()) }, { "revision", std::to_string(answer.revision) } });
+                self->load([weak](load_outcome) {
+                    if (const auto session = weak.lock()) {
+                        session->verified(session->isCaughtUp());
+                    }
+                });
+            }
+        });
+    }
+
+    void confirm(time_point at)
+    {
+        m_confirmedAt = std::max(m_confirmedAt.value_or(at), at); // An earlier question may be answered later.
+    }
+
+    void verified(bool isCaughtUp)
+    {
+        for (const auto &done : std::exchange(m_verifying, {})) {
+            done(isCaughtUp);
+        }
+    }
+
     void sendAccept(const store_txn &txn, store_lease_id lease, bool wasUnknown, std::function<void(accept_outcome)> done)
     {
         m_store.txn(txn, [weak = weakSelf(), txn, lease, wasUnknown, done](const store_txn_answer &answer) {
@@ -296,19 +364,21 @@
     }
 
     /** A read that began before a write or a report that is known already would turn the image back. */
-    void takeListing(const store_range_answer &answer)
+    void takeListing(const store_range_answer &answer, time_point askedAt)
     {
         if (answer.revision < m_knownRevision) {
             return;
         }
         m_knownRevision = answer.revision;
         m_needsListing = false;
+        confirm(askedAt);
         const std::size_t before = m_image.results().size();
         const bool wasEnded = m_image.isEnded();
         m_image.clear();
         for (const store_key_value &item : answer.items) {
             m_image.apply(item);
         }
+        m_isFinal = m_image.isEnded();
         notifyChanges(before, wasEnded, true);
     }
 
@@ -332,7 +402,7 @@
         store_watch_create call{ m_isOwner ? job_key::statePrefix(m_job) : job_key::prefix(m_job), true, revision + 1 };
         call.reportInterval = m_options.readInterval;
         m_isWatching = true;
-        m_followedAt = m_loop.now();
+        m_watchesResults = call.key == job_key::prefix(m_job);
         m_watch = m_store.watch(call,
                                 { [weak = weakSelf()](const store_watch_report &report) {
                                      if (const auto self = weak.lock()) {
@@ -475,7 +545,7 @@
 
     void readClaimed()
     {
-        m_store.range({ job_key::prefix(m_job), true, 0 }, [weak = weakSelf()](const store_range_answer &answer) {
+        m_store.range({ job_key::prefix(m_job), true, 0 }, [weak = weakSelf(), askedAt = m_loop.now()](const store_range_answer &answer) {
             const auto self = weak.lock();
             if (!self) {
                 return;
@@ -488,7 +558,7 @@
                 });
                 return;
             }
-            self->takeListing(answer);
+            self->takeListing(answer, askedAt);
             if (self->m_image.isEnded() || self->m_image.ownerRevision() != self->m_claimRevision) {
                 self->disown("lost again");
                 return;
@@ -507,7 +577,9 @@
             // Without them the texts start anew, which costs time and nothing else.
             self->m_draftsLeft = answer.items.empty() ? std::string() : answer.items.front().value;
             self->m_isClaiming = false;
-            self->becomeOwner(self->m_claimRevision, revision);
+            if (!self->m_image.isEnded()) {
+                self->becomeOwner(self->m_claimRevision, revision);
+            }
         });
     }
 
@@ -590,7 +662,7 @@
     /** Reads the job and compares it with what this owner believes. @param isAppendRefused whether the append under way got a definite no */
     void readAndReview(bool isAppendRefused)
     {
-        m_store.range({ job_key::prefix(m_job), true, 0 }, [weak = weakSelf(), isAppendRefused](const store_range_answer &answer) {
+        m_store.range({ job_key::prefix(m_job), true, 0 }, [weak = weakSelf(), askedAt = m_loop.now(), isAppendRefused](const store_range_answer &answer) {
             const auto self = weak.lock();
             if (!self || !self->m_isOwner) {
                 return;
@@ -603,7 +675,7 @@
                 });
                 return;
             }
-            self->takeListing(answer);
+            self->takeListing(answer, askedAt);
             self->reviewOwnership(answer.revision, isAppendRefused);
         });
     }
@@ -623,6 +695,7 @@
             becomeOwner(m_image.ownerRevision(), revision);
         } else if (isOwnedByAnother()) {
             disown("owned by " + m_image.owner()->node);
+            m_needsListing = false; // The image is as of that revision.
             follow(revision);
         } else {
             logLine(log_level::Warning, "job-owner-key-lapsed", { { "job", m_job }, { "owner-revision", std::to_string(m_ownerRevision) } });
@@ -665,6 +738,11 @@
         m_isOwner = false;
         m_isAppending = false;
         m_isClaiming = false;
+        if (!m_watchesResults) {
+            // What a successor has recorded since is not in the image.
+            cancelWatch();
+            m_needsListing = true;
+        }
         m_handlers.onDisowned();
     }
 
@@ -684,6 +762,7 @@
     std::vector<item_result> m_appending;
     std::string m_draftsToKeep; ///< Written beside m_appending.
     std::string m_draftsLeft;
+    time_point m_appendingSince;
     duration m_retryDelay{};
     std::uint64_t m_appendNumber = 0; ///< Of the newest try of an append; answers to earlier ones say nothing.
     bool m_isAppending = false;
@@ -691,7 +770,10 @@
     bool m_isClaiming = false;
     bool m_isWatching = false;
     bool m_needsListing = false; ///< The image may miss what happened before the revision that is followed.
-    time_point m_followedAt; ///< When the watch was opened.
+    bool m_watchesResults = false; ///< An owner's watch leaves them out.
+    bool m_isFinal = false; ///< The job has ended, and the image was compared with the store since.
+    std::optional<time_point> m_confirmedAt; ///< The image shows all results that the store had then.
+    std::vector<std::function<void(bool)>> m_verifying;
 };
 
 } // namespace reedtrail
--- a/batch/job_store.cpp
+++ b/batch/job_store.cpp
@@ -221,6 +221,7 @@
         } else if (rest == "state/owner") {
             m_owner = decode(item.value).get<job_owner_record>();
             m_ownerRevision = item.modRevision;
+            m_ownerLease = item.lease;
         } else if (rest == "state/end") {
             m_isEnded = true;
         } else if (const auto part = numberIn(rest, "document")) {
@@ -239,6 +240,7 @@
     if (key == job_key::owner(m_job)) {
         m_owner.reset();
         m_ownerRevision = 0;
+        m_ownerLease = 0;
     }
 }
 
--- a/batch/job_store.h
+++ b/batch/job_store.h
@@ -107,6 +107,11 @@
     {
         return m_ownerRevision;
     }
+    /** Returns the lease that the owner key stands under. */
+    store_lease_id ownerLease() const
+    {
+        return m_ownerLease;
+    }
     /** Returns the results that are recorded, in the order of their positions. */
     const std::vector<item_result> &results() const
     {
@@ -128,6 +133,7 @@
     std::map<std::size_t, std::string> m_parts;
     std::optional<job_owner_record> m_owner;
     store_revision m_ownerRevision = 0;
+    store_lease_id m_ownerLease = 0;
     std::map<std::size_t, std::vector<item_result>> m_earlyBatches; ///< Batches whose predecessors have not been seen yet.
     std::vector<item_result> m_results;
     std::size_t m_nextBatch = 0;
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -89,16 +89,16 @@
     handlers.onEnded = guarded([this](const std::shared_ptr<entry> &self) {
         logLine(log_level::Info, "job-ended", { { "job", self->job }, { "recorded", std::to_string(self->session->image().results().size()) } });
         disowned(*self);
-        answerReaders(*self);
+        answerReaders(self);
     });
     handlers.onResults = guarded([this](const std::shared_ptr<entry> &self) {
-        answerReaders(*self);
+        answerReaders(self);
     });
     handlers.onRecorded = guarded([this](const std::shared_ptr<entry> &self, std::span<const item_result> results) {
         if (self->worker) {
             self->worker->noteRecorded(results);
         }
-        answerReaders(*self);
+        answerReaders(self);
         schedulePump();
     });
     handlers.mayClaim = [this] {
@@ -239,7 +239,7 @@
         }
         const reader waiting{ exchange, call.from, m_context.loop.now() + std::clamp(call.wait, shortestWait, longestWait) };
         if (hasResult || image.isEnded() || image.results().size() >= place->total) {
-            answerRead(*place, waiting);
+            settleRead(place, waiting);
         } else {
             place->readers.push_back(waiting);
             place->session->catchUp();
@@ -247,13 +247,32 @@
     });
 }
 
-void job_desk::answerRead(entry &place, const reader &waiting)
+/** Answers a read that is due. That there is nothing new is only said after the store has said so. */
+void job_desk::settleRead(const std::shared_ptr<entry> &place, const reader &waiting)
 {
-    const std::vector<item_result> &results = place.session->image().results();
-    if (waiting.from >= results.size() && results.size() < place.total && !place.session->isCaughtUp()) {
-        refuse(waiting.exchange, http_status::unavailable, "the store does not answer", place.job);
+    const auto isAnswerable = [place, from = waiting.from] {
+        const std::size_t known = place->session->image().results().size();
+        return from < known || known >= place->total;
+    };
+    if (isAnswerable()) {
+        answerRead(*place, waiting);
         return;
     }
+    place->session->verify([this, place, waiting, isAnswerable](bool isCaughtUp) {
+        if (waiting.exchange->isGone()) {
+            return;
+        }
+        if (isCaughtUp || isAnswerable()) {
+            answerRead(*place, waiting);
+        } else {
+            refuse(waiting.exchange, http_status::unavailable, "the store does not answer", place->job);
+        }
+    });
+}
+
+void job_desk::answerRead(const entry &place, const reader &waiting)
+{
+    const std::vector<item_result> &results = place.session->image().results();
     const std::size_t from = waiting.from;
     const std::span<const item_result> shown = from < results.size() ? std::span(results).subspan(from) : std::span<const item_result>();
     http_response response = platform::encodeResults(place.total, from, shown);
@@ -261,12 +280,12 @@
     waiting.exchange->respond(std::move(response));
 }
 
-void job_desk::answerReaders(entry &place)
+void job_desk::answerReaders(const std::shared_ptr<entry> &place)
 {
-    const std::size_t known = place.session->image().results().size();
-    const bool isOver = place.session->image().isEnded() || (place.total > 0 && known >= place.total);
+    const std::size_t known = place->session->image().results().size();
+    const bool isOver = place->session->image().isEnded() || (place->total > 0 && known >= place->total);
     std::vector<reader> due;
-    std::erase_if(place.readers, [&](const reader &waiting) {
+    std::erase_if(place->readers, [&](const reader &waiting) {
         const bool isDue = isOver || waiting.from < known;
         if (isDue) {
             due.push_back(waiting);
@@ -274,7 +293,7 @@
         return isDue || waiting.exchange->isGone();
     });
     for (const reader &waiting : due) {
-        answerRead(place, waiting);
+        settleRead(place, waiting);
     }
 }
 
@@ -418,7 +437,7 @@
             m_context.loop.after(duration::zero(), [this, place, late] {
                 for (const reader &waiting : late) {
                     if (!waiting.exchange->isGone()) {
-                        answerRead(*place, waiting);
+                        settleRead(place, waiting);
                     }
                 }
             });
--- a/edge/job_desk.h
+++ b/edge/job_desk.h
@@ -61,8 +61,9 @@
     std::shared_ptr<entry> open(const std::string &job);
     void withImage(const std::shared_ptr<entry> &place, std::function<void(load_outcome)> action);
     bool decodeDocument(entry &place);
-    void answerRead(entry &place, const reader &waiting);
-    void answerReaders(entry &place);
+    void settleRead(const std::shared_ptr<entry> &place, const reader &waiting);
+    void answerRead(const entry &place, const reader &waiting);
+    void answerReaders(const std::shared_ptr<entry> &place);
     void owned(const std::shared_ptr<entry> &place);
     void disowned(entry &place);
     void schedulePump();
--- a/fleet/duty_holder.h
+++ b/fleet/duty_holder.h
@@ -118,8 +118,8 @@
     bool mayAct() const
     {
         const time_point now = m_loop.now();
-        return isHolder() && m_last == m_node && now >= m_quietUntil && m_lease->confirmedBefore(now) < m_options.freshness
-            && m_lease->validFor(now) > duration::zero();
+        return isHolder() && m_last == m_node && now >= m_quietUntil && m_lease->confirmedBefore(m_holder->lease, now) < m_options.freshness
+            && m_lease->validFor(m_holder->lease, now) > duration::zero();
     }
     /** Returns when the wait after a takeover ends. */
     time_point quietUntil() const
@@ -137,6 +137,7 @@
         std::string node;
         std::string incarnation;
         store_revision revision = 0;
+        store_lease_id lease = 0;
     };
 
     std::string holderKey() const
@@ -156,7 +157,7 @@
             return;
         }
         if (item.key == holderKey()) {
-            m_holder = holder_record{ row.value("node", ""), row.value("incarnation", ""), item.modRevision };
+            m_holder = holder_record{ row.value("node", ""), row.value("incarnation", ""), item.modRevision, item.lease };
         } else if (item.key == lastKey()) {
             m_last = row.value("node", "");
             m_hasLastRetired = row.value("retired", false);
@@ -280,7 +281,7 @@
                 return;
             }
             if (answer.isSucceeded) {
-                self->m_holder = holder_record{ self->m_node, self->m_incarnation, answer.revision };
+                self->m_holder = holder_record{ self->m_node, self->m_incarnation, answer.revision, lease };
                 self->review();
             }
         });
--- a/fleet/node_lease.h
+++ b/fleet/node_lease.h
@@ -4,7 +4,7 @@
  *
  *     node_lease lease(store, loop, {});
  *     lease.acquire([&](store_lease_id id) { if (id != 0) { ... write a key under it ... } });
- *     lease.validFor(loop.now())      // how long the lease certainly still runs; what must not outlive it is checked against this
+ *     lease.validFor(id, loop.now())  // how long that lease certainly still runs; what must not outlive it is checked against this
  *
  * The lease is granted when it is first needed and renewed as long as any duty asks for it. Its end is reckoned from the moment a renewal was sent, never from
  * its answer, so the store keeps it at least as long as this node believes.
@@ -44,7 +44,7 @@
     /** Asks for a valid lease. @param done called with its id, or 0 if the store gave none */
     void acquire(std::function<void(store_lease_id)> done)
     {
-        if (validFor(m_loop.now()) > duration::zero()) {
+        if (validFor(m_lease, m_loop.now()) > duration::zero()) {
             done(m_lease);
             return;
         }
@@ -54,16 +54,19 @@
         }
     }
 
-    /** Returns how long the lease certainly still runs at @p now; zero or less if there is none. */
-    duration validFor(time_point now) const
+    /**
+     * Returns how long @p lease certainly still runs at @p now; zero or less if this node does not have it any more. A key stands under the lease that it was
+     * written with, which may have lapsed and been followed by another.
+     */
+    duration validFor(store_lease_id lease, time_point now) const
     {
-        return m_lease == 0 ? duration::zero() : m_validUntil - now;
+        return lease == 0 || lease != m_lease ? duration::zero() : m_validUntil - now;
     }
 
-    /** Returns how long ago the newest renewal that the store has confirmed was sent. */
-    duration confirmedBefore(time_point now) const
+    /** Returns how long ago the newest renewal of @p lease that the store has confirmed was sent. */
+    duration confirmedBefore(store_lease_id lease, time_point now) const
     {
-        return m_lease == 0 ? duration::max() : now - m_confirmedAt;
+        return lease == 0 || lease != m_lease ? duration::max() : now - m_confirmedAt;
     }
 
     /** Says that a write found the lease ended. */
--- a/fleet/testing/duty_holder_test.cpp
+++ b/fleet/testing/duty_holder_test.cpp
@@ -100,6 +100,24 @@
     std::vector<act> acts;
 };
 
+TEST_F(duty_holder_test, newLeaseOfTheNodeDoesNotBringALostDutyBack)
+{
+    addNodes(3);
+    run(2s);
+    competitor &before = *holder();
+    // Its watch goes deaf, its lease lapses unnoticed, and something else at the node asks for a new one.
+    store.setCut(before.name, true);
+    run(8s);
+    ASSERT_NE(holder(), nullptr);
+    store.dropWatchesSilently();
+    store.setCut(before.name, false);
+    before.lease->acquire([](store_lease_id) {});
+    run(700ms); // The renewal of the old lease fails meanwhile.
+    before.lease->acquire([](store_lease_id) {});
+    run(5s);
+    expectTurns();
+}
+
 TEST_F(duty_holder_test, firstHolderActsAtOnce)
 {
     addNodes(3);
