A few nodes of each zone run all batch jobs; polls through a peer do not outlive the peer

Change: job_hosts (pure) names the node that runs a job, job_forwarder sends callers' calls there and serves them here if the host says nothing in time, is gone or declines. What a silent host was sent may be done, so a submission that it had is never answered "not run" afterwards. Fields that are not about one connection are told apart in net/, in one place.

Polls through a peer. Ruled out: the node's own connection to the store (other watches went on), load (the node was idle). Change: a poll through a peer is sent anew each second, by the way that is best then; the test hangs for 15 s on the code before.

--- /dev/null
+++ b/batch/testing/job_hosts_test.cpp
@@ -0,0 +1,121 @@
+#include "batch/job_hosts.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start{ 100s };
+
+/** @p zones zones of @p nodes nodes; the first @p strong of each have four times the processor time of the others. */
+std::map<std::string, job_host> fleetOf(int zones, int nodes, int strong)
+{
+    std::map<std::string, job_host> fleet;
+    for (int zone = 0; zone < zones; ++zone) {
+        for (int node = 0; node < nodes; ++node) {
+            const std::string zoneName = "zone-" + std::to_string(zone);
+            fleet[zoneName + "-node-" + std::to_string(node)] = { { "127.0.0.1", 1 }, zoneName, node < strong ? 0.5 : 0.125 };
+        }
+    }
+    return fleet;
+}
+
+TEST(job_hosts_test, eachZoneHasItsShareOfHosts)
+{
+    const struct
+    {
+        int zones;
+        int nodes;
+        std::size_t hosts;
+    } cases[] = { { 4, 2, 4 }, { 3, 3, 3 }, { 4, 14, 4 }, { 1, 1, 1 }, { 3, 98, 21 }, { 3, 99, 24 } };
+    for (const auto &each : cases) {
+        job_hosts hosts;
+        hosts.setNodes(fleetOf(each.zones, each.nodes, 0));
+        EXPECT_EQ(hosts.hosts().size(), each.hosts) << each.zones << " zones of " << each.nodes;
+    }
+}
+
+TEST(job_hosts_test, strongNodesRunTheJobs)
+{
+    job_hosts hosts;
+    hosts.setNodes(fleetOf(4, 14, 1));
+    for (const std::string &host : hosts.hosts()) {
+        EXPECT_TRUE(host.ends_with("-node-0")) << host;
+    }
+}
+
+TEST(job_hosts_test, nodesThatKnowTheSameChooseAlikeAndSpreadTheJobs)
+{
+    job_hosts here;
+    job_hosts there;
+    here.setNodes(fleetOf(4, 40, 3));
+    there.setNodes(fleetOf(4, 40, 3));
+    std::map<std::string, int> jobsOf;
+    for (int job = 0; job < 1200; ++job) {
+        const std::string name = "job-" + std::to_string(job);
+        const std::optional<std::string> host = here.hostOf(start, name);
+        ASSERT_TRUE(host);
+        EXPECT_EQ(host, there.hostOf(start, name));
+        ++jobsOf[*host];
+    }
+    EXPECT_EQ(jobsOf.size(), 12U);
+    for (const auto &[host, jobs] : jobsOf) {
+        EXPECT_NEAR(jobs, 100, 50) << host; // Five times the deviation of a fair draw.
+    }
+}
+
+TEST(job_hosts_test, hostThatFailsIsPassedOverForLongerEachTimeAndComesBack)
+{
+    job_hosts hosts;
+    hosts.setNodes(fleetOf(3, 3, 0));
+    const std::string first = hosts.hostOf(start, "job").value();
+    hosts.failed(start, first);
+    EXPECT_NE(hosts.hostOf(start + 500ms, "job"), first);
+    EXPECT_EQ(hosts.hostOf(start + 1001ms, "job"), first);
+    hosts.failed(start + 2s, first);
+    EXPECT_NE(hosts.hostOf(start + 3900ms, "job"), first);
+    for (int i = 0; i < 40; ++i) {
+        hosts.failed(start + 10s, first);
+    }
+    EXPECT_NE(hosts.hostOf(start + 39s, "job"), first);
+    EXPECT_EQ(hosts.hostOf(start + 41s, "job"), first);
+    hosts.failed(start + 50s, first);
+    hosts.worked(first);
+    EXPECT_EQ(hosts.hostOf(start + 50s, "job"), first);
+}
+
+TEST(job_hosts_test, jobsOfOtherHostsStayWhereTheyAreWhenOneLeaves)
+{
+    job_hosts hosts;
+    auto fleet = fleetOf(4, 40, 3);
+    hosts.setNodes(fleet);
+    std::map<std::string, std::string> before;
+    for (int job = 0; job < 300; ++job) {
+        const std::string name = "job-" + std::to_string(job);
+        before[name] = hosts.hostOf(start, name).value();
+    }
+    const std::string leaving = hosts.hosts().front();
+    fleet.erase(leaving);
+    hosts.setNodes(fleet);
+    const std::set<std::string> kept(hosts.hosts().begin(), hosts.hosts().end());
+    int moved = 0;
+    for (const auto &[job, host] : before) {
+        if (kept.contains(host)) {
+            moved += hosts.hostOf(start, job) == host ? 0 : 1;
+        }
+    }
+    EXPECT_LT(moved, 60) << "the host that replaces the one that left takes its share of all jobs and no more";
+}
+
+TEST(job_hosts_test, noNodesNoHost)
+{
+    job_hosts hosts;
+    EXPECT_FALSE(hosts.hostOf(start, "job"));
+    EXPECT_FALSE(hosts.addressOf("node"));
+}
+
+} // namespace
+} // namespace reedtrail
--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -16,10 +16,11 @@
 
 } // namespace
 
-caller_service::caller_service(edge_context &context, fleet_view &fleet, job_desk &desk)
+caller_service::caller_service(edge_context &context, fleet_view &fleet, job_desk &desk, job_forwarder &forwarder)
     : m_context(context)
     , m_fleet(fleet)
     , m_desk(desk)
+    , m_forwarder(forwarder)
 {
 }
 
@@ -28,7 +29,7 @@
     m_process = &process;
     http_server_options callers;
     callers.address = m_context.settings.callers;
-    callers.maximumBodyBytes = 33U << 20U; // The largest body that a configuration has allowed so far; the store bounds jobs more closely.
+    callers.maximumBodyBytes = largestCallerBody;
     m_callers = std::make_unique<http_server>(m_context.loop.io(), callers, [this](std::shared_ptr<http_exchange> exchange) {
         dispatch(std::move(exchange));
     });
@@ -82,14 +83,65 @@
         return;
     }
     platform::caller_call call = platform::decodeCall(exchange->request());
+    const std::optional<std::string> job = jobOf(exchange->request(), call);
+    if (!job) {
+        dispatchService(std::move(exchange), std::get<platform::service_call>(std::move(call)));
+        return;
+    }
+    if (m_desk.runs(*job)) {
+        callDesk(exchange, call, false);
+        return;
+    }
+    const auto *read = std::get_if<platform::job_read>(&call);
+    const duration wait = read == nullptr ? duration::zero() : std::min(read->wait, job_desk::longestWait);
+    m_forwarder.forward(exchange, *job, wait, [this, exchange, call](bool mayBeDone) {
+        callDesk(exchange, call, mayBeDone);
+    });
+}
+
+/** Answers a call that another node has passed on; it is never passed on again. */
+void caller_service::dispatchForwarded(std::shared_ptr<http_exchange> exchange)
+{
+    const platform::caller_call call = platform::decodeCall(exchange->request());
+    // Without the route this node knows less than the one that asks.
+    const bool isKnown = m_fleet.isReady() && jobOf(exchange->request(), call).has_value();
+    if (!isKnown || m_context.isDraining) {
+        job_forwarder::decline(exchange);
+        return;
+    }
+    callDesk(exchange, call, false);
+}
+
+/** Returns the job that a call is about; nothing if it is for a service. */
+std::optional<std::string> caller_service::jobOf(const http_request &request, const platform::caller_call &call) const
+{
+    const auto *service = std::get_if<platform::service_call>(&call);
+    if (service == nullptr) {
+        return std::visit(
+            [](const auto &about) -> std::string {
+                if constexpr (std::is_same_v<std::decay_t<decltype(about)>, platform::service_call>) {
+                    return about.id;
+                } else {
+                    return about.job;
+                }
+            },
+            call);
+    }
+    const route *where = m_fleet.routes().match(request.fields.get("Host"), request.path());
+    const bool isSubmission = where != nullptr && where->kind == route_kind::Batch && request.method == "POST";
+    return isSubmission ? std::optional(service->id) : std::nullopt;
+}
+
+void caller_service::callDesk(const std::shared_ptr<http_exchange> &exchange, const platform::caller_call &call, bool mayBeDone)
+{
     if (const auto *read = std::get_if<platform::job_read>(&call)) {
-        m_desk.read(std::move(exchange), *read);
+        m_desk.read(exchange, *read);
     } else if (const auto *item = std::get_if<platform::job_item_read>(&call)) {
-        m_desk.readItem(std::move(exchange), *item);
+        m_desk.readItem(exchange, *item);
     } else if (const auto *end = std::get_if<platform::job_end>(&call)) {
-        m_desk.end(std::move(exchange), *end);
+        m_desk.end(exchange, *end);
     } else {
-        dispatchService(std::move(exchange), std::get<platform::service_call>(std::move(call)));
+        m_desk.submit(exchange, std::get<platform::service_call>(call).id, mayBeDone);
     }
 }
 
@@ -101,10 +153,6 @@
         refuse(exchange, http_status::notFound, "no route for this host and path", duration::zero());
         return;
     }
-    if (where->kind == route_kind::Batch && request.method == "POST") {
-        m_desk.submit(std::move(exchange), call.id);
-        return;
-    }
     std::make_shared<request_relay>(m_context, m_fleet, std::move(exchange), *where, std::move(call))->start();
 }
 
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -7,10 +7,13 @@
 #include "edge/edge_context.h"
 #include "edge/fleet_view.h"
 #include "edge/job_desk.h"
+#include "edge/job_forwarder.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
 
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace reedtrail {
 
@@ -18,7 +21,7 @@
 class caller_service : public service
 {
 public:
-    caller_service(edge_context &context, fleet_view &fleet, job_desk &desk);
+    caller_service(edge_context &context, fleet_view &fleet, job_desk &desk, job_forwarder &forwarder);
 
     result<void> start(kernel &process) override;
     /** Tells callers with each further answer that their connection closes. */
@@ -27,8 +30,13 @@
     void stop() override;
     nlohmann::json dump() const override;
 
+    /** Answers a caller's call about a job that another node has passed on. */
+    void dispatchForwarded(std::shared_ptr<http_exchange> exchange);
+
 private:
     void dispatch(std::shared_ptr<http_exchange> exchange);
+    std::optional<std::string> jobOf(const http_request &request, const platform::caller_call &call) const;
+    void callDesk(const std::shared_ptr<http_exchange> &exchange, const platform::caller_call &call, bool mayBeDone);
     void dispatchService(std::shared_ptr<http_exchange> exchange, platform::service_call call);
     void answerReadiness(const std::shared_ptr<http_exchange> &exchange);
     void awaitQuiet(std::function<void()> done);
@@ -37,6 +45,7 @@
     edge_context &m_context;
     fleet_view &m_fleet;
     job_desk &m_desk;
+    job_forwarder &m_forwarder;
     kernel *m_process = nullptr;
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_readiness;
--- a/edge/edge_settings.h
+++ b/edge/edge_settings.h
@@ -7,12 +7,16 @@
 #include "base/time.h"
 #include "net/endpoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 
 namespace reedtrail {
 
+/** The largest body that a configuration has allowed callers so far; the store bounds jobs more closely. */
+inline constexpr std::size_t largestCallerBody = 33U << 20U;
+
 /** The settings. Times without a value in the source keep the defaults here, which are the bounds of the two first deployments. */
 struct edge_settings
 {
@@ -22,6 +26,7 @@
     endpoint readiness; ///< Readiness and metrics.
     std::optional<endpoint> peers; ///< Other nodes; empty if this process serves none.
     endpoint store;
+    double processorShare = 0; ///< Of a core that this process has; 0 if unknown.
     duration drainBound = std::chrono::milliseconds(2000); ///< A server that announces its end gets nothing new after this time.
     duration shutdownBound = std::chrono::seconds(8); ///< From the signal to stop until the process is killed.
     duration orderTurn = std::chrono::milliseconds(3000); ///< Least time between the orders of two nodes to one server.
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr duration tickInterval = std::chrono::milliseconds(100); // For silent servers, due records and waiting readers: each may be this late.
-constexpr duration longestWait = std::chrono::milliseconds(1000); // Of a read, whatever it asks for: callers wait a second and a half longer than that.
 constexpr duration shortestWait = std::chrono::milliseconds(200); // To ask the store what is new, also for reads that do not want to wait.
 constexpr duration followTime = std::chrono::seconds(4); // A job is followed this long after its last read: readers come twice a second.
 constexpr duration keepTime = std::chrono::seconds(15); // A job that is not followed stays in memory this long.
@@ -140,7 +139,13 @@
     exchange->respond(std::move(response));
 }
 
-void job_desk::submit(std::shared_ptr<http_exchange> exchange, const std::string &job)
+bool job_desk::runs(const std::string &job) const
+{
+    const auto found = m_entries.find(job);
+    return found != m_entries.end() && found->second->session->isOwner();
+}
+
+void job_desk::submit(std::shared_ptr<http_exchange> exchange, const std::string &job, bool mayBeRecorded)
 {
     const http_request &request = exchange->request();
     std::optional<job_spec> spec;
@@ -161,7 +166,7 @@
     place->total = spec->items.size();
     place->spec = std::move(spec);
     const job_facts facts{ std::string(request.fields.get("Host")), std::string(request.path()), unixMilliseconds() };
-    place->session->accept(facts, request.body, [this, exchange, place, job, startedAt = m_context.loop.now()](accept_outcome outcome) {
+    place->session->accept(facts, request.body, [this, exchange, place, job, mayBeRecorded, startedAt = m_context.loop.now()](accept_outcome outcome) {
         const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.loop.now() - startedAt).count();
         logLine(
             log_level::Info,
@@ -171,7 +176,7 @@
             http_response response = textResponse(http_status::accepted, "");
             platform::echoRequestId(exchange->request(), response);
             exchange->respond(std::move(response));
-        } else if (outcome == accept_outcome::NotAccepted) {
+        } else if (outcome == accept_outcome::NotAccepted && !mayBeRecorded) {
             refuse(exchange, http_status::unavailable, "the store took no record of the job", job);
         } else if (outcome == accept_outcome::TooLarge) {
             refuse(exchange, http_status::tooLarge, "the job is too large for the store", job);
--- a/edge/job_desk.h
+++ b/edge/job_desk.h
@@ -23,6 +23,8 @@
 class job_desk : public service
 {
 public:
+    static constexpr duration longestWait = std::chrono::milliseconds(1000); ///< Of a read, whatever it asks for: callers wait a second and a half longer.
+
     job_desk(edge_context &context, fleet_view &fleet);
 
     result<void> start(kernel &process) override;
@@ -32,7 +34,11 @@
     /** Tells whether this node has jobs that rest on its lease. */
     bool needsLease() const;
 
-    void submit(std::shared_ptr<http_exchange> exchange, const std::string &job);
+    /** Tells whether this node runs the job. */
+    bool runs(const std::string &job) const;
+
+    /** @param mayBeRecorded whether another node may have recorded the job for this very call, so that "not recorded" is not known to be true */
+    void submit(std::shared_ptr<http_exchange> exchange, const std::string &job, bool mayBeRecorded);
     void read(std::shared_ptr<http_exchange> exchange, const platform::job_read &call);
     void readItem(std::shared_ptr<http_exchange> exchange, const platform::job_item_read &call);
     void end(std::shared_ptr<http_exchange> exchange, const platform::job_end &call);
--- /dev/null
+++ b/edge/job_forwarder.cpp
@@ -0,0 +1,82 @@
+#include "edge/job_forwarder.h"
+
+#include "kernel/log.h"
+#include "net/http_status.h"
+
+namespace reedtrail {
+namespace {
+
+constexpr std::string_view forwardedField = "Reedtrail-Forwarded";
+constexpr std::string_view declinedField = "Reedtrail-Declined";
+
+constexpr duration connectLimit = std::chrono::milliseconds(250); // A hundred times the way between zones.
+constexpr duration answerAllowance = std::chrono::milliseconds(600); // Beyond the wait that the caller asked for: callers allow 1.5 s, and the store's own
+                                                                     // answer, asked for here instead, takes up to 0.7 s of the rest.
+
+} // namespace
+
+job_forwarder::job_forwarder(asio_loop &loop, http_client &peers, metric_registry &metrics, std::string self)
+    : m_loop(loop)
+    , m_peers(peers)
+    , m_metrics(metrics)
+    , m_self(std::move(self))
+{
+}
+
+void job_forwarder::forward(const std::shared_ptr<http_exchange> &exchange, const std::string &job, duration wait, local_action locally)
+{
+    const std::optional<std::string> host = m_hosts.hostOf(m_loop.now(), job);
+    const std::optional<endpoint> where = host && *host != m_self ? m_hosts.addressOf(*host) : std::nullopt;
+    if (!where) {
+        locally(false);
+        return;
+    }
+    http_request request = exchange->request();
+    request.fields = endToEndFields(request.fields);
+    request.fields.set(forwardedField, "1");
+    http_call_options options;
+    options.connectTimeout = connectLimit;
+    options.silenceTimeout = wait + answerAllowance;
+    options.deadline = wait + answerAllowance;
+    const auto onAnswer = [this, exchange, job, host = *host, locally](const http_call_end &end, const http_response &answer) {
+        if (exchange->isGone()) {
+            return;
+        }
+        const bool isAnswered = end.error == error_kind::None;
+        if (isAnswered && answer.fields.get(declinedField).empty()) {
+            m_hosts.worked(host);
+            m_metrics.counter("reedtrail_job_calls_forwarded_total", "Calls about batch jobs that their hosts answered").add();
+            exchange->respond({ answer.status, endToEndFields(answer.fields), answer.body });
+            return;
+        }
+        m_hosts.failed(m_loop.now(), host);
+        logLine(log_level::Info,
+                "job-host-passed-over",
+                { { "job", job },
+                  { "host", host },
+                  { "call", exchange->request().method },
+                  { "reason", isAnswered ? "declined" : end.detail },
+                  { "handed-over", end.isHandedOver ? "yes" : "no" } });
+        locally(!isAnswered && end.isHandedOver);
+    };
+    const std::shared_ptr<http_call> call = m_peers.call(*where, std::move(request), options, onAnswer);
+    exchange->onGone([weak = std::weak_ptr(call)] {
+        if (const auto running = weak.lock()) {
+            running->cancel();
+        }
+    });
+}
+
+bool job_forwarder::isForwarded(const http_request &request)
+{
+    return !request.fields.get(forwardedField).empty();
+}
+
+void job_forwarder::decline(const std::shared_ptr<http_exchange> &exchange)
+{
+    http_response response = textResponse(http_status::unavailable, "");
+    response.fields.set(declinedField, "1");
+    exchange->respond(std::move(response));
+}
+
+} // namespace reedtrail
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -4,6 +4,7 @@
 #include "edge/edge_context.h"
 #include "edge/fleet_view.h"
 #include "edge/job_desk.h"
+#include "edge/job_forwarder.h"
 #include "edge/order_service.h"
 #include "edge/peer_transport_service.h"
 #include "kernel/command_line.h"
@@ -30,6 +31,7 @@
         : m_loop(m_io)
         , m_storeConnections(m_io, storeOptions())
         , m_serverConnections(m_io, serverOptions())
+        , m_peerConnections(m_io, {})
         , m_transport(m_loop, m_storeConnections, settings)
         , m_store(m_io, m_transport)
         , m_context{ std::move(settings), std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,   m_store,
@@ -44,7 +46,7 @@
         auto fleet = std::make_unique<fleet_view>(m_context);
         auto desk = std::make_unique<job_desk>(m_context, *fleet);
         auto orders = std::make_unique<order_service>(m_context, *fleet);
-        auto callers = std::make_unique<caller_service>(m_context, *fleet, *desk);
+        auto callers = std::make_unique<caller_service>(m_context, *fleet, *desk, m_forwarder);
         m_context.storeCalls = [this] {
             return m_transport.directCalls();
         };
@@ -54,6 +56,12 @@
         auto peers = std::make_unique<peer_transport_service>(m_context.settings, m_loop, m_store, m_transport, [this] {
             m_context.lease->acquire([](store_lease_id) {});
         });
+        peers->onForwarded([callers = callers.get()](std::shared_ptr<http_exchange> exchange) {
+            callers->dispatchForwarded(std::move(exchange));
+        });
+        peers->onPeers([this](const std::map<std::string, store_peer> &known) {
+            takeNodes(known);
+        });
         m_context.lease->setNeed([orders = orders.get(), desk = desk.get(), peers = peers.get()] {
             return orders->needsLease() || desk->needsLease() || peers->servesPeers();
         });
@@ -96,6 +104,18 @@
         return options;
     }
 
+    /** Jobs run at some of the peers and this node. */
+    void takeNodes(const std::map<std::string, store_peer> &peers)
+    {
+        std::map<std::string, job_host> nodes;
+        for (const auto &[name, peer] : peers) {
+            nodes[name] = { peer.where, peer.zone, peer.processorShare };
+        }
+        const edge_settings &settings = m_context.settings;
+        nodes[settings.node] = { *settings.peers, settings.zone, settings.processorShare };
+        m_forwarder.hosts().setNodes(std::move(nodes));
+    }
+
     void awaitSignal()
     {
         m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
@@ -155,10 +175,12 @@
     asio_loop m_loop;
     http_client m_storeConnections;
     http_client m_serverConnections;
+    http_client m_peerConnections;
     detour_transport m_transport;
     edge_store m_store;
     metric_registry m_metrics;
     edge_context m_context;
+    job_forwarder m_forwarder{ m_loop, m_peerConnections, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
     boost::asio::signal_set m_signals;
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_transport_service.cpp
@@ -7,6 +7,7 @@
 #include "net/http_status.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace reedtrail {
 namespace {
@@ -30,6 +31,8 @@
 
 constexpr duration directPatience = std::chrono::milliseconds(700); // Twice what the slowest store that was seen takes; beyond it the lease would lapse.
 constexpr duration detourAllowance = std::chrono::milliseconds(300); // For the way to the peer and back.
+constexpr duration detourWait = std::chrono::milliseconds(1000); // Of a waiting read through a peer, after which it is sent anew by the way that is best
+                                                                 // then: the peer's own trouble must not last longer here than this node's own would.
 constexpr duration inTouchTime = std::chrono::milliseconds(850); // A renewal of the lease, each 0.6 s, and its way to a store that takes its time.
 constexpr double hubHoldShare = 0.25; // Of the bound for draining servers. A reader that stands still costs its followers the hold and the allowance for the
                                       // way, one that has lost the store costs them inTouchTime and the hold; with the pause between two reports, 0.45 of the
@@ -95,11 +98,7 @@
     call->body = std::move(body);
     call->timeout = timeout;
     call->onReply = std::move(onReply);
-    if (const auto peer = m_path.choose(m_loop.now())) {
-        goThrough(call, peer->first, peer->second);
-    } else {
-        goDirectly(call);
-    }
+    send(call);
     return [weak = std::weak_ptr(call)] {
         if (const auto waiting = weak.lock()) {
             waiting->isCancelled = true;
@@ -110,6 +109,15 @@
     };
 }
 
+void detour_transport::send(const std::shared_ptr<pending> &call)
+{
+    if (const auto peer = m_path.choose(m_loop.now())) {
+        goThrough(call, peer->first, peer->second);
+    } else {
+        goDirectly(call);
+    }
+}
+
 void detour_transport::goDirectly(const std::shared_ptr<pending> &call)
 {
     const duration limit = call->isWaiting() ? call->timeout : std::min(call->timeout, directPatience);
@@ -184,8 +192,8 @@
     request.body = call->body;
     http_call_options options;
     options.connectTimeout = detourAllowance;
-    options.silenceTimeout = call->timeout + detourAllowance;
-    options.deadline = call->timeout + detourAllowance;
+    options.deadline = call->isWaiting() ? detourWait : call->timeout + detourAllowance;
+    options.silenceTimeout = options.deadline;
     const auto started = m_client.call(where, std::move(request), options, [this, call, peer](const http_call_end &end, const http_response &response) {
         if (!call->isCancelled) {
             detourEnded(call, peer, end, response);
@@ -201,6 +209,10 @@
 void detour_transport::detourEnded(const std::shared_ptr<pending> &call, const std::string &peer, const http_call_end &end, const http_response &response)
 {
     const time_point now = m_loop.now();
+    if (call->isWaiting() && end.isHandedOver && (end.error == error_kind::DeadlineExceeded || end.error == error_kind::ServerSilent)) {
+        send(call);
+        return;
+    }
     const bool isAnswered = end.error == error_kind::None;
     const bool isNotDone = isAnswered ? response.status == statusNotDone : !end.isHandedOver;
     const bool isUnknown = isAnswered ? response.status == statusNoAnswer : end.isHandedOver;
@@ -388,6 +400,7 @@
     }
     http_server_options options;
     options.address = *m_settings.peers;
+    options.maximumBodyBytes = largestCallerBody;
     m_server = std::make_unique<http_server>(m_loop.io(), options, [this](std::shared_ptr<http_exchange> exchange) {
         callForPeer(std::move(exchange));
     });
@@ -407,6 +420,7 @@
     };
     handlers.onCaughtUp = [this] {
         m_transport.path().setPeers(m_peers);
+        m_onPeers(m_peers);
     };
     prefix_mirror_options paced;
     paced.reportInterval = std::chrono::seconds(2); // Nodes come and go in groups, and a peer is needed only when the store is away.
@@ -436,10 +450,16 @@
     }
 }
 
+/** What stands in the store of this node: where it is, its zone, its processor share. */
+std::string peer_transport_service::encodeNode() const
+{
+    return m_settings.peers->text() + " " + m_settings.zone + " " + std::to_string(m_settings.processorShare);
+}
+
 void peer_transport_service::announce()
 {
     store_txn txn;
-    txn.onSuccess.push_back(store_put{ std::string(nodesPrefix) + m_settings.node, m_settings.peers->text() + " " + m_settings.zone, 0 });
+    txn.onSuccess.push_back(store_put{ std::string(nodesPrefix) + m_settings.node, encodeNode(), 0 });
     m_store.txn(txn, [this](const store_txn_answer &answer) {
         if (answer.error && !m_isLeaving) {
             m_loop.after(announceRetry, [this] {
@@ -457,10 +477,13 @@
         return;
     }
     const std::optional<failure> error = failureOf([&]() -> result<void> {
-        const std::size_t space = event.item.value.find(' ');
-        BOOST_LEAF_AUTO(where, parseEndpoint(std::string_view(event.item.value).substr(0, space)));
+        std::istringstream words(event.item.value);
+        std::string address;
+        store_peer peer;
+        words >> address >> peer.zone >> peer.processorShare; // What is missing stays unknown.
+        BOOST_LEAF_ASSIGN(peer.where, parseEndpoint(address));
         if (name != m_settings.node) {
-            m_peers[name] = { where, space == std::string::npos ? "" : event.item.value.substr(space + 1) };
+            m_peers[name] = std::move(peer);
         }
         return {};
     });
@@ -472,6 +495,10 @@
 void peer_transport_service::callForPeer(std::shared_ptr<http_exchange> exchange)
 {
     const http_request &request = exchange->request();
+    if (job_forwarder::isForwarded(request)) {
+        m_onForwarded(std::move(exchange));
+        return;
+    }
     const std::string method(request.fields.get(methodField));
     const std::string target(request.fields.get(targetField));
     const long timeoutMs = std::strtol(std::string(request.fields.get(timeoutField)).c_str(), nullptr, 10);
--- a/edge/peer_transport_service.h
+++ b/edge/peer_transport_service.h
@@ -6,6 +6,7 @@
 
 #include "edge/asio_loop.h"
 #include "edge/edge_settings.h"
+#include "edge/job_forwarder.h"
 #include "fleet/prefix_mirror.h"
 #include "fleet/store_path.h"
 #include "fleet/watch_hub.h"
@@ -77,6 +78,7 @@
     void pollForHub(const std::string &prefix, store_revision after);
     void hubPolled(const std::string &prefix, const reply &answer);
     void dropWaitingCalls();
+    void send(const std::shared_ptr<pending> &call);
     void goDirectly(const std::shared_ptr<pending> &call);
     void goThrough(const std::shared_ptr<pending> &call, const std::string &peer, const endpoint &where);
     void directEnded(const std::shared_ptr<pending> &call, const reply &answer);
@@ -102,6 +104,17 @@
     peer_transport_service(
         const edge_settings &settings, asio_loop &loop, platform::key_value_store &store, detour_transport &transport, std::function<void()> keepInTouch);
 
+    /** Sets what takes the peers, by name, whenever they change. */
+    void onPeers(std::function<void(const std::map<std::string, store_peer> &)> action)
+    {
+        m_onPeers = std::move(action);
+    }
+    /** Sets what answers callers' calls that peers pass on to this node. */
+    void onForwarded(std::function<void(std::shared_ptr<http_exchange>)> action)
+    {
+        m_onForwarded = std::move(action);
+    }
+
     result<void> start(kernel &process) override;
     void drain(std::function<void()> done) override;
     void stop() override;
@@ -110,6 +123,7 @@
     bool servesPeers() const;
 
 private:
+    std::string encodeNode() const;
     void announce();
     void takePeer(const store_watch_event &event);
     void callForPeer(std::shared_ptr<http_exchange> exchange);
@@ -123,6 +137,8 @@
     std::shared_ptr<prefix_mirror<platform::key_value_store, asio_loop>> m_mirror;
     std::map<std::string, store_peer> m_peers;
     std::function<void()> m_keepInTouch;
+    std::function<void(const std::map<std::string, store_peer> &)> m_onPeers = [](const auto &) {};
+    std::function<void(std::shared_ptr<http_exchange>)> m_onForwarded = &job_forwarder::decline;
     time_point m_askedAt;
     bool m_isLeaving = false;
 };
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -216,7 +216,7 @@
     }
     http_response response;
     response.status = m_answer.status;
-    response.fields = platform::callerFields(m_response.fields);
+    response.fields = endToEndFields(m_response.fields);
     response.body = std::move(m_response.body);
     answer(std::move(response), "answered");
 }
@@ -263,7 +263,7 @@
             m_hasStreamStarted = true;
             http_response head;
             head.status = m_answer.status;
-            head.fields = platform::callerFields(m_response.fields);
+            head.fields = endToEndFields(m_response.fields);
             m_exchange->startStream(std::move(head));
         }
         m_lastEvent = event.id.empty() ? m_lastEvent : event.id;
@@ -278,7 +278,7 @@
         if (!m_hasStreamStarted) {
             http_response response;
             response.status = m_answer.status;
-            response.fields = platform::callerFields(m_response.fields);
+            response.fields = endToEndFields(m_response.fields);
             answer(std::move(response), "answered");
             return;
         }
--- /dev/null
+++ b/edge/testing/detour_transport_test.cpp
@@ -0,0 +1,93 @@
+#include "edge/peer_transport_service.h"
+
+#include <gtest/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration longPoll = 15s;
+
+/** A node that the store turns away, a store, and a peer. */
+struct detour_fixture
+{
+    detour_fixture()
+    {
+        settings.node = "node-1";
+        settings.zone = "zone-1";
+        settings.store = store;
+    }
+
+    /** Has the node take the way through the peer, as after two calls that the store has turned away. */
+    void loseStore(detour_transport &transport)
+    {
+        transport.path().setPeers({ { "node-2", { peer, "zone-2" } } });
+        transport.path().directEnded(loop.now(), false);
+        transport.path().directEnded(loop.now(), false);
+        ASSERT_TRUE(transport.path().isOnDetour(loop.now()));
+    }
+
+    boost::asio::io_context io;
+    asio_loop loop{ io };
+    http_client client{ io, {} };
+    edge_settings settings;
+    endpoint store{ "127.0.0.1", 29891 };
+    endpoint peer{ "127.0.0.1", 29892 };
+};
+
+TEST(detour_transport_test, pollThroughAPeerThatHasFallenSilentIsSentAnew)
+{
+    detour_fixture fixture;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    http_server peer(fixture.io, { .address = fixture.peer }, [&](std::shared_ptr<http_exchange> exchange) {
+        unanswered.push_back(std::move(exchange));
+    });
+    http_server store(fixture.io, { .address = fixture.store }, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->respond(textResponse(200, "from the store"));
+    });
+    ASSERT_TRUE(peer.start());
+    ASSERT_TRUE(store.start());
+    detour_transport transport(fixture.loop, fixture.client, fixture.settings);
+    fixture.loseStore(transport);
+    std::string body;
+    transport.call("GET", "/poll", "", longPoll, [&](const platform::store_transport::reply &reply) {
+        body = reply.body;
+        fixture.io.stop();
+    });
+    fixture.io.run_for(longPoll / 2);
+    EXPECT_EQ(body, "from the store") << "the poll must not rest on the silent peer for as long as it may wait";
+    EXPECT_FALSE(unanswered.empty());
+}
+
+TEST(detour_transport_test, writeWithoutAnswerFromThePeerIsNotSentAnew)
+{
+    detour_fixture fixture;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    int storeCalls = 0;
+    http_server peer(fixture.io, { .address = fixture.peer }, [&](std::shared_ptr<http_exchange> exchange) {
+        unanswered.push_back(std::move(exchange));
+    });
+    http_server store(fixture.io, { .address = fixture.store }, [&](const std::shared_ptr<http_exchange> &exchange) {
+        ++storeCalls;
+        exchange->respond(textResponse(200, ""));
+    });
+    ASSERT_TRUE(peer.start());
+    ASSERT_TRUE(store.start());
+    detour_transport transport(fixture.loop, fixture.client, fixture.settings);
+    fixture.loseStore(transport);
+    std::optional<platform::store_transport::reply> answer;
+    transport.call("POST", "/write", "{}", 500ms, [&](const platform::store_transport::reply &reply) {
+        answer = reply;
+        fixture.io.stop();
+    });
+    fixture.io.run_for(10s);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->isAnswered);
+    EXPECT_TRUE(answer->isHandedOver);
+    EXPECT_EQ(unanswered.size(), 1U);
+    EXPECT_EQ(storeCalls, 0);
+}
+
+} // namespace
+} // namespace reedtrail
--- a/fleet/store_path.h
+++ b/fleet/store_path.h
@@ -36,6 +36,7 @@
 {
     endpoint where;
     std::string zone;
+    double processorShare = 0; ///< Of a core; 0 if unknown.
 };
 
 /** The choice. */
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -3,11 +3,24 @@
 #include "net/http_message.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 namespace reedtrail {
 namespace {
 
+constexpr std::array<std::string_view, 9> connectionFields{ "connection",        "keep-alive", "proxy-authenticate", "proxy-connection", "te", "trailer",
+                                                            "transfer-encoding", "upgrade",    "content-length" };
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::ranges::transform(lower, lower.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::tolower(letter));
+    });
+    return lower;
+}
+
 bool sameName(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
@@ -97,4 +110,17 @@
     return { status, { { "Content-Type", "text/plain; charset=utf-8" } }, std::move(body) };
 }
 
+http_fields endToEndFields(const http_fields &fields)
+{
+    const std::string named = lowerCase(fields.get("Connection"));
+    http_fields kept;
+    for (const http_field &field : fields.all()) {
+        const std::string name = lowerCase(field.name);
+        if (std::ranges::find(connectionFields, name) == connectionFields.end() && named.find(name) == std::string::npos) {
+            kept.add(field.name, field.value);
+        }
+    }
+    return kept;
+}
+
 } // namespace reedtrail
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -48,6 +48,9 @@
     std::vector<http_field> m_fields;
 };
 
+/** Returns the fields that concern more than one connection, for a message that is passed on. */
+http_fields endToEndFields(const http_fields &fields);
+
 /** A request. */
 struct http_request
 {
