A zone whose servers have fallen silent is left alone until it is heard

Change: two servers of a zone that fall silent, with nothing heard from the zone in between, make it suspect for 3 s after the last one. Requests go to other zones as long as a server there could serve them at all, and runs in the suspect zone that wait for their first word are given up after 1 s.

--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -15,6 +15,7 @@
 
 constexpr duration runLimit = std::chrono::seconds(60); // No text takes longer; a run that hangs is found by its silence long before.
 constexpr duration firstEventLimit = std::chrono::milliseconds(2500); // Queueing at the server included: a load of weights takes 0.9 s, three in a row 2.7.
+constexpr duration connectLimit = std::chrono::milliseconds(400); // A hundred times the way between zones and the time that a server takes for it.
 constexpr duration silenceLeast = std::chrono::milliseconds(1000); // Between events; servers that are slow by the usual four times take 0.2 s.
 constexpr double silenceFactor = 8; // The same in times of the server's own pace.
 constexpr std::size_t eventsBeforeMove = 3; // Of a run, so that the pace of its server is known from it too.
@@ -196,7 +197,7 @@
     started->lastActivity = now;
     m_fleet.backends().started(server.id);
     http_call_options options;
-    options.connectTimeout = std::min<duration>(options.connectTimeout, limit);
+    options.connectTimeout = std::min(connectLimit, limit);
     options.silenceTimeout = limit;
     options.deadline = limit;
     const auto guarded = [weak = weak_from_this(), weakRun = std::weak_ptr(started)](auto action) {
@@ -230,6 +231,7 @@
 {
     current.answer = platform::decodeAnswer(head);
     current.lastActivity = m_context.loop.now();
+    m_fleet.backends().heard(current.server);
     const std::string &expected = current.isScore ? m_progress.item(current.item).score->id : m_progress.item(current.item).id;
     if (!current.answer.isNotRun && current.answer.requestId != expected) {
         current.isBadAnswer = true;
@@ -247,6 +249,7 @@
 void job_worker::gotBody(run &current, std::string_view part)
 {
     const time_point now = m_context.loop.now();
+    m_fleet.backends().heard(current.server);
     if (current.isScore || current.answer.status != http_status::ok || current.isBadAnswer) {
         return;
     }
@@ -287,6 +290,18 @@
     pump();
 }
 
+/** A connection that is refused or reset comes from the server or its machine; one that does not come about, or brings nothing, from nobody. */
+void job_worker::noteBroken(time_point now, const run &ended, const http_call_end &end)
+{
+    const bool hadNoConnection = end.error == error_kind::NoServer && now - ended.startedAt >= connectLimit;
+    const bool hadNoAnswer = !end.hasHead && (end.error == error_kind::ServerSilent || end.error == error_kind::DeadlineExceeded);
+    if (ended.isSilent || hadNoConnection || hadNoAnswer) {
+        m_fleet.backends().fellSilent(now, ended.server);
+    } else {
+        m_fleet.backends().broke(now, ended.server);
+    }
+}
+
 void job_worker::itemEnded(time_point now, run &ended, const http_call_end &end)
 {
     backend_table &backends = m_fleet.backends();
@@ -317,7 +332,7 @@
         return;
     }
     logRun(ended, "broken", end.error == error_kind::None ? "status " + std::to_string(status) : end.detail);
-    backends.broke(now, ended.server);
+    noteBroken(now, ended, end);
     m_progress.runFailed(now, ended.item, run_failure::Broken, retryAfterBreak);
 }
 
@@ -343,7 +358,7 @@
     } else if (isWhole && status == http_status::internalError) {
         m_progress.scoringFailed(now, ended.item, run_failure::Failed, retryAfterFailure);
     } else {
-        backends.broke(now, ended.server);
+        noteBroken(now, ended, end);
         m_progress.scoringFailed(now, ended.item, run_failure::Broken, retryAfterBreak);
     }
 }
@@ -358,11 +373,13 @@
         }
         const duration pace = m_fleet.backends().pace(now, current->server);
         const duration between = std::max(silenceLeast, fromSeconds(toSeconds(pace) * silenceFactor));
-        if (now - current->lastActivity > (current->eventCount > 0 ? between : firstEventLimit)) {
+        const bool isDue = current->eventCount > 0 || m_fleet.backends().isZoneSuspect(now, current->server);
+        if (now - current->lastActivity > (isDue ? between : firstEventLimit)) {
             silent.push_back(current);
         }
     }
     for (const auto &current : silent) {
+        current->isSilent = true;
         breakOff(*current, "the server is silent");
     }
 }
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -65,6 +65,7 @@
         time_point lastActivity;
         time_point startedAt;
         bool isScore = false;
+        bool isSilent = false; ///< Broken off here because nothing came.
         bool isMoving = false; ///< Broken off here to go on at a faster server.
         std::string errorBody;
     };
@@ -81,6 +82,7 @@
     void runEnded(const std::shared_ptr<run> &ended, const http_call_end &end);
     void itemEnded(time_point now, run &ended, const http_call_end &end);
     void scoreEnded(time_point now, run &ended, const http_call_end &end);
+    void noteBroken(time_point now, const run &ended, const http_call_end &end);
     void breakOff(run &current, const char *reason);
     void checkSilence(time_point now);
     void leaveSlowServers(time_point now);
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -145,6 +145,7 @@
 {
     m_response = head;
     m_answer = platform::decodeAnswer(head);
+    m_fleet.backends().heard(m_server.id);
     if (m_answer.serverLoad) {
         m_fleet.backends().loadSeen(m_context.loop.now(), m_server.id, m_answer.serverLoad->running, m_answer.serverLoad->waiting);
     }
@@ -170,7 +171,8 @@
     noteServerEnd();
     const time_point now = m_context.loop.now();
     if (end.error != error_kind::None) {
-        m_fleet.backends().broke(now, m_server.id);
+        const bool isSilent = !end.hasHead && (end.error == error_kind::ServerSilent || end.error == error_kind::DeadlineExceeded);
+        isSilent ? m_fleet.backends().fellSilent(now, m_server.id) : m_fleet.backends().broke(now, m_server.id);
         if (!end.isHandedOver) {
             ++m_refusals;
             logLine(log_level::Info, "attempt-not-sent", { { "request", m_call.id }, { "server", m_server.id }, { "reason", end.detail } });
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -37,10 +37,11 @@
 std::optional<backend_choice> backend_table::choose(time_point now, const backend_wish &wish)
 {
     const double typical = std::max(1e-3, toSeconds(typicalPace(now, wish.service)));
+    const bool avoidsSuspects = hasFitInSoundZone(now, wish);
     std::optional<backend_choice> best;
     double bestTime = 0;
     for (const auto &[id, place] : m_rows) {
-        if (!mayTake(now, id, place, wish)) {
+        if (!mayTake(now, id, place, wish) || (avoidsSuspects && isSuspect(now, place))) {
             continue;
         }
         const double time = expectedTime(now, id, place, wish, typical) * m_random.uniform(1, 1 + m_options.drawnPart);
@@ -59,17 +60,37 @@
     return best;
 }
 
+/** Tells whether the server could take the request at some time: it is of the service, and its weights fit. */
+bool backend_table::hasFit(const row &place, const backend_wish &wish) const
+{
+    if (!place.isListed || place.service != wish.service) {
+        return false;
+    }
+    const auto version = place.versions.find(wish.model);
+    return wish.model.empty() || (version != place.versions.end() && version->second >= wish.minVersion);
+}
+
+/** A node that is cut off itself hears from its own zone only, and with nothing else to choose from suspicion is of no use. */
+bool backend_table::hasFitInSoundZone(time_point now, const backend_wish &wish) const
+{
+    return std::ranges::any_of(m_rows, [&](const auto &each) {
+        return hasFit(each.second, wish) && !isSuspect(now, each.second);
+    });
+}
+
+bool backend_table::isSuspect(time_point now, const row &place) const
+{
+    const auto zone = m_zones.find(place.zone);
+    return zone != m_zones.end() && zone->second.suspectUntil > now;
+}
+
 bool backend_table::mayTake(time_point now, std::string_view id, const row &place, const backend_wish &wish) const
 {
     const bool isPaused = place.pausedUntil > now && !wish.ignoresPauses;
-    if (!place.isListed || place.service != wish.service || isPaused || std::ranges::find(wish.avoided, id) != wish.avoided.end()) {
+    if (!hasFit(place, wish) || isPaused || std::ranges::find(wish.avoided, id) != wish.avoided.end()) {
         return false;
     }
     if (!wish.model.empty()) {
-        const auto version = place.versions.find(wish.model);
-        if (version == place.versions.end() || version->second < wish.minVersion) {
-            return false;
-        }
         const auto probe = place.probedModels.find(wish.model);
         if (probe != place.probedModels.end() && probe->second > now) {
             return false;
@@ -110,7 +131,8 @@
     }
     return std::ranges::any_of(m_rows, [&](const auto &other) {
         const double otherPace = knownPace(now, other.second);
-        return other.first != id && otherPace > 0 && otherPace * m_options.moveFactor < pace && mayTake(now, other.first, other.second, wish);
+        return other.first != id && otherPace > 0 && otherPace * m_options.moveFactor < pace && mayTake(now, other.first, other.second, wish)
+            && !isSuspect(now, other.second);
     });
 }
 
@@ -175,6 +197,33 @@
     }
 }
 
+void backend_table::fellSilent(time_point now, std::string_view id)
+{
+    broke(now, id);
+    if (const row *place = find(id)) {
+        zone_row &zone = m_zones[place->zone];
+        zone.silent.emplace(id);
+        if (zone.silent.size() >= m_options.silentServers) {
+            zone.suspectUntil = now + m_options.suspicion;
+        }
+    }
+}
+
+void backend_table::heard(std::string_view id)
+{
+    const row *place = find(id);
+    const auto zone = place == nullptr ? m_zones.end() : m_zones.find(place->zone);
+    if (zone != m_zones.end()) {
+        m_zones.erase(zone);
+    }
+}
+
+bool backend_table::isZoneSuspect(time_point now, std::string_view id) const
+{
+    const auto found = m_rows.find(id);
+    return found != m_rows.end() && isSuspect(now, found->second);
+}
+
 void backend_table::versionSeen(std::string_view id, std::string_view model, std::uint64_t version)
 {
     if (row *place = find(id)) {
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +40,8 @@
     duration longestPause = std::chrono::seconds(3); ///< A registration without a living server lapses after three heartbeats.
     duration refusalPause = std::chrono::milliseconds(150); ///< Before a server that refused is asked again; loading weights takes about a second.
     double moveFactor = 1.8; ///< A stream leaves a server this many times slower than another: full and empty servers differ by 1.35.
+    std::size_t silentServers = 2; ///< Of a zone, in a row, that make it suspect; one may have ended.
+    duration suspicion = std::chrono::milliseconds(3000); ///< After the last silent server; registrations of a zone that is cut lapse 3.6 s after the cut.
     duration loadMemory = std::chrono::milliseconds(500); ///< How long a server's own word on its load is believed.
 };
 
@@ -98,6 +101,12 @@
     void accepted(std::string_view id, std::string_view model);
     /** A request broke at the server. */
     void broke(time_point now, std::string_view id);
+    /** A server that should have said something by now has not: a request at it is broken, or no connection came about. */
+    void fellSilent(time_point now, std::string_view id);
+    /** The server said something. */
+    void heard(std::string_view id);
+    /** Tells whether the server's zone seems to be cut off. */
+    bool isZoneSuspect(time_point now, std::string_view id) const;
     /** The server told its version of a model. */
     void versionSeen(std::string_view id, std::string_view model, std::uint64_t version);
     /** The server told its load. */
@@ -129,6 +138,15 @@
         int breaks = 0; ///< In a row.
         time_point pausedUntil;
     };
+    /** What was heard of a zone. */
+    struct zone_row
+    {
+        std::set<std::string, std::less<>> silent; ///< Servers that fell silent since anything was heard.
+        time_point suspectUntil;
+    };
+    bool isSuspect(time_point now, const row &place) const;
+    bool hasFit(const row &place, const backend_wish &wish) const;
+    bool hasFitInSoundZone(time_point now, const backend_wish &wish) const;
     bool mayTake(time_point now, std::string_view id, const row &place, const backend_wish &wish) const;
     double load(time_point now, const row &place) const;
     double expectedTime(time_point now, std::string_view id, const row &place, const backend_wish &wish, double typical) const;
@@ -139,6 +157,7 @@
     random_source m_random;
     std::function<bool(const endpoint &)> m_hasConnection;
     std::map<std::string, row, std::less<>> m_rows;
+    std::map<std::string, zone_row, std::less<>> m_zones;
 };
 
 } // namespace reedtrail
--- a/routing/testing/backend_table_test.cpp
+++ b/routing/testing/backend_table_test.cpp
@@ -192,6 +192,69 @@
     EXPECT_EQ(choose(wish()), "s0");
 }
 
+/**
+ * A zone is cut off while a job's last texts run: a third of the servers say nothing, and each costs whoever asks it two and a half seconds. Without the zone
+ * in mind each server of it is asked again and again.
+ */
+TEST_F(backend_table_test, zoneWhoseServersFellSilentIsLeftAloneUntilItIsHeard)
+{
+    entries.clear();
+    for (int i = 0; i < 9; ++i) {
+        server_entry entry;
+        entry.id = "s" + std::to_string(i);
+        entry.service = "engines";
+        entry.zone = "zone-" + std::to_string(i % 3);
+        entry.slots = 4;
+        entry.startedAt = 1;
+        entry.modelVersions["m"] = 5;
+        entries.push_back(entry);
+    }
+    refresh();
+    table.fellSilent(now, "s0");
+    EXPECT_FALSE(table.isZoneSuspect(now, "s3")) << "one server may have ended";
+    table.fellSilent(now, "s6");
+    EXPECT_TRUE(table.isZoneSuspect(now, "s3"));
+    EXPECT_FALSE(table.isZoneSuspect(now, "s1"));
+    const auto asked = [&](duration after) {
+        std::set<std::string> zones;
+        for (int i = 0; i < 24; ++i) {
+            const std::string id = choose(wish());
+            if (!id.empty()) {
+                zones.insert("zone-" + std::to_string((id.back() - '0') % 3));
+                table.started(id);
+            }
+        }
+        for (const server_entry &entry : entries) {
+            while (table.running(entry.id) > 0) {
+                table.ended(entry.id);
+            }
+        }
+        now += after;
+        return zones;
+    };
+    EXPECT_EQ(asked(2900ms), (std::set<std::string>{ "zone-1", "zone-2" })) << "also when the others are full";
+    EXPECT_EQ(asked(200ms), (std::set<std::string>{ "zone-1", "zone-2" }));
+    EXPECT_EQ(asked(0ms).size(), 3U) << "suspicion ends by itself";
+    table.fellSilent(now, "s0");
+    table.fellSilent(now, "s3");
+    EXPECT_TRUE(table.isZoneSuspect(now, "s6"));
+    table.heard("s6");
+    EXPECT_FALSE(table.isZoneSuspect(now, "s6"));
+    // One more is no evidence after the zone was heard.
+    table.fellSilent(now, "s0");
+    EXPECT_FALSE(table.isZoneSuspect(now, "s6"));
+}
+
+TEST_F(backend_table_test, nodeThatHearsNoZoneAsksThemAll)
+{
+    for (const char *id : { "s0", "s1", "s2" }) {
+        table.fellSilent(now, id);
+    }
+    now += 1s;
+    ASSERT_TRUE(table.isZoneSuspect(now, "s1"));
+    EXPECT_EQ(choose(wish(7)), "s2") << "no server in a sound zone has the version";
+}
+
 TEST_F(backend_table_test, avoidedAndUnregisteredServersAreNotChosen)
 {
     const std::vector<std::string> tried{ "s0" };
