Models with more work get more servers

The servers were shared evenly among the models. Change: an accepted job leaves the expected tokens of its model in the store, in the transaction that records it; the node that orders weights reads these each 8 s and gives each model a share of the servers that is even for 0.3 and goes by smoothed demand for the rest. A server moves only when two shares differ by two servers. Until all models have had a job the shares are even, as before. Tests: replay of the four bursts (slowest burst under 0.85 of that with even shares), demand that varies by a fifth moves at most two servers.

--- a/batch/job_store.cpp
+++ b/batch/job_store.cpp
@@ -109,6 +109,11 @@
     return std::string("reedtrail/draft/").append(job);
 }
 
+std::string demand(std::string_view model)
+{
+    return std::string(demandPrefix).append(model);
+}
+
 } // namespace job_key
 
 std::optional<store_txn>
@@ -119,14 +124,24 @@
     }
     store_txn txn;
     txn.compares.push_back(store_compare::absent(job_key::facts(job)));
-    txn.onSuccess.push_back(store_put{ job_key::facts(job), encode({ facts.host, facts.path, facts.submittedAtMs }), 0 });
+    txn.onSuccess.push_back(store_put{ job_key::facts(job), encode({ facts.host, facts.path, facts.submittedAtMs, facts.model, facts.expectedTokens }), 0 });
     for (std::size_t part = 0; part * documentPartBytes < document.size(); ++part) {
         txn.onSuccess.push_back(store_put{ job_key::documentPart(job, part), std::string(document.substr(part * documentPartBytes, documentPartBytes)), 0 });
     }
+    if (!facts.model.empty() && facts.expectedTokens > 0) {
+        txn.onSuccess.push_back(store_put{ job_key::demand(facts.model), std::to_string(facts.expectedTokens), 0 });
+    }
     txn.onSuccess.push_back(store_put{ job_key::owner(job), encode(owner), lease });
     return txn;
 }
 
+std::optional<double> decodeDemand(std::string_view value)
+{
+    double tokens = 0;
+    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), tokens);
+    return parsed.ec == std::errc() && tokens > 0 ? std::optional(tokens) : std::nullopt;
+}
+
 store_txn claimTransaction(std::string_view job, store_revision seenRevision, const job_owner_record &owner, store_lease_id lease)
 {
     store_txn txn;
@@ -217,7 +232,11 @@
     try {
         if (rest == "facts") {
             const nlohmann::json row = decode(item.value);
-            m_facts = job_facts{ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::int64_t>() };
+            m_facts = job_facts{ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::int64_t>(), "", 0 };
+            if (row.size() > 4) { // Earlier releases left them out.
+                m_facts->model = row.at(3).get<std::string>();
+                m_facts->expectedTokens = row.at(4).get<double>();
+            }
         } else if (rest == "state/owner") {
             m_owner = decode(item.value).get<job_owner_record>();
             m_ownerRevision = item.modRevision;
--- a/batch/job_store.h
+++ b/batch/job_store.h
@@ -8,6 +8,7 @@
  *     reedtrail/job/ID/state/owner  job_owner_record under the owner's lease; gone when nobody runs the job
  *     reedtrail/job/ID/state/end    present once the caller has ended the job
  *     reedtrail/draft/ID            texts under way, rewritten by the owner now and then; apart from the rest so that readers are not told of each change
+ *     reedtrail/demand/MODEL        expected tokens of the newest job of a model; tells who orders weights how many servers the model needs
  *
  * Safety rests on the transactions alone: a job is created only where no facts are, and a batch of results only where its key is absent and the owner key is
  * as the writer knows it. Clocks and leases decide how soon a job goes on after a loss, never whether a position may hold two results.
@@ -45,16 +46,20 @@
 std::string resultBatch(std::string_view job, std::size_t batch);
 std::string end(std::string_view job);
 std::string drafts(std::string_view job);
+std::string demand(std::string_view model);
+inline constexpr std::string_view demandPrefix = "reedtrail/demand/";
 } // namespace job_key
 
 /** Longest part of a document in one value: the store's bound for a value less room for its encoding. */
 inline constexpr std::size_t documentPartBytes = 700U << 10U;
-/** Most parts in the transaction that accepts a job: 32 entries less those for facts and owner, with room to spare. */
+/** Most parts in the transaction that accepts a job: 32 entries less those for facts, demand and owner, with room to spare. */
 inline constexpr std::size_t maximumDocumentParts = 24;
 
 /** Accepts a job for the owner that writes it. @return nothing if the document is too large */
 std::optional<store_txn>
 acceptTransaction(std::string_view job, const job_facts &facts, std::string_view document, const job_owner_record &owner, store_lease_id lease);
+/** Reads the expected tokens of a demand key. @return nothing if it cannot be read */
+std::optional<double> decodeDemand(std::string_view value);
 /** Takes a job whose owner key is at @p seenRevision, 0 if it is absent. */
 store_txn claimTransaction(std::string_view job, store_revision seenRevision, const job_owner_record &owner, store_lease_id lease);
 /** Gives a job back, so that another node can take it at once. */
--- a/batch/job_types.h
+++ b/batch/job_types.h
@@ -53,6 +53,8 @@
     std::string host;
     std::string path; ///< To which it was submitted; both lead to its route.
     std::int64_t submittedAtMs = 0; ///< Unix milliseconds, by the clock of the VM that accepted it.
+    std::string model; ///< Of all its items; empty if they have several.
+    double expectedTokens = 0; ///< Of all its items together, as the caller guesses.
 };
 
 /** A text that is not recorded as a result yet, so that another node can go on with it. */
--- a/batch/testing/job_session_test.cpp
+++ b/batch/testing/job_session_test.cpp
@@ -137,6 +137,18 @@
     EXPECT_EQ(second.session->image().document(), "document");
 }
 
+TEST_F(job_session_test, whatAJobAsksOfItsModelIsRecordedBesideIt)
+{
+    first.session->accept({ "host", "/path/", 7, "model", 1234.5 }, "document", [](accept_outcome) {});
+    run(1s);
+    EXPECT_EQ(decodeDemand(store.peek(job_key::demand("model")).value().value), 1234.5);
+    EXPECT_EQ(load(second), load_outcome::Present);
+    EXPECT_EQ(second.session->image().facts().model, "model");
+    EXPECT_EQ(second.session->image().facts().expectedTokens, 1234.5);
+    EXPECT_FALSE(decodeDemand("many"));
+    EXPECT_FALSE(decodeDemand("-3"));
+}
+
 TEST_F(job_session_test, unknownJobIsAbsentOnlyIfTheStoreSaysSo)
 {
     EXPECT_EQ(load(first), load_outcome::Absent);
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -164,8 +164,12 @@
         return;
     }
     place->total = spec->items.size();
+    double expectedTokens = 0;
+    for (const job_item &item : spec->items) {
+        expectedTokens += item.expectedTokens;
+    }
+    const job_facts facts{ std::string(request.fields.get("Host")), std::string(request.path()), unixMilliseconds(), spec->model, expectedTokens };
     place->spec = std::move(spec);
-    const job_facts facts{ std::string(request.fields.get("Host")), std::string(request.path()), unixMilliseconds() };
     place->session->accept(facts, request.body, [this, exchange, place, job, mayBeRecorded, startedAt = m_context.loop.now()](accept_outcome outcome) {
         const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.loop.now() - startedAt).count();
         logLine(
--- a/edge/order_service.cpp
+++ b/edge/order_service.cpp
@@ -1,5 +1,6 @@
 #include "edge/order_service.h"
 
+#include "batch/job_store.h"
 #include "kernel/log.h"
 #include "platform/fleet_wire.h"
 #include "platform/server_wire.h"
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr duration workInterval = std::chrono::milliseconds(100); // While this node holds the duty: a named version waits no longer than that.
+constexpr duration demandInterval = std::chrono::seconds(8); // Between reads of what jobs ask of their models: two jobs of each trainer.
 constexpr duration reportLimit = std::chrono::milliseconds(500); // Of a report; servers answer it without a slot.
 
 } // namespace
@@ -49,15 +51,14 @@
 {
     if (!m_duty->isHolder()) {
         if (m_versions) {
-            m_versions->stop();
-            m_retirements->stop();
-            m_versions.reset();
-            m_retirements.reset();
+            for (const auto &each : { std::exchange(m_versions, nullptr), std::exchange(m_retirements, nullptr), std::exchange(m_demands, nullptr) }) {
+                each->stop();
+            }
         }
         return;
     }
     if (!m_versions) {
-        const auto follow = [this](std::string_view prefix, void (order_service::*take)(const store_key_value &)) {
+        const auto follow = [this](std::string_view prefix, void (order_service::*take)(const store_key_value &), duration reportInterval) {
             prefix_mirror_handlers handlers;
             handlers.onListing = [this, take](std::span<const store_key_value> items) {
                 for (const store_key_value &item : items) {
@@ -71,12 +72,14 @@
             };
             prefix_mirror_options options;
             options.isShared = false; // Only the holder of the duty follows it.
+            options.reportInterval = reportInterval;
             const auto made = std::make_shared<mirror>(m_context.store, m_context.loop, std::string(prefix), options, handlers);
             made->start();
             return made;
         };
-        m_versions = follow(platform::namedVersionsPrefix, &order_service::takeVersion);
-        m_retirements = follow(platform::retirementsPrefix, &order_service::takeRetirement);
+        m_versions = follow(platform::namedVersionsPrefix, &order_service::takeVersion, duration::zero());
+        m_retirements = follow(platform::retirementsPrefix, &order_service::takeRetirement, duration::zero());
+        m_demands = follow(job_key::demandPrefix, &order_service::takeDemand, demandInterval);
     }
     fleetChanged();
     scheduleWork();
@@ -96,6 +99,18 @@
     work();
 }
 
+void order_service::takeDemand(const store_key_value &item)
+{
+    const std::string model = item.key.substr(job_key::demandPrefix.size());
+    const std::optional<double> tokens = decodeDemand(item.value);
+    if (!tokens) {
+        logLine(log_level::Warning, "demand-unreadable", { { "key", item.key }, { "revision", std::to_string(item.modRevision) } });
+        return;
+    }
+    logLine(log_level::Info, "model-demand", { { "model", model }, { "tokens", item.value }, { "revision", std::to_string(item.modRevision) } });
+    m_planner.setDemand(model, *tokens);
+}
+
 /** Nothing of reedtrail lies on a storage machine, so each may go as soon as it is asked for. */
 void order_service::takeRetirement(const store_key_value &item)
 {
--- a/edge/order_service.h
+++ b/edge/order_service.h
@@ -39,6 +39,7 @@
     void dutyChanged();
     void takeVersion(const store_key_value &item);
     void takeRetirement(const store_key_value &item);
+    void takeDemand(const store_key_value &item);
     void fleetChanged();
     void work();
     void scheduleWork();
@@ -50,6 +51,7 @@
     std::shared_ptr<duty_type> m_duty;
     std::shared_ptr<mirror> m_versions;
     std::shared_ptr<mirror> m_retirements;
+    std::shared_ptr<mirror> m_demands;
     load_planner m_planner;
     bool m_isScheduled = false;
 };
--- a/weights/load_planner.cpp
+++ b/weights/load_planner.cpp
@@ -1,5 +1,5 @@
-// The assignment is kept as it is while it is even to within one server, since each move costs a load. After a takeover it is read off the versions that the
-// servers have: a server has fresh weights of the model it was assigned to.
+// The assignment is kept as it is while no model has two servers more than its share compared with another, since each move costs a load. After a takeover it
+// is read off the versions that the servers have: a server has fresh weights of the model it was assigned to.
 
 #include "weights/load_planner.h"
 
@@ -8,6 +8,11 @@
 #include <cmath>
 
 namespace reedtrail {
+namespace {
+
+constexpr double surplusToMove = 2 - 1e-9; // A move changes the difference of two surpluses by two; the rest is for rounding.
+
+} // namespace
 
 void load_planner::setModels(std::span<const std::string> models)
 {
@@ -29,6 +34,15 @@
     }
 }
 
+void load_planner::setDemand(std::string_view model, double tokens)
+{
+    const auto [known, isNew] = m_demand.emplace(std::string(model), tokens);
+    if (!isNew) {
+        known->second += m_options.demandSmoothing * (tokens - known->second);
+    }
+    assign();
+}
+
 void load_planner::refresh(std::span<const server_entry *const> servers)
 {
     for (auto &[id, place] : m_rows) {
@@ -73,7 +87,6 @@
 
 const std::string *load_planner::bestModelFor(const server_row &place) const
 {
-    const std::size_t share = (m_rows.size() + m_models.size() - 1) / m_models.size();
     const std::string *best = nullptr;
     std::array<std::uint64_t, 4> bestRank{};
     for (const std::string &model : m_models) {
@@ -81,7 +94,7 @@
         const auto inZone = static_cast<std::uint64_t>(std::ranges::count_if(m_rows, [&](const auto &other) {
             return other.second.model == model && other.second.zone == place.zone;
         }));
-        const std::array<std::uint64_t, 4> rank{ count >= share ? 1U : 0U, lag(place, model), inZone, count };
+        const std::array<std::uint64_t, 4> rank{ static_cast<double>(count) >= shareOf(model) ? 1U : 0U, lag(place, model), inZone, count };
         if (best == nullptr || rank < bestRank) {
             best = &model;
             bestRank = rank;
@@ -93,12 +106,12 @@
 void load_planner::balance()
 {
     while (true) {
-        const auto bySize = [this](const std::string &left, const std::string &right) {
-            return countOf(left) < countOf(right);
+        const auto bySurplus = [this](const std::string &left, const std::string &right) {
+            return surplusOf(left) < surplusOf(right);
         };
-        const std::string &least = *std::ranges::min_element(m_models, bySize);
-        const std::string &most = *std::ranges::max_element(m_models, bySize);
-        if (countOf(most) < countOf(least) + 2) {
+        const std::string &least = *std::ranges::min_element(m_models, bySurplus);
+        const std::string &most = *std::ranges::max_element(m_models, bySurplus);
+        if (surplusOf(most) < surplusOf(least) + surplusToMove || countOf(most) < 2) {
             return;
         }
         server_row *moved = nullptr;
@@ -237,6 +250,27 @@
     }));
 }
 
+/** Returns how many servers a model should have. While the demand of one is unknown, all get the same. */
+double load_planner::shareOf(std::string_view model) const
+{
+    double all = 0;
+    bool isKnown = true;
+    for (const std::string &each : m_models) {
+        const auto found = m_demand.find(each);
+        isKnown = isKnown && found != m_demand.end();
+        all += found == m_demand.end() ? 0 : found->second;
+    }
+    const double evenShare = 1 / static_cast<double>(m_models.size());
+    const double share = isKnown ? m_options.evenPart * evenShare + (1 - m_options.evenPart) * m_demand.find(model)->second / all : evenShare;
+    return share * static_cast<double>(m_rows.size());
+}
+
+/** Returns by how many servers a model has more than its share. */
+double load_planner::surplusOf(std::string_view model) const
+{
+    return static_cast<double>(countOf(model)) - shareOf(model);
+}
+
 std::size_t load_planner::loadingOf(std::string_view model) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_rows, [&](const auto &place) {
--- a/weights/load_planner.h
+++ b/weights/load_planner.h
@@ -9,7 +9,8 @@
  *     }
  *
  * Load pattern: several trainers name a new version every few seconds, each for its own model, on servers that hold all models but stop taking requests of a
- * model while they load it. Each server serves one model first and loads only that, so that a version costs as many loads as its share of the servers; the
+ * model while they load it. Each server serves one model first and loads only that, so that a version costs as many loads as its share of the servers. Trainers
+ * with longer texts get more servers: a burst that does not fit into its model's servers starts its last texts late, while others have slots to spare. The
  * servers of a model load in turns, so that the rest go on drawing from the version before; and few load at once over the whole fleet, since loads slow each
  * other down. Texts may come from the version before the newest one, so the servers that are further behind come first, and among them those of the model
  * that has the fewest servers fit for its newest job. Some of the rest load ahead, once the newest job's burst is placed.
@@ -32,6 +33,8 @@
 /** Shares and times of the plan. */
 struct load_planner_options
 {
+    double evenPart = 0.3; ///< Of the servers that are shared evenly among the models; the rest goes by demand, which is a guess and changes.
+    double demandSmoothing = 0.3; ///< Weight of a new job's demand: the last three or so count.
     double fleetShare = 0.22; ///< Of all model servers that load at once: the sheets say that more than about a fifth slow each other down.
     double modelShare = 0.34; ///< Of a model's servers that load at once.
     double aheadShare = 0.6; ///< Of a model's servers that load the newest version before a job needs it; more than the fleet can load in a step's time.
@@ -62,6 +65,8 @@
     void setModels(std::span<const std::string> models);
     /** Takes the version that a model shall have; one that is older than the known one is passed over. */
     void setTarget(time_point now, std::string_view model, std::uint64_t version);
+    /** Takes what a new job asks of a model. @param tokens expected, of all its texts together */
+    void setDemand(std::string_view model, double tokens);
     /** Takes the servers that are registered and not draining. */
     void refresh(std::span<const server_entry *const> servers);
     /** Sets how running requests meet new weights. */
@@ -116,6 +121,8 @@
     /** Returns how many of the model's servers are at most @p lagMost versions behind. */
     std::size_t serversWithin(std::string_view model, std::uint64_t lagMost) const;
     std::size_t countOf(std::string_view model) const;
+    double shareOf(std::string_view model) const;
+    double surplusOf(std::string_view model) const;
     std::size_t loadingOf(std::string_view model) const;
     std::uint64_t lag(const server_row &place, std::string_view model) const;
     bool isBehind(const server_row &place) const;
@@ -125,6 +132,7 @@
     load_mode m_mode = load_mode::GoOn;
     std::vector<std::string> m_models;
     std::map<std::string, target_row, std::less<>> m_targets;
+    std::map<std::string, double, std::less<>> m_demand; ///< Smoothed, by model.
     std::map<std::string, server_row, std::less<>> m_rows;
 };
 
--- a/weights/testing/load_planner_test.cpp
+++ b/weights/testing/load_planner_test.cpp
@@ -2,6 +2,8 @@
 
 #include "base/random.h"
 
+#include <algorithm>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
@@ -163,6 +165,101 @@
     EXPECT_GE(static_cast<double>(fitAtStart) / static_cast<double>(starts), 2.0);
 }
 
+const std::vector<std::string> fourModels{ "short", "long", "hut", "fault" };
+
+std::map<std::string, std::size_t> serversOf(const load_world &world)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[id, entry] : world.servers) {
+        ++counts[std::string(world.planner.modelOf(id))];
+    }
+    return counts;
+}
+
+/** Returns when the last of @p texts ends, the longest first, each on the next of @p slots that comes free. */
+double burstTime(std::vector<double> texts, std::size_t slots)
+{
+    std::ranges::sort(texts, std::greater<>());
+    std::multiset<double> freeAt;
+    for (std::size_t i = 0; i < slots; ++i) {
+        freeAt.insert(0);
+    }
+    for (const double text : texts) {
+        const double start = *freeAt.begin();
+        freeAt.erase(freeAt.begin());
+        freeAt.insert(start + text);
+    }
+    return *freeAt.rbegin();
+}
+
+/**
+ * Load pattern: four trainers submit bursts at the same time, two of 192 texts of 17 events and two of 130 texts of 8 events at 48 ms, and each has a burst
+ * before still half under way. Shared evenly, the servers of the longer texts are the bottleneck while others idle.
+ */
+TEST(load_planner_test, modelsWithMoreWorkGetMoreServersAndTheirBurstsEndSooner)
+{
+    load_world world(44, fourModels, 10);
+    EXPECT_EQ(serversOf(world), (std::map<std::string, std::size_t>{ { "short", 11 }, { "long", 11 }, { "hut", 11 }, { "fault", 11 } }));
+    const std::map<std::string, std::pair<int, double>> bursts{
+        { "short", { 130, 8 } }, { "long", { 192, 17 } }, { "hut", { 192, 17 } }, { "fault", { 130, 8 } }
+    };
+    random_source random(11);
+    std::map<std::string, std::vector<double>> texts;
+    for (const auto &[model, burst] : bursts) {
+        for (int i = 0; i < burst.first; ++i) {
+            texts[model].push_back(0.048 * burst.second * random.uniform(0.3, 1.7));
+        }
+        world.planner.setDemand(model, burst.first * burst.second);
+    }
+    const std::map<std::string, std::size_t> counts = serversOf(world);
+    double slowest = 0;
+    double slowestBefore = 0;
+    for (const auto &[model, burst] : texts) {
+        EXPECT_GE(counts.at(model), 5U) << model << " keeps some of the even part";
+        slowest = std::max(slowest, burstTime(burst, counts.at(model) * 8 / 2));
+        slowestBefore = std::max(slowestBefore, burstTime(burst, 11 * 8 / 2));
+    }
+    EXPECT_LT(slowest, 0.85 * slowestBefore);
+}
+
+TEST(load_planner_test, demandThatVariesFromJobToJobMovesNoServers)
+{
+    load_world world(44, fourModels, 10);
+    random_source random(5);
+    const std::map<std::string, double> usual{ { "short", 1000 }, { "long", 3300 }, { "hut", 3300 }, { "fault", 1000 } };
+    for (const auto &[model, tokens] : usual) {
+        world.planner.setDemand(model, tokens);
+    }
+    const auto before = serversOf(world);
+    std::map<std::string, std::string> modelOf;
+    for (const auto &[id, entry] : world.servers) {
+        modelOf[id] = world.planner.modelOf(id);
+    }
+    for (int job = 0; job < 40; ++job) {
+        for (const auto &[model, tokens] : usual) {
+            world.planner.setDemand(model, tokens * random.uniform(0.8, 1.2));
+        }
+    }
+    int moved = 0;
+    for (const auto &[id, entry] : world.servers) {
+        moved += modelOf[id] == world.planner.modelOf(id) ? 0 : 1;
+    }
+    EXPECT_LE(moved, 2);
+}
+
+TEST(load_planner_test, aDemandThatIsNotKnownForAllModelsChangesNothing)
+{
+    load_world world(9, threeModels, 2);
+    world.planner.setDemand("a", 1000);
+    world.planner.setDemand("b", 10);
+    EXPECT_EQ(serversOf(world), (std::map<std::string, std::size_t>{ { "a", 3 }, { "b", 3 }, { "c", 3 } }));
+    world.planner.setDemand("c", 10);
+    const auto counts = serversOf(world);
+    EXPECT_GT(counts.at("a"), 4U);
+    EXPECT_GE(counts.at("b"), 1U);
+    EXPECT_GE(counts.at("c"), 1U);
+}
+
 TEST(load_planner_test, theModelWithTheFewestFitServersComesFirst)
 {
     load_world world(9, threeModels, 2);
