A node of a cut zone knows it within a second

The nodes of the cut zone had nothing under way that would fail soon: forwarded reads waited 1.6 s, the store's polls for TCP's probes, and a node counted as isolated a second after that; the ingress then needs two misses to send callers elsewhere. Change: each node asks one peer of another zone for a sign of life each 0.5 s; when none comes within 0.3 s it asks a peer of each other zone and the store, and is unready when all of them are silent. An isolated node refuses what it cannot serve at once instead of trying for a second. The test that had isolation after one second now has its own, shorter bound and the cases around it.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -88,7 +88,7 @@
         dispatchService(std::move(exchange), std::get<platform::service_call>(std::move(call)));
         return;
     }
-    if (m_desk.runs(*job)) {
+    if (m_desk.runs(*job) || m_context.isIsolated()) {
         callDesk(exchange, call, false);
         return;
     }
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -163,6 +163,10 @@
         exchange->respond(textResponse(http_status::accepted, ""));
         return;
     }
+    if (m_context.isIsolated() && !mayBeRecorded) {
+        refuse(exchange, http_status::unavailable, "this node is cut off", job);
+        return;
+    }
     place->total = spec->items.size();
     double expectedTokens = 0;
     for (const job_item &item : spec->items) {
@@ -196,6 +200,10 @@
         action(load_outcome::Present);
         return;
     }
+    if (m_context.isIsolated()) {
+        action(load_outcome::Unavailable);
+        return;
+    }
     place->loading.push_back(std::move(action));
     if (place->isLoading) {
         return;
@@ -267,6 +275,10 @@
         answerRead(*place, waiting);
         return;
     }
+    if (m_context.isIsolated()) {
+        refuse(waiting.exchange, http_status::unavailable, "this node is cut off", place->job);
+        return;
+    }
     place->session->verify([this, place, waiting, isAnswerable](bool isCaughtUp) {
         if (waiting.exchange->isGone()) {
             return;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -25,7 +25,8 @@
 constexpr duration retryAfterRefusal = std::chrono::milliseconds(30); // Another server is asked meanwhile; this bounds the asking when all refuse.
 constexpr duration retryAfterBreak = std::chrono::milliseconds(10);
 constexpr duration retryAfterFailure = std::chrono::milliseconds(100);
-constexpr duration recordPatience = std::chrono::milliseconds(350); // Results of groups that are not whole earn nothing yet, so they wait for company.
+constexpr duration recordPatience = std::chrono::milliseconds(600); // Results of groups that are not whole help only a successor, so they wait for company;
+                                                                    // texts under way are kept less often than that.
 constexpr duration draftInterval = std::chrono::milliseconds(900); // Between records of texts under way alone: what a lost owner costs at most.
 constexpr std::uint64_t draftLeastEvents = 16; // Shorter texts are made again in less time than a takeover takes: 0.7 s at 45 ms an event.
 constexpr std::size_t draftMostBytes = 256U << 10U; // A quarter of the store's bound for a value.
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_transport_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view nodesPrefix = "reedtrail/node/";
+constexpr std::string_view pingPath = "/ping";
 constexpr std::string_view storePath = "/store";
 constexpr std::string_view methodField = "Reedtrail-Method";
 constexpr std::string_view targetField = "Reedtrail-Target";
@@ -31,6 +32,8 @@
 
 constexpr duration directPatience = std::chrono::milliseconds(700); // Twice what the slowest store that was seen takes; beyond it the lease would lapse.
 constexpr duration detourAllowance = std::chrono::milliseconds(300); // For the way to the peer and back.
+constexpr duration pingInterval = std::chrono::milliseconds(500); // Half of the time between two questions of the ingress whether this node is ready.
+constexpr duration pingLimit = std::chrono::milliseconds(300); // A hundred times the way between zones.
 constexpr duration detourWait = std::chrono::milliseconds(1000); // Of a waiting read through a peer, after which it is sent anew by the way that is best
                                                                  // then: the peer's own trouble must not last longer here than this node's own would.
 constexpr duration inTouchTime = std::chrono::milliseconds(850); // A renewal of the lease, each 0.6 s, and its way to a store that takes its time.
@@ -176,6 +179,18 @@
     }
 }
 
+void detour_transport::ping(const endpoint &peer, std::function<void(bool isReached)> done)
+{
+    http_request request;
+    request.target = pingPath;
+    http_call_options options;
+    options.connectTimeout = pingLimit;
+    options.deadline = pingLimit;
+    m_client.call(peer, std::move(request), options, [done](const http_call_end &end, const http_response &) {
+        done(end.error == error_kind::None);
+    });
+}
+
 bool detour_transport::isInTouch() const
 {
     return m_path.servedBefore(m_loop.now()) < inTouchTime;
@@ -426,9 +441,42 @@
     paced.reportInterval = std::chrono::seconds(2); // Nodes come and go in groups, and a peer is needed only when the store is away.
     m_mirror = std::make_shared<prefix_mirror<platform::key_value_store, asio_loop>>(m_store, m_loop, std::string(nodesPrefix), paced, handlers);
     m_mirror->start();
+    pingLater();
     return {};
 }
 
+void peer_transport_service::pingLater()
+{
+    m_loop.after(pingInterval, [this] {
+        if (!m_isLeaving) {
+            pingPeers();
+            pingLater();
+        }
+    });
+}
+
+void peer_transport_service::pingPeers()
+{
+    for (const auto &[name, where] : m_transport.path().pingTargets()) {
+        m_transport.ping(where, [this, name = name](bool isReached) {
+            if (m_transport.path().pinged(m_loop.now(), name, isReached) && !m_isAskingStore) {
+                logLine(log_level::Info, "peer-silent", { { "peer", name } });
+                pingPeers();
+                askStore();
+            }
+        });
+    }
+}
+
+/** Whether the store answers is noted by the transport. */
+void peer_transport_service::askStore()
+{
+    m_isAskingStore = true;
+    m_store.range({ std::string(nodesPrefix) + m_settings.node, false, 0 }, [this](const store_range_answer &) {
+        m_isAskingStore = false;
+    });
+}
+
 void peer_transport_service::drain(std::function<void()> done)
 {
     m_isLeaving = true;
@@ -502,6 +550,10 @@
     const std::string method(request.fields.get(methodField));
     const std::string target(request.fields.get(targetField));
     const long timeoutMs = std::strtol(std::string(request.fields.get(timeoutField)).c_str(), nullptr, 10);
+    if (request.path() == pingPath) {
+        exchange->respond(textResponse(http_status::ok, ""));
+        return;
+    }
     if (request.path() == followPath) {
         followForPeer(std::move(exchange));
         return;
--- a/edge/peer_transport_service.h
+++ b/edge/peer_transport_service.h
@@ -65,6 +65,8 @@
     {
         return m_direct.call(method, target, std::move(body), timeout, std::move(onReply));
     }
+    /** Asks a peer for a sign of life. */
+    void ping(const endpoint &peer, std::function<void(bool isReached)> done);
     store_path &path()
     {
         return m_path;
@@ -124,6 +126,9 @@
 
 private:
     std::string encodeNode() const;
+    void pingPeers();
+    void pingLater();
+    void askStore();
     void announce();
     void takePeer(const store_watch_event &event);
     void callForPeer(std::shared_ptr<http_exchange> exchange);
@@ -141,6 +146,7 @@
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwarded = &job_forwarder::decline;
     time_point m_askedAt;
     bool m_isLeaving = false;
+    bool m_isAskingStore = false;
 };
 
 } // namespace reedtrail
--- a/fleet/store_path.cpp
+++ b/fleet/store_path.cpp
@@ -9,6 +9,13 @@
 void store_path::setPeers(std::map<std::string, store_peer> peers)
 {
     m_peers = std::move(peers);
+    const auto isUnknown = [this](const std::string &name) {
+        return !m_peers.contains(name);
+    };
+    std::erase_if(m_reachedAt, [&](const auto &each) {
+        return isUnknown(each.first);
+    });
+    std::erase_if(m_unreached, isUnknown);
 }
 
 std::optional<std::pair<std::string, endpoint>> store_path::choose(time_point now)
@@ -64,7 +71,7 @@
 
 void store_path::detourEnded(time_point now, const std::string &peer, bool isServed, bool isReached)
 {
-    m_isReached[peer] = isReached;
+    noteReach(now, peer, isReached);
     if (isServed) {
         m_pausedUntil.erase(peer);
         noteServed();
@@ -85,23 +92,79 @@
     std::size_t foreign = 0;
     std::size_t unreached = 0;
     for (const auto &[name, peer] : m_peers) {
-        if (peer.zone == m_ownZone) {
+        if (!isForeign(peer)) {
             continue;
         }
         ++foreign;
-        const auto asked = m_isReached.find(name);
-        if (asked != m_isReached.end() && asked->second) {
+        const auto reached = m_reachedAt.find(name);
+        if (reached != m_reachedAt.end() && now - reached->second < m_options.reachMemory) {
             return false;
         }
-        unreached += asked != m_isReached.end() ? 1 : 0;
+        unreached += m_unreached.contains(name) ? 1 : 0;
     }
     return foreign > 0 && unreached >= std::min(foreign, m_options.isolationPeers);
 }
 
+std::vector<std::pair<std::string, endpoint>> store_path::pingTargets()
+{
+    std::map<std::string_view, std::vector<std::string_view>> zones;
+    for (const auto &[name, peer] : m_peers) {
+        if (isForeign(peer)) {
+            zones[peer.zone].push_back(name);
+        }
+    }
+    std::vector<std::pair<std::string, endpoint>> targets;
+    if (zones.empty()) {
+        return targets;
+    }
+    const auto drawFrom = [&](const std::vector<std::string_view> &names) {
+        const std::string name(names[m_random.below(names.size())]);
+        targets.emplace_back(name, m_peers.at(name).where);
+    };
+    if (m_isPingMissed) {
+        for (const auto &[zone, names] : zones) {
+            drawFrom(names);
+        }
+        // With one other zone a second peer tells a cut from a peer that is down.
+        drawFrom(zones.begin()->second);
+        return targets;
+    }
+    const auto kept = m_peers.find(m_pinged);
+    if (kept != m_peers.end() && isForeign(kept->second)) {
+        targets.emplace_back(kept->first, kept->second.where);
+    } else {
+        drawFrom(std::next(zones.begin(), static_cast<std::ptrdiff_t>(m_random.below(zones.size())))->second);
+        m_pinged = targets.front().first;
+    }
+    return targets;
+}
+
+bool store_path::pinged(time_point now, const std::string &peer, bool isReached)
+{
+    noteReach(now, peer, isReached);
+    if (isReached) {
+        m_isPingMissed = false;
+        return false;
+    }
+    m_isPingMissed = true;
+    m_pinged.clear();
+    return m_lostAt == timeNever;
+}
+
+void store_path::noteReach(time_point now, const std::string &peer, bool isReached)
+{
+    if (isReached) {
+        m_reachedAt[peer] = now;
+        m_unreached.erase(peer);
+    } else {
+        m_unreached.insert(peer);
+    }
+}
+
 void store_path::noteServed()
 {
     m_lostAt = timeNever;
-    m_isReached.clear();
+    m_unreached.clear();
 }
 
 void store_path::noteFailed(time_point now)
--- a/fleet/store_path.h
+++ b/fleet/store_path.h
@@ -5,8 +5,9 @@
  * Load pattern: the store turns single nodes away, or a cut parts them from it, while it serves the others. A node that cannot reach it directly sends its
  * calls through one peer for a while, and tries the direct way again now and then; while no peer can reach it either, it stays on the direct way.
  *
- * A node that reaches neither the store nor any peer of another availability zone is isolated: callers are served better elsewhere. A store that serves nobody
- * looks different, for then the peers answer.
+ * A node that reaches neither the store nor any peer of another availability zone is isolated: callers are served better elsewhere, and the sooner it knows the
+ * sooner they are. A store that serves nobody looks different, for then the peers answer. A node with little to do would notice a cut late, so it asks a peer
+ * of another zone for a sign of life now and then, which costs nobody anything; only if that is missing are the others and the store asked too.
  */
 #pragma once
 
@@ -16,6 +17,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +28,9 @@
 {
     int failuresBeforeDetour = 2; ///< In a row on the direct way; a single one may be a lost answer.
     duration detourTime = std::chrono::milliseconds(2000); ///< Before the direct way is tried again: half of the shortest trouble that was seen.
-    duration isolationTime = std::chrono::milliseconds(1000); ///< Without the store before a node counts as isolated: longer than a call to a slow store.
+    duration isolationTime =
+        std::chrono::milliseconds(200); ///< Without the store before a node counts as isolated: for answers of peers that are on their way.
+    duration reachMemory = std::chrono::milliseconds(1000); ///< For which a peer that answered counts as within reach: twice the time between two questions.
     std::size_t isolationPeers = 2; ///< Peers of other zones that must have been out of reach; one may be down by itself.
     duration peerPause = std::chrono::milliseconds(3000); ///< For which a peer that could not help is left alone.
 };
@@ -66,6 +70,11 @@
     /** A peer's way worked, or did not. @param isReached whether the peer itself answered */
     void detourEnded(time_point now, const std::string &peer, bool isServed, bool isReached);
 
+    /** Returns the peers to ask for a sign of life: one of another zone, or one of each other zone while the last question had no answer. */
+    std::vector<std::pair<std::string, endpoint>> pingTargets();
+    /** A peer gave a sign of life, or did not in time. @return whether the store should be asked too, since the node may be cut off */
+    bool pinged(time_point now, const std::string &peer, bool isReached);
+
     /** Tells whether this node reaches neither the store nor peers of other zones. */
     bool isIsolated(time_point now) const;
     /** Returns how long ago the store last served this node on the direct way. */
@@ -81,6 +90,11 @@
 private:
     /** Returns the peers that may help, those of other zones if there are any: what cuts this node off may cut off its zone. */
     std::vector<std::string> usablePeers(time_point now) const;
+    bool isForeign(const store_peer &peer) const
+    {
+        return peer.zone != m_ownZone;
+    }
+    void noteReach(time_point now, const std::string &peer, bool isReached);
     void noteServed();
     void noteFailed(time_point now);
 
@@ -90,7 +104,10 @@
     random_source m_random;
     std::map<std::string, store_peer> m_peers;
     std::map<std::string, time_point> m_readerPausedUntil;
-    std::map<std::string, bool> m_isReached; ///< Of the peers that were asked since the store was lost.
+    std::map<std::string, time_point> m_reachedAt; ///< Of the peers, when they answered last.
+    std::set<std::string> m_unreached; ///< Peers that did not answer when they were asked last.
+    std::string m_pinged; ///< The peer that is asked while all is well, always the same so that its connection is kept.
+    bool m_isPingMissed = false;
     time_point m_lostAt = timeNever; ///< When the store was lost on all ways; timeNever while it serves.
     std::map<std::string, time_point> m_pausedUntil;
     std::string m_current; ///< Peer in use, kept while it works so that connections are kept too.
--- a/fleet/testing/server_directory_test.cpp
+++ b/fleet/testing/server_directory_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/store_path.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace reedtrail {
 namespace {
@@ -159,10 +160,59 @@
     path.detourEnded(lost + 600ms, "n2", false, false);
     EXPECT_FALSE(path.isIsolated(lost + 2s)) << "one peer may be down by itself";
     path.detourEnded(lost + 900ms, "n3", false, false);
-    EXPECT_FALSE(path.isIsolated(lost + 900ms));
-    EXPECT_TRUE(path.isIsolated(lost + 1s));
+    EXPECT_TRUE(path.isIsolated(lost + 900ms));
     path.directEnded(lost + 6s, true);
     EXPECT_FALSE(path.isIsolated(lost + 6s));
+    path.directEnded(lost + 7s, false);
+    EXPECT_FALSE(path.isIsolated(lost + 9s)) << "what was out of reach before the store served again does not count";
+    path.directEnded(lost + 10s, true);
+    path.directEnded(lost + 11s, false);
+    path.detourEnded(lost + 11s, "n2", false, false);
+    path.detourEnded(lost + 11s, "n3", false, false);
+    EXPECT_FALSE(path.isIsolated(lost + 11s + 199ms)) << "answers of other peers may be on their way";
+    EXPECT_TRUE(path.isIsolated(lost + 11s + 200ms));
+}
+
+/** An idle node of a zone that is cut off: it has no calls under way that would fail soon. */
+TEST(store_path_test, signsOfLifeTellAnIdleNodeThatItIsCutOff)
+{
+    store_path path("n0", "a", 3);
+    path.setPeers({ { "n1", { { "127.0.0.1", 1 }, "a" } },
+                    { "n2", { { "127.0.0.1", 2 }, "b" } },
+                    { "n3", { { "127.0.0.1", 3 }, "b" } },
+                    { "n4", { { "127.0.0.1", 4 }, "c" } } });
+    const time_point start{ 10s };
+    const auto asked = path.pingTargets();
+    ASSERT_EQ(asked.size(), 1U) << "one is enough while it answers";
+    EXPECT_NE(asked.front().first, "n1") << "a peer of this node's own zone would be cut off too";
+    EXPECT_FALSE(path.pinged(start, asked.front().first, true));
+    EXPECT_EQ(path.pingTargets(), asked) << "the same one, whose connection is open";
+    const time_point cut = start + 500ms;
+    EXPECT_TRUE(path.pinged(cut, asked.front().first, false)) << "the store is asked too";
+    std::set<std::string> zones;
+    for (const auto &[name, where] : path.pingTargets()) {
+        zones.insert(name == "n4" ? "c" : "b");
+        path.pinged(cut + 300ms, name, false);
+    }
+    EXPECT_EQ(zones.size(), 2U);
+    EXPECT_FALSE(path.isIsolated(cut + 400ms)) << "the store has not failed";
+    path.directEnded(cut + 700ms, false);
+    EXPECT_TRUE(path.isIsolated(cut + 1s));
+    EXPECT_FALSE(path.pinged(cut + 5s, "n4", true));
+    EXPECT_FALSE(path.isIsolated(cut + 5s));
+}
+
+TEST(store_path_test, aPeerThatIsDownIsNoCut)
+{
+    store_path path("n0", "a", 3);
+    path.setPeers({ { "n2", { { "127.0.0.1", 2 }, "b" } }, { "n3", { { "127.0.0.1", 3 }, "b" } } });
+    const time_point start{ 10s };
+    path.pinged(start, "n2", false);
+    path.directEnded(start, false);
+    path.pinged(start + 100ms, "n3", true);
+    EXPECT_FALSE(path.isIsolated(start + 900ms)) << "the store serves nobody, but the others are there";
+    path.pinged(start + 1s, "n3", false);
+    EXPECT_TRUE(path.isIsolated(start + 1200ms)) << "nobody was heard for a second";
 }
 
 TEST(store_path_test, aZoneAgreesOnItsReaderAndPassesOverOneThatFails)
