A node that gives the ordering of weights back leaves word of its last orders

The successor waited 3.6 s since orders of two nodes to one server must lie 3 s apart, although most servers had not been ordered lately. Change: the leaving node sends no further order, waits for those under way, and leaves the age of the last order to each server in the transaction that gives the duty back; the successor acts at once, and the planner keeps each server's turn. A node that is lost leaves no word, and its successor waits as before. Words that cannot be read count as none. Tests: 24 nodes that follow each other each second keep every server's turn and still order; a successor with word acts within two seconds, and the one that follows a loss does not.

--- a/edge/order_service.cpp
+++ b/edge/order_service.cpp
@@ -39,7 +39,20 @@
 
 void order_service::drain(std::function<void()> done)
 {
-    m_duty->retire(std::move(done));
+    m_isLeaving = true;
+    awaitOrders(std::move(done));
+}
+
+/** Gives the duty back once no order is under way, with word of those before; each ends within its limit. */
+void order_service::awaitOrders(std::function<void()> done)
+{
+    if (m_ordersUnderWay > 0) {
+        m_context.loop.after(workInterval, [this, done = std::move(done)] {
+            awaitOrders(done);
+        });
+        return;
+    }
+    m_duty->retire(encodeOrderAges(m_planner.agesOfOrders(m_context.loop.now())), std::move(done));
 }
 
 nlohmann::json order_service::dump() const
@@ -58,6 +71,7 @@
         return;
     }
     if (!m_versions) {
+        m_planner.setEarlierOrders(m_context.loop.now(), m_duty->handover() ? decodeOrderAges(*m_duty->handover()) : std::nullopt, m_duty->followsItself());
         const auto follow = [this](std::string_view prefix, void (order_service::*take)(const store_key_value &), duration reportInterval) {
             prefix_mirror_handlers handlers;
             handlers.onListing = [this, take](std::span<const store_key_value> items) {
@@ -165,7 +179,7 @@
 
 void order_service::work()
 {
-    if (!m_duty->mayAct()) {
+    if (!m_duty->mayAct() || m_isLeaving) {
         return;
     }
     for (const load_intent &intent : m_planner.next(m_context.loop.now())) {
@@ -201,7 +215,7 @@
 void order_service::order(const load_intent &intent, load_order wanted)
 {
     // Asked again right before the order leaves: the report may have taken longer than the lease.
-    if (!m_duty->mayAct()) {
+    if (!m_duty->mayAct() || m_isLeaving) {
         m_planner.unanswered(m_context.loop.now(), intent.server);
         return;
     }
@@ -211,8 +225,10 @@
     options.connectTimeout = reportLimit;
     options.deadline = reportLimit;
     m_context.metrics.counter("reedtrail_load_orders_total", "Orders to load weights").add();
+    ++m_ordersUnderWay;
     m_context.servers.call(
         intent.address, platform::orderRequest(wanted), options, [this, intent, wanted](const http_call_end &end, const http_response &response) {
+            --m_ordersUnderWay;
             const order_answer answer = end.error == error_kind::None ? platform::decodeOrderAnswer(response.status) : order_answer::Unknown;
             logLine(log_level::Info,
                     "load-order",
--- a/edge/order_service.h
+++ b/edge/order_service.h
@@ -11,6 +11,7 @@
 #include "kernel/service.h"
 #include "weights/load_planner.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -36,6 +37,7 @@
     using duty_type = duty_holder<edge_store, asio_loop>;
     using mirror = prefix_mirror<edge_store, asio_loop>;
 
+    void awaitOrders(std::function<void()> done);
     void dutyChanged();
     void takeVersion(const store_key_value &item);
     void takeRetirement(const store_key_value &item);
@@ -53,7 +55,9 @@
     std::shared_ptr<mirror> m_retirements;
     std::shared_ptr<mirror> m_demands;
     load_planner m_planner;
+    int m_ordersUnderWay = 0;
     bool m_isScheduled = false;
+    bool m_isLeaving = false;
 };
 
 } // namespace reedtrail
--- a/fleet/duty_holder.h
+++ b/fleet/duty_holder.h
@@ -8,7 +8,8 @@
  *
  * The holder's key is under its node's lease. A holder acts only on a renewal that the store confirmed a moment ago, so it falls silent soon after its key is
  * gone, whether the lease ran out or was taken away. A successor on another machine waits until that silence is certain and has lasted for one turn; a
- * successor on the same machine does not wait. Which machine acted last stands in a key of its own that is written before a holder's first act. The fencing
+ * successor on the same machine does not wait, and neither does one whose predecessor has left word of what it did last: it must keep the turn itself, for each
+ * thing that was acted on. Which machine acted last stands in a key of its own that is written before a holder's first act. The fencing
  * token is the store's revision at which the holder's key was written.
  */
 #pragma once
@@ -68,6 +69,7 @@
             m_holder.reset();
             m_last.clear();
             m_hasLastRetired = false;
+            m_handover.clear();
             for (const store_key_value &item : items) {
                 apply(item);
             }
@@ -86,8 +88,12 @@
         m_mirror->start();
     }
 
-    /** Gives the duty up for good. @param done called when the store has answered, or has failed to */
-    void retire(std::function<void()> done)
+    /**
+     * Gives the duty up for good.
+     * @param handover word for a successor, which then does not wait and keeps the turn itself; empty if this node has none
+     * @param done called when the store has answered, or has failed to
+     */
+    void retire(std::string handover, std::function<void()> done)
     {
         m_isRetired = true;
         if (!isHolder()) {
@@ -99,7 +105,7 @@
         txn.compares.push_back(store_compare::unchanged(holderKey(), m_holder->revision));
         txn.onSuccess.push_back(store_delete{ holderKey(), false });
         if (m_last == m_node) {
-            txn.onSuccess.push_back(store_put{ lastKey(), encoded(true), 0 });
+            txn.onSuccess.push_back(store_put{ lastKey(), encoded(true, handover), 0 });
         }
         m_store.txn(txn, [done](const store_txn_answer &) {
             done();
@@ -126,6 +132,16 @@
     {
         return m_quietUntil;
     }
+    /** Returns what the holder before has left word of; nothing if it left none. Valid once this node has gained the duty. */
+    const std::optional<std::string> &handover() const
+    {
+        return m_taken;
+    }
+    /** Tells whether this machine itself acted last before this node gained the duty, or nobody did. */
+    bool followsItself() const
+    {
+        return m_followsItself;
+    }
     std::uint64_t fencingToken() const
     {
         return m_holder ? m_holder->revision : 0;
@@ -161,13 +177,14 @@
         } else if (item.key == lastKey()) {
             m_last = row.value("node", "");
             m_hasLastRetired = row.value("retired", false);
+            m_handover = row.value("handover", "");
         }
     }
 
-    std::string encoded(bool isRetired = false) const
+    std::string encoded(bool isRetired = false, const std::string &handover = "") const
     {
         std::string bytes;
-        nlohmann::json::to_cbor({ { "node", m_node }, { "incarnation", m_incarnation }, { "retired", isRetired } }, bytes);
+        nlohmann::json::to_cbor({ { "node", m_node }, { "incarnation", m_incarnation }, { "retired", isRetired }, { "handover", handover } }, bytes);
         return bytes;
     }
 
@@ -194,9 +211,10 @@
 
     void beginTurn()
     {
-        const bool isOwnTurn = m_last.empty() || m_last == m_node;
+        m_followsItself = m_last.empty() || m_last == m_node;
         const duration silence = m_hasLastRetired ? duration::zero() : m_options.freshness;
-        const duration quiet = isOwnTurn ? duration::zero() : silence + m_options.longestFlight + m_options.turn;
+        m_taken = m_hasLastRetired && !m_handover.empty() ? std::optional(m_handover) : std::nullopt;
+        const duration quiet = m_followsItself || m_taken ? duration::zero() : silence + m_options.longestFlight + m_options.turn;
         m_quietUntil = std::max(m_quietUntil, m_loop.now() + quiet);
         if (m_last != m_node) {
             markTurnAfter(quiet);
@@ -224,6 +242,7 @@
                 } else if (answer.isSucceeded) {
                     holder->m_last = holder->m_node;
                     holder->m_hasLastRetired = false;
+                    holder->m_handover.clear();
                     holder->m_onChange();
                 }
             });
@@ -301,10 +320,13 @@
     std::optional<holder_record> m_holder;
     std::string m_last; ///< Node that may have acted last, as the store says.
     bool m_hasLastRetired = false; ///< It gave the duty up and is silent since.
+    std::string m_handover; ///< What it has left word of.
+    std::optional<std::string> m_taken; ///< The same, at the moment when this node gained the duty.
     time_point m_quietUntil;
     bool m_wasHolder = false;
     bool m_isCompeting = false;
     bool m_isRetired = false;
+    bool m_followsItself = false;
 };
 
 } // namespace reedtrail
--- a/fleet/testing/duty_holder_test.cpp
+++ b/fleet/testing/duty_holder_test.cpp
@@ -192,7 +192,7 @@
     competitor *first = holder();
     ASSERT_NE(first, nullptr);
     bool isAnswered = false;
-    first->duty->retire([&] {
+    first->duty->retire("", [&] {
         isAnswered = true;
     });
     const time_point retiredAt = world.now();
@@ -207,6 +207,39 @@
     expectTurns();
 }
 
+TEST_F(duty_holder_test, successorOfANodeThatLeftWordActsAtOnceAndHasTheWord)
+{
+    addNodes(3);
+    run(3s);
+    competitor *first = holder();
+    ASSERT_NE(first, nullptr);
+    EXPECT_TRUE(first->duty->followsItself()) << "nobody acted before";
+    const std::uint64_t token = first->duty->fencingToken();
+    first->duty->retire("what was done last", [] {});
+    run(2s);
+    competitor *second = holder();
+    ASSERT_NE(second, nullptr);
+    ASSERT_NE(second, first);
+    EXPECT_TRUE(second->duty->mayAct());
+    EXPECT_GT(second->duty->fencingToken(), token);
+    EXPECT_FALSE(second->duty->followsItself());
+    EXPECT_EQ(second->duty->handover(), "what was done last");
+    // The word is of that one moment: who follows a holder that is lost waits.
+    store.setCut(second->name, true);
+    const time_point lostAt = world.now();
+    acts.clear();
+    run(12s);
+    ASSERT_FALSE(acts.empty());
+    EXPECT_GE(toSeconds(std::ranges::find_if(acts,
+                                             [&](const act &each) {
+                                                 return each.node != second->name;
+                                             })
+                            ->at
+                        - lostAt),
+              toSeconds(duty_holder_options().turn));
+    expectTurns();
+}
+
 TEST_F(duty_holder_test, turnsHoldUnderRandomFaults)
 {
     addNodes(4);
--- a/weights/load_planner.cpp
+++ b/weights/load_planner.cpp
@@ -6,14 +6,55 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace reedtrail {
 namespace {
 
 constexpr double surplusToMove = 2 - 1e-9; // A move changes the difference of two surpluses by two; the rest is for rounding.
 
+std::int64_t inMilliseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 } // namespace
 
+std::string encodeOrderAges(const order_ages &ages)
+{
+    nlohmann::json servers = nlohmann::json::object();
+    for (const auto &[server, age] : ages.byServer) {
+        servers[server] = inMilliseconds(age);
+    }
+    nlohmann::json row{ { "servers", servers } };
+    if (ages.others != duration::max()) {
+        row["others"] = inMilliseconds(ages.others);
+    }
+    return row.dump();
+}
+
+std::optional<order_ages> decodeOrderAges(std::string_view text)
+{
+    const nlohmann::json row = nlohmann::json::parse(text, nullptr, false);
+    if (!row.is_object() || !row.contains("servers") || !row["servers"].is_object()) {
+        return std::nullopt;
+    }
+    order_ages ages;
+    for (const auto &[server, age] : row["servers"].items()) {
+        if (!age.is_number_integer()) {
+            return std::nullopt;
+        }
+        ages.byServer[server] = std::chrono::milliseconds(age.get<std::int64_t>());
+    }
+    if (row.contains("others")) {
+        if (!row["others"].is_number_integer()) {
+            return std::nullopt;
+        }
+        ages.others = std::chrono::milliseconds(row["others"].get<std::int64_t>());
+    }
+    return ages;
+}
+
 void load_planner::setModels(std::span<const std::string> models)
 {
     m_models.assign(models.begin(), models.end());
@@ -160,7 +201,9 @@
 {
     std::vector<candidate> found;
     for (auto &[id, place] : m_rows) {
-        if (place.state == phase::Idle && place.lookAt <= now && isBehind(place)) {
+        const std::optional<time_point> earlier = earlierOrder(id);
+        const bool isOwnTurn = !earlier || now >= *earlier + m_options.turn;
+        if (place.state == phase::Idle && place.lookAt <= now && isOwnTurn && isBehind(place)) {
             found.push_back({ id, &place, serversWithin(place.model, 1), lag(place, place.model) > 1 });
         }
     }
@@ -206,6 +249,7 @@
     }
     place.state = phase::Ordering;
     place.loadingSince = now;
+    place.orderedAt = now;
     return load_order{ found->first, place.model, m_targets.find(place.model)->second.version, m_mode, report.ordersAccepted, "", 0 };
 }
 
@@ -225,6 +269,7 @@
         return;
     }
     server_row &place = found->second;
+    place.orderedAt = now;
     if (answer == order_answer::Started) {
         place.state = phase::Loading;
         place.lookAt = now + m_options.loadTime;
@@ -237,6 +282,53 @@
     place.lookAt = now + m_options.retryDelay;
 }
 
+void load_planner::setEarlierOrders(time_point now, const std::optional<order_ages> &ages, bool isOwn)
+{
+    m_earlierOrders.clear();
+    m_othersOrdered.reset();
+    m_othersOrderedHere.reset();
+    if (!ages) {
+        (isOwn ? m_othersOrderedHere : m_othersOrdered) = now;
+        return;
+    }
+    for (const auto &[server, age] : ages->byServer) {
+        m_earlierOrders.emplace(server, now - age);
+    }
+    if (ages->others < m_options.turn) {
+        m_othersOrdered = now - ages->others;
+    }
+}
+
+std::optional<time_point> load_planner::earlierOrder(std::string_view server) const
+{
+    const auto found = m_earlierOrders.find(server);
+    return found == m_earlierOrders.end() ? m_othersOrdered : std::optional(found->second);
+}
+
+order_ages load_planner::agesOfOrders(time_point now) const
+{
+    order_ages ages;
+    const auto note = [&](const std::string &server, std::optional<time_point> at) {
+        if (at && now - *at < m_options.turn) {
+            const auto [known, isNew] = ages.byServer.emplace(server, now - *at);
+            known->second = std::min(known->second, now - *at);
+        }
+    };
+    for (const auto &[server, place] : m_rows) {
+        note(server, place.orderedAt);
+        note(server, earlierOrder(server));
+    }
+    for (const auto &[server, at] : m_earlierOrders) {
+        note(server, at);
+    }
+    for (const std::optional<time_point> &at : { m_othersOrdered, m_othersOrderedHere }) {
+        if (at && now - *at < m_options.turn) {
+            ages.others = std::min(ages.others, now - *at);
+        }
+    }
+    return ages;
+}
+
 std::string_view load_planner::modelOf(std::string_view server) const
 {
     const auto found = m_rows.find(server);
--- a/weights/load_planner.h
+++ b/weights/load_planner.h
@@ -42,6 +42,7 @@
     duration lookAgain = std::chrono::milliseconds(100); ///< At a server whose load has not shown yet.
     duration loadTime = std::chrono::milliseconds(1000); ///< The sheets' 0.9 s for a change of version, and the age of a report.
     duration retryDelay = std::chrono::milliseconds(600); ///< After a report or an order without an answer.
+    duration turn = std::chrono::milliseconds(3300); ///< Between the orders of two nodes to one server: their bound of 3 s, and an order's way.
     duration loadLimit = std::chrono::seconds(4); ///< A load that does not show by then is ordered again.
 };
 
@@ -52,6 +53,18 @@
     endpoint address;
 };
 
+/** How long ago servers were last ordered, for the node that orders after this one. */
+struct order_ages
+{
+    std::map<std::string, duration, std::less<>> byServer;
+    duration others = duration::max(); ///< Of the servers that are not named.
+};
+
+/** Encodes ages. */
+std::string encodeOrderAges(const order_ages &ages);
+/** Decodes ages. @return nothing if they cannot be read */
+std::optional<order_ages> decodeOrderAges(std::string_view text);
+
 /** The planner. */
 class load_planner
 {
@@ -84,6 +97,15 @@
     /** Takes the answer to an order. */
     void answered(time_point now, std::string_view server, order_answer answer);
 
+    /**
+     * Takes what the node that ordered before has left word of.
+     * @param ages nothing if it may have ordered any server until now
+     * @param isOwn whether it was an earlier process of this node, which has not to wait for its turn
+     */
+    void setEarlierOrders(time_point now, const std::optional<order_ages> &ages, bool isOwn);
+    /** Returns how long ago each server was ordered, by this node or one before. */
+    order_ages agesOfOrders(time_point now) const;
+
     /** Returns the model that a server serves first, or an empty text. */
     std::string_view modelOf(std::string_view server) const;
 
@@ -99,6 +121,7 @@
         phase state = phase::Idle;
         time_point lookAt; ///< Not before.
         time_point loadingSince;
+        std::optional<time_point> orderedAt; ///< By this node.
         bool isListed = false;
     };
     void assign();
@@ -126,6 +149,7 @@
     std::size_t loadingOf(std::string_view model) const;
     std::uint64_t lag(const server_row &place, std::string_view model) const;
     bool isBehind(const server_row &place) const;
+    std::optional<time_point> earlierOrder(std::string_view server) const;
     const std::string *bestModelFor(const server_row &place) const;
 
     load_planner_options m_options;
@@ -134,6 +158,9 @@
     std::map<std::string, target_row, std::less<>> m_targets;
     std::map<std::string, double, std::less<>> m_demand; ///< Smoothed, by model.
     std::map<std::string, server_row, std::less<>> m_rows;
+    std::map<std::string, time_point, std::less<>> m_earlierOrders; ///< By nodes before.
+    std::optional<time_point> m_othersOrdered; ///< The same for all other servers.
+    std::optional<time_point> m_othersOrderedHere; ///< The same by an earlier process of this node.
 };
 
 } // namespace reedtrail
--- a/weights/testing/load_planner_test.cpp
+++ b/weights/testing/load_planner_test.cpp
@@ -311,6 +311,65 @@
     EXPECT_LE(world.loads, loadsBefore + 3);
 }
 
+/** Nodes are restarted one after the other, each a second after the one before; each orders for a moment. Which server was ordered last when, over all nodes?
+ */
+TEST(load_planner_test, turnsOfEachServerAreKeptAcrossNodesThatLeaveWord)
+{
+    load_world world(9, threeModels, 2);
+    std::map<std::string, std::pair<int, time_point>> lastOrder; // By server: node and time.
+    std::optional<std::string> word;
+    std::size_t orders = 0;
+    for (int node = 0; node < 24; ++node) {
+        load_planner planner;
+        planner.setEarlierOrders(world.now, word ? decodeOrderAges(*word) : std::nullopt, node == 0);
+        std::vector<const server_entry *> usable;
+        for (const auto &[id, entry] : world.servers) {
+            usable.push_back(&entry);
+        }
+        planner.refresh(usable);
+        planner.setModels(threeModels);
+        for (const std::string &model : threeModels) {
+            planner.setTarget(world.now, model, static_cast<std::uint64_t>(node) + 3);
+        }
+        for (const time_point end = world.now + 1s; world.now < end; world.now += 100ms) {
+            for (const load_intent &intent : planner.next(world.now)) {
+                const server_entry &entry = world.servers.at(intent.server);
+                engine_report report;
+                report.versions.insert(entry.modelVersions.begin(), entry.modelVersions.end());
+                if (const auto order = planner.reported(world.now, intent.server, report)) {
+                    const auto before = lastOrder.find(intent.server);
+                    if (before != lastOrder.end() && before->second.first != node) {
+                        EXPECT_GE(toSeconds(world.now - before->second.second), 3.0) << intent.server << " at node " << node;
+                    }
+                    lastOrder[intent.server] = { node, world.now };
+                    ++orders;
+                    planner.answered(world.now, intent.server, order_answer::Started);
+                    world.servers[intent.server].modelVersions[order->model] = order->version;
+                }
+            }
+        }
+        word = encodeOrderAges(planner.agesOfOrders(world.now));
+        ASSERT_TRUE(decodeOrderAges(*word));
+    }
+    EXPECT_GT(orders, 24U) << "a wait of 3.6 s for each node would let none of them order";
+}
+
+TEST(load_planner_test, anEarlierProcessOfTheSameNodeIsNoReasonToWaitButIsTold)
+{
+    load_world world(9, threeModels, 2);
+    world.planner.setEarlierOrders(world.now, std::nullopt, true);
+    world.planner.setTarget(world.now, "a", 3);
+    EXPECT_FALSE(world.planner.next(world.now + 2s).empty());
+    EXPECT_EQ(world.planner.agesOfOrders(world.now + 1s).others, 1s);
+    load_world other(9, threeModels, 2);
+    other.planner.setEarlierOrders(other.now, std::nullopt, false);
+    other.planner.setTarget(other.now, "a", 3);
+    EXPECT_TRUE(other.planner.next(other.now + 3s).empty());
+    EXPECT_FALSE(other.planner.next(other.now + 4s).empty());
+    EXPECT_FALSE(decodeOrderAges("soon"));
+    EXPECT_FALSE(decodeOrderAges(R"({"servers":{"s1":"late"}})"));
+}
+
 TEST(load_planner_test, modelsWithoutServersGetSomeBack)
 {
     load_world world(9, threeModels, 2);
