Groups that come again from an earlier step are not put off

Groups that were not complete come again in a later job, and the trainer waits for them whichever others are whole; being the ones with the longest texts they were taken for those that it can do without, and started last. Change: the end of a job leaves the names of its open groups in the store, in the same transaction, one key for even and one for odd steps of a model; the node that runs the next job reads them (one call) before it starts and does not put them off.

--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -21,6 +21,7 @@
         const auto [place, isNew] = groups.emplace(name, groups.size());
         if (isNew) {
             m_groupOpen.push_back(0);
+            m_groupNames.emplace_back(name);
         }
         m_groupOf.push_back(place->second);
         ++m_groupOpen[place->second];
@@ -45,8 +46,12 @@
     });
     const std::size_t wanted = m_spec.wantedGroups == 0 ? groups.size() : std::min(m_spec.wantedGroups, groups.size());
     std::vector<bool> isSpare(groups.size(), false);
-    for (std::size_t rank = wanted; rank < groups.size(); ++rank) {
-        isSpare[groups[rank]] = true;
+    std::size_t spares = groups.size() - wanted;
+    for (auto group = groups.rbegin(); group != groups.rend() && spares > 0; ++group) {
+        if (std::ranges::find(m_spec.groupsLeft, m_groupNames[*group]) == m_spec.groupsLeft.end()) {
+            isSpare[*group] = true;
+            --spares;
+        }
     }
     m_order.resize(m_states.size());
     std::iota(m_order.begin(), m_order.end(), 0);
@@ -290,6 +295,17 @@
     return m_counts[static_cast<std::size_t>(stage)];
 }
 
+std::vector<std::string> job_progress::openGroups() const
+{
+    std::vector<std::string> open;
+    for (std::size_t group = 0; group < m_groupNames.size(); ++group) {
+        if (m_groupUnrecorded[group] > 0) {
+            open.push_back(m_groupNames[group]);
+        }
+    }
+    return open;
+}
+
 std::size_t job_progress::wholeGroups() const
 {
     return static_cast<std::size_t>(std::ranges::count(m_groupUnrecorded, 0U));
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -10,7 +10,8 @@
  *
  * Load pattern: a trainer's burst of many short texts and a few very long ones, of which only whole groups count and a share of the groups may be missing.
  * The order is that of longest expected text first, so that the long ones overlap with all the rest, but the groups that the trainer can do without, those
- * with the longest expected texts, come last. An item that already has a part of its text goes on before new ones start.
+ * with the longest expected texts, come last. Groups that come again from an earlier step are mostly the longest of all, and the trainer
+ * waits for them whichever others are whole, so these are not put off. An item that already has a part of its text goes on before new ones start.
  */
 #pragma once
 
@@ -117,6 +118,8 @@
     {
         return count(item_stage::Recorded) == m_states.size();
     }
+    /** Returns the names of the groups that have items which are not recorded. */
+    std::vector<std::string> openGroups() const;
     /** Returns how many groups have all their items recorded. */
     std::size_t wholeGroups() const;
 
@@ -131,6 +134,7 @@
     std::vector<item_state> m_states;
     std::vector<std::size_t> m_order; ///< Of running.
     std::vector<std::size_t> m_groupOf; ///< Index of each item's group.
+    std::vector<std::string> m_groupNames;
     std::vector<std::size_t> m_groupOpen; ///< Items of each group that are not finished.
     std::vector<std::size_t> m_groupUnrecorded;
     std::vector<std::string> m_groupServer;
--- a/batch/job_session.h
+++ b/batch/job_session.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -232,14 +233,18 @@
         return m_draftsLeft;
     }
 
-    /** Ends the job. @param done called with whether the end is recorded */
-    void end(std::function<void(bool)> done)
+    /**
+     * Ends the job.
+     * @param beside what else is to be written with the end
+     * @param done called with whether the end is recorded
+     */
+    void end(std::span<const store_put> beside, std::function<void(bool)> done)
     {
         if (m_image.isEnded()) {
             done(true);
             return;
         }
-        const store_txn txn = endTransaction(m_job);
+        const store_txn txn = endTransaction(m_job, beside);
         m_store.txn(txn, [weak = this->weak_from_this(), done](const store_txn_answer &answer) {
             const auto self = weak.lock();
             if (self && !answer.error) {
--- a/batch/job_store.cpp
+++ b/batch/job_store.cpp
@@ -114,6 +114,16 @@
     return std::string(demandPrefix).append(model);
 }
 
+std::string leftPrefix(std::string_view model)
+{
+    return std::string("reedtrail/left/").append(model).append("/");
+}
+
+std::string left(std::string_view model, std::uint64_t step)
+{
+    return leftPrefix(model) + std::to_string(step % 2);
+}
+
 } // namespace job_key
 
 std::optional<store_txn>
@@ -181,16 +191,34 @@
     return txn;
 }
 
-store_txn endTransaction(std::string_view job)
+store_txn endTransaction(std::string_view job, std::span<const store_put> beside)
 {
     store_txn txn;
     txn.compares.push_back(store_compare::absent(job_key::end(job)));
     txn.onSuccess.push_back(store_put{ job_key::end(job), "1", 0 });
     txn.onSuccess.push_back(store_delete{ job_key::owner(job), false });
     txn.onSuccess.push_back(store_delete{ job_key::drafts(job), false });
+    for (const store_put &put : beside) {
+        txn.onSuccess.push_back(put);
+    }
     return txn;
 }
 
+std::string encodeGroupsLeft(std::span<const std::string> groups)
+{
+    return encode(nlohmann::json(std::vector<std::string>(groups.begin(), groups.end())));
+}
+
+std::vector<std::string> decodeGroupsLeft(std::string_view bytes)
+{
+    try {
+        return decode(bytes).get<std::vector<std::string>>();
+    } catch (const nlohmann::json::exception &error) {
+        logLine(log_level::Error, "groups-left-unreadable", { { "bytes", std::to_string(bytes.size()) }, { "reason", error.what() } });
+        return {};
+    }
+}
+
 std::string encodeDrafts(std::span<const item_draft> drafts)
 {
     nlohmann::json list = nlohmann::json::array();
--- a/batch/job_store.h
+++ b/batch/job_store.h
@@ -8,6 +8,7 @@
  *     reedtrail/job/ID/state/owner  job_owner_record under the owner's lease; gone when nobody runs the job
  *     reedtrail/job/ID/state/end    present once the caller has ended the job
  *     reedtrail/draft/ID            texts under way, rewritten by the owner now and then; apart from the rest so that readers are not told of each change
+ *     reedtrail/left/MODEL/PARITY   groups that the job of an even or odd step has left unfinished; a job follows the last but one of its trainer
  *     reedtrail/demand/MODEL        expected tokens of the newest job of a model; tells who orders weights how many servers the model needs
  *
  * Safety rests on the transactions alone: a job is created only where no facts are, and a batch of results only where its key is absent and the owner key is
@@ -47,6 +48,8 @@
 std::string end(std::string_view job);
 std::string drafts(std::string_view job);
 std::string demand(std::string_view model);
+std::string leftPrefix(std::string_view model);
+std::string left(std::string_view model, std::uint64_t step);
 inline constexpr std::string_view demandPrefix = "reedtrail/demand/";
 } // namespace job_key
 
@@ -69,8 +72,16 @@
 appendTransaction(std::string_view job, store_revision ownerRevision, std::size_t batch, std::span<const item_result> results, const std::string &drafts);
 /** Keeps texts under way without any result. */
 store_txn keepDraftsTransaction(std::string_view job, store_revision ownerRevision, const std::string &drafts);
-/** Ends a job: no owner may append or run items from then on. */
-store_txn endTransaction(std::string_view job);
+/**
+ * Ends a job: no owner may append or run items from then on.
+ * @param beside what else is to be written in the same step
+ */
+store_txn endTransaction(std::string_view job, std::span<const store_put> beside = {});
+
+/** Encodes the names of groups that a job has left. */
+std::string encodeGroupsLeft(std::span<const std::string> groups);
+/** Decodes them; what cannot be read is logged and counts as none. */
+std::vector<std::string> decodeGroupsLeft(std::string_view bytes);
 
 /** Encodes texts under way. */
 std::string encodeDrafts(std::span<const item_draft> drafts);
--- a/batch/testing/job_progress_test.cpp
+++ b/batch/testing/job_progress_test.cpp
@@ -184,6 +184,49 @@
     EXPECT_EQ(progress.state(0).lastEvent, 0U);
 }
 
+/**
+ * Load pattern: the groups that an earlier step has left are the longest ones, stand first, and must be whole beside the wanted number. A rule that puts off
+ * the longest groups of all would start them last.
+ */
+TEST(job_progress_test, groupsThatComeAgainAreNotPutOff)
+{
+    for (const std::size_t wanted : { 2U, 9U, 14U }) {
+        job_spec spec = makeJob(wanted + 1, 4, wanted);
+        const std::size_t carried = wanted / 2;
+        for (std::size_t i = 0; i < carried * 4; ++i) {
+            spec.items[i].expectedTokens = 500;
+        }
+        for (std::size_t group = 0; group < carried; ++group) {
+            spec.groupsLeft.push_back("g" + std::to_string(group));
+        }
+        spec.groupsLeft.push_back("a group that does not come again");
+        spec.items[(wanted - 1) * 4].expectedTokens = 300; // The longest of the others, which can be done without.
+        job_progress progress(spec, {}, start);
+        std::vector<std::size_t> order;
+        while (const std::optional<std::size_t> index = progress.nextToRun(start)) {
+            order.push_back(*index);
+            progress.started(start, *index, "s");
+        }
+        ASSERT_EQ(order.size(), spec.items.size());
+        for (std::size_t i = 0; i < carried * 4; ++i) {
+            EXPECT_LT(order[i], carried * 4) << "of " << wanted << " wanted groups, at place " << i;
+        }
+        EXPECT_EQ(order[order.size() - 4], (wanted - 1) * 4);
+    }
+}
+
+TEST(job_progress_test, groupsWithAnItemThatIsNotRecordedAreOpen)
+{
+    job_progress progress(makeJob(3, 2, 2), {}, start);
+    EXPECT_EQ(progress.openGroups(), (std::vector<std::string>{ "g0", "g1", "g2" }));
+    for (const std::size_t index : { 0U, 1U, 2U }) {
+        finish(progress, index, start);
+    }
+    EXPECT_EQ(progress.openGroups().size(), 3U);
+    progress.noteRecorded(progress.takeFinished());
+    EXPECT_EQ(progress.openGroups(), (std::vector<std::string>{ "g1", "g2" }));
+}
+
 /** Time until the wanted groups are whole, with @p slots items at a time and each item as long as its true length. */
 double timeToWantedGroups(const job_spec &spec, const std::vector<double> &lengths, std::size_t slots, bool inOrderOfSubmission)
 {
--- a/batch/testing/job_session_test.cpp
+++ b/batch/testing/job_session_test.cpp
@@ -202,7 +202,7 @@
     second.session->keepDrafts("later texts");
     run(1s);
     EXPECT_EQ(store.peek(job_key::drafts("job-1"))->value, "later texts");
-    second.session->end([](bool) {});
+    second.session->end({}, [](bool) {});
     run(1s);
     EXPECT_FALSE(store.peek(job_key::drafts("job-1")));
 }
@@ -218,7 +218,7 @@
     ASSERT_TRUE(second.session->isOwner());
     second.work(6);
     run(1s);
-    second.session->end([](bool) {});
+    second.session->end({}, [](bool) {});
     run(1s);
     store.setCut("node-1", false);
     run(6s);
@@ -260,7 +260,7 @@
     run(1s);
     first.work(3);
     run(1s);
-    second.session->end([](bool) {});
+    second.session->end({}, [](bool) {});
     run(1s);
     EXPECT_TRUE(!second.session->isSynced() || second.session->image().results().size() == 6);
     EXPECT_EQ(load(second), load_outcome::Present);
@@ -384,7 +384,7 @@
 {
     ASSERT_EQ(accept(first), accept_outcome::Accepted);
     ASSERT_EQ(load(second), load_outcome::Present);
-    second.session->end([](bool isRecorded) {
+    second.session->end({}, [](bool isRecorded) {
         EXPECT_TRUE(isRecorded);
     });
     run(5s);
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -362,7 +362,12 @@
             refuse(exchange, http_status::unavailable, "the store does not answer", call.job);
             return;
         }
-        place->session->end([this, exchange, call](bool isRecorded) {
+        std::vector<store_put> beside;
+        if (place->worker && !place->worker->progress().spec().model.empty()) {
+            const job_spec &spec = place->worker->progress().spec();
+            beside.push_back({ job_key::left(spec.model, spec.step), encodeGroupsLeft(place->worker->progress().openGroups()), 0 });
+        }
+        place->session->end(beside, [this, exchange, call](bool isRecorded) {
             if (!isRecorded) {
                 refuse(exchange, http_status::unavailable, "the store took no record of the end", call.job);
                 return;
@@ -376,43 +381,67 @@
 
 void job_desk::owned(const std::shared_ptr<entry> &place)
 {
-    const job_image &image = place->session->image();
-    if (!place->worker) {
-        if (!decodeDocument(*place)) {
+    if (place->worker) {
+        place->worker->noteRecorded(place->session->image().results());
+        schedulePump();
+        return;
+    }
+    if (place->isStarting || !decodeDocument(*place)) {
+        return;
+    }
+    if (place->spec->model.empty()) {
+        startWorker(place, {});
+        return;
+    }
+    place->isStarting = true;
+    m_context.store.range({ job_key::leftPrefix(place->spec->model), true, 0 }, [this, weak = std::weak_ptr(place)](const store_range_answer &answer) {
+        const auto self = weak.lock();
+        if (!self || !std::exchange(self->isStarting, false) || !self->session->isOwner() || !decodeDocument(*self)) {
             return;
         }
-        place->worker = std::make_shared<job_worker>(m_context,
-                                                     m_fleet,
-                                                     place->job,
-                                                     image.facts(),
-                                                     *place->spec,
-                                                     job_worker::recorder{ [weak = std::weak_ptr(place)](std::vector<item_result> results, std::string drafts) {
-                                                                              if (const auto self = weak.lock()) {
-                                                                                  self->session->append(std::move(results), std::move(drafts));
-                                                                              }
-                                                                          },
-                                                                           [weak = std::weak_ptr(place)](std::string drafts) {
-                                                                               if (const auto self = weak.lock()) {
-                                                                                   self->session->keepDrafts(drafts);
-                                                                               }
-                                                                           },
-                                                                           [weak = std::weak_ptr(place)] {
-                                                                               const auto self = weak.lock();
-                                                                               return self && self->session->isAppending();
-                                                                           } });
-        place->worker->noteRecorded(image.results());
-        const std::vector<item_draft> drafts = place->session->draftsLeft().empty() ? std::vector<item_draft>() : decodeDrafts(place->session->draftsLeft());
-        place->worker->restore(drafts);
-        logLine(log_level::Info,
-                "job-started",
-                { { "job", place->job }, { "recorded", std::to_string(image.results().size()) }, { "drafts", std::to_string(drafts.size()) } });
+        startWorker(self, answer.items); // Without an answer the order is that of a first job.
+    });
+}
+
+void job_desk::startWorker(const std::shared_ptr<entry> &place, std::span<const store_key_value> left)
+{
+    const job_image &image = place->session->image();
+    job_spec spec = *place->spec;
+    for (const store_key_value &item : left) {
+        const std::vector<std::string> groups = decodeGroupsLeft(item.value);
+        spec.groupsLeft.insert(spec.groupsLeft.end(), groups.begin(), groups.end());
     }
+    job_worker::recorder recorder;
+    recorder.record = [weak = std::weak_ptr(place)](std::vector<item_result> results, std::string drafts) {
+        if (const auto self = weak.lock()) {
+            self->session->append(std::move(results), std::move(drafts));
+        }
+    };
+    recorder.keepDrafts = [weak = std::weak_ptr(place)](std::string drafts) {
+        if (const auto self = weak.lock()) {
+            self->session->keepDrafts(drafts);
+        }
+    };
+    recorder.isRecording = [weak = std::weak_ptr(place)] {
+        const auto self = weak.lock();
+        return self && self->session->isAppending();
+    };
+    place->worker = std::make_shared<job_worker>(m_context, m_fleet, place->job, image.facts(), std::move(spec), std::move(recorder));
     place->worker->noteRecorded(image.results());
+    const std::vector<item_draft> drafts = place->session->draftsLeft().empty() ? std::vector<item_draft>() : decodeDrafts(place->session->draftsLeft());
+    place->worker->restore(drafts);
+    logLine(log_level::Info,
+            "job-started",
+            { { "job", place->job },
+              { "recorded", std::to_string(image.results().size()) },
+              { "drafts", std::to_string(drafts.size()) },
+              { "groups-left-before", std::to_string(place->worker->progress().spec().groupsLeft.size()) } });
     schedulePump();
 }
 
 void job_desk::disowned(entry &place)
 {
+    place.isStarting = false;
     if (place.worker) {
         place.worker->stop();
         place.worker.reset();
--- a/edge/job_desk.h
+++ b/edge/job_desk.h
@@ -61,6 +61,7 @@
         std::vector<reader> readers;
         std::vector<std::function<void(load_outcome)>> loading;
         bool isLoading = false;
+        bool isStarting = false; ///< The worker waits for what earlier jobs have left.
         time_point usedAt;
     };
 
@@ -71,6 +72,7 @@
     void answerRead(const entry &place, const reader &waiting);
     void answerReaders(const std::shared_ptr<entry> &place);
     void owned(const std::shared_ptr<entry> &place);
+    void startWorker(const std::shared_ptr<entry> &place, std::span<const store_key_value> left);
     void disowned(entry &place);
     void schedulePump();
     void pump();
