What waits for the store is tried again as soon as it is back

A try against a silent store hangs for 0.7 s directly and a second through a peer, and tries are up to a second apart, so the store's return was noticed up to 2.7 s late; then ownership had to be claimed anew. Change: a node with jobs that rest on its lease asks a store that is lost for its own key each 0.5 s with a limit of 0.45 s, on the direct way; the first answer makes sessions send records that are overdue, and read where ownership is in doubt. The test fails on four of six outages without the call.

--- a/batch/job_session.h
+++ b/batch/job_session.h
@@ -56,6 +56,7 @@
 {
     duration retryDelay = std::chrono::milliseconds(150); ///< Of a call that failed, doubled up to retryDelayMost.
     duration retryDelayMost = std::chrono::milliseconds(1000); ///< Half of the lease, so that a takeover is never late by more.
+    duration overdueTime = std::chrono::milliseconds(300); ///< Of a record: a store that is slow by the usual fifty times has answered by then.
     duration confirmTime = std::chrono::milliseconds(500); ///< For which what the store has said counts as the present: half of the time in which every
                                                            ///< node must show what one has shown.
     duration readInterval = std::chrono::milliseconds(250); ///< Between reports to a reader: callers look about twice a second.
@@ -215,6 +216,19 @@
         m_retryDelay = m_options.retryDelay;
         sendAppend();
     }
+    /** The store is back: a record that is overdue, and ownership that is in doubt, are settled now instead of after their next pause. */
+    void storeRegained()
+    {
+        if (!m_isOwner || m_isClaiming || m_image.isEnded()) {
+            return;
+        }
+        if (m_isAppending && m_loop.now() - m_appendingSince > m_options.overdueTime) {
+            m_retryDelay = m_options.retryDelay;
+            sendAppend();
+        } else if (!isSynced()) {
+            readAndReview(false);
+        }
+    }
     bool isAppending() const
     {
         return m_isAppending;
--- a/batch/testing/job_session_test.cpp
+++ b/batch/testing/job_session_test.cpp
@@ -228,6 +228,32 @@
     EXPECT_EQ(first.session->image().results().size(), 8U);
 }
 
+/** A store outage of some seconds in which leases lapse: what is ready is to be shown as soon as the store is back, not after the pause between two tries. */
+TEST_F(job_session_test, resultsThatWaitedForTheStoreAreRecordedAsSoonAsItIsBack)
+{
+    for (const duration outage : { 3000ms, 3400ms, 3800ms, 4200ms, 4600ms, 5000ms }) {
+        virtual_time ownWorld;
+        fake_store ownStore{ ownWorld, random_source(7), { .timeout = 700ms } };
+        node owner{ ownWorld, ownStore, "node-1", 8 };
+        owner.session->accept({ "host", "/path/", 0 }, "document", [](accept_outcome) {});
+        ownWorld.runUntil(ownWorld.now() + 1s);
+        ownStore.setDown(true);
+        owner.work(8);
+        ownWorld.runUntil(ownWorld.now() + outage);
+        auto hand = ownStore.client("hand");
+        ownStore.setDown(false);
+        store_txn lapse;
+        lapse.onSuccess.push_back(store_delete{ job_key::owner("job-1"), false });
+        hand.txn(lapse, [](const store_txn_answer &) {});
+        ownWorld.runUntil(ownWorld.now() + 10ms);
+        owner.session->storeRegained();
+        ownWorld.runUntil(ownWorld.now() + 300ms);
+        EXPECT_EQ(owner.session->image().results().size(), 8U) << "after an outage of " << toSeconds(outage) << " s";
+        EXPECT_TRUE(ownStore.peek(job_key::resultBatch("job-1", 0)));
+        EXPECT_FALSE(ownStore.peek(job_key::resultBatch("job-1", 1))) << "the tries before have recorded nothing beside it";
+    }
+}
+
 TEST_F(job_session_test, ownerWhoseKeyWasTakenAwayNotices)
 {
     ASSERT_EQ(accept(first), accept_outcome::Accepted);
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -528,6 +528,13 @@
     }));
 }
 
+void job_desk::storeRegained()
+{
+    for (const auto &[id, place] : m_entries) {
+        place->session->storeRegained();
+    }
+}
+
 bool job_desk::needsLease() const
 {
     return std::ranges::any_of(m_entries, [](const auto &place) {
--- a/edge/job_desk.h
+++ b/edge/job_desk.h
@@ -31,6 +31,8 @@
     void drain(std::function<void()> done) override;
     nlohmann::json dump() const override;
 
+    /** The store serves this node again: what waits to be tried again is tried now. */
+    void storeRegained();
     /** Tells whether this node has jobs that rest on its lease. */
     bool needsLease() const;
 
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -56,6 +56,12 @@
         auto peers = std::make_unique<peer_transport_service>(m_context.settings, m_loop, m_store, m_transport, [this] {
             m_context.lease->acquire([](store_lease_id) {});
         });
+        m_transport.onRegained([desk = desk.get()] {
+            desk->storeRegained();
+        });
+        peers->setUrgency([desk = desk.get()] {
+            return desk->needsLease();
+        });
         peers->onForwarded([callers = callers.get()](std::shared_ptr<http_exchange> exchange) {
             callers->dispatchForwarded(std::move(exchange));
         });
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_transport_service.cpp
@@ -33,6 +33,7 @@
 constexpr duration directPatience = std::chrono::milliseconds(700); // Twice what the slowest store that was seen takes; beyond it the lease would lapse.
 constexpr duration detourAllowance = std::chrono::milliseconds(300); // For the way to the peer and back.
 constexpr duration pingInterval = std::chrono::milliseconds(500); // Half of the time between two questions of the ingress whether this node is ready.
+constexpr duration probeLimit = std::chrono::milliseconds(450); // Of a question whether the store is back: shorter than the time to the next one.
 constexpr duration pingLimit = std::chrono::milliseconds(300); // A hundred times the way between zones.
 constexpr duration detourWait = std::chrono::milliseconds(1000); // Of a waiting read through a peer, after which it is sent anew by the way that is best
                                                                  // then: the peer's own trouble must not last longer here than this node's own would.
@@ -146,7 +147,9 @@
         return;
     }
     const bool wasOnDetour = m_path.isOnDetour(now);
+    const bool wasLost = m_path.isStoreLost();
     m_path.directEnded(now, isServed);
+    tellIfRegained(wasLost);
     if (!wasOnDetour && m_path.isOnDetour(now)) {
         logLine(log_level::Info, "store-by-peer", { { "last-status", std::to_string(answer.status) }, { "answered", answer.isAnswered ? "yes" : "no" } });
         dropWaitingCalls();
@@ -179,6 +182,27 @@
     }
 }
 
+void detour_transport::tellIfRegained(bool wasLost)
+{
+    if (wasLost && !m_path.isStoreLost()) {
+        m_loop.after(duration::zero(), [this] {
+            m_onRegained();
+        });
+    }
+}
+
+void detour_transport::probeStore()
+{
+    const std::string ownKey = std::string(nodesPrefix) + m_settings.node;
+    m_direct.call("GET", platform::readTarget(ownKey), "", probeLimit, [this](const reply &answer) {
+        if (!isTurnedAway(answer)) {
+            const bool wasLost = m_path.isStoreLost();
+            m_path.directEnded(m_loop.now(), true);
+            tellIfRegained(wasLost);
+        }
+    });
+}
+
 void detour_transport::ping(const endpoint &peer, std::function<void(bool isReached)> done)
 {
     http_request request;
@@ -232,7 +256,9 @@
     const bool isNotDone = isAnswered ? response.status == statusNotDone : !end.isHandedOver;
     const bool isUnknown = isAnswered ? response.status == statusNoAnswer : end.isHandedOver;
     const bool isRefused = isAnswered && (response.status == http_status::tooMany || response.status == http_status::unavailable);
+    const bool wasLost = m_path.isStoreLost();
     m_path.detourEnded(now, peer, !isNotDone && !isUnknown && !isRefused, isAnswered);
+    tellIfRegained(wasLost);
     if ((isNotDone || isRefused) && !call->hasFailedDirectly) {
         call->hasFailedDirectly = true;
         goDirectly(call);
@@ -448,10 +474,13 @@
 void peer_transport_service::pingLater()
 {
     m_loop.after(pingInterval, [this] {
+        if (m_transport.path().isStoreLost() && m_isUrgent()) {
+            m_transport.probeStore();
+        }
         if (!m_isLeaving) {
             pingPeers();
-            pingLater();
         }
+        pingLater();
     });
 }
 
--- a/edge/peer_transport_service.h
+++ b/edge/peer_transport_service.h
@@ -65,6 +65,13 @@
     {
         return m_direct.call(method, target, std::move(body), timeout, std::move(onReply));
     }
+    /** Sets what runs when the store serves this node again after it was lost. */
+    void onRegained(std::function<void()> action)
+    {
+        m_onRegained = std::move(action);
+    }
+    /** Asks the store, briefly and on the direct way, whether it is back. */
+    void probeStore();
     /** Asks a peer for a sign of life. */
     void ping(const endpoint &peer, std::function<void(bool isReached)> done);
     store_path &path()
@@ -79,6 +86,7 @@
     void followDirectly(const std::shared_ptr<following> &question);
     void pollForHub(const std::string &prefix, store_revision after);
     void hubPolled(const std::string &prefix, const reply &answer);
+    void tellIfRegained(bool wasLost);
     void dropWaitingCalls();
     void send(const std::shared_ptr<pending> &call);
     void goDirectly(const std::shared_ptr<pending> &call);
@@ -95,6 +103,7 @@
     std::map<std::string, std::vector<hub_follower>> m_followers; ///< By prefix.
     std::uint64_t m_nextFollower = 1;
     std::map<std::string, std::uint64_t> m_generations; ///< By prefix: of the reader's hub, at its last answer.
+    std::function<void()> m_onRegained = [] {};
     std::vector<std::weak_ptr<pending>> m_waitingCalls; ///< On the direct way.
 };
 
@@ -106,6 +115,11 @@
     peer_transport_service(
         const edge_settings &settings, asio_loop &loop, platform::key_value_store &store, detour_transport &transport, std::function<void()> keepInTouch);
 
+    /** Sets what tells whether this node has work that waits for the store, so that it should notice at once when the store is back. */
+    void setUrgency(std::function<bool()> isUrgent)
+    {
+        m_isUrgent = std::move(isUrgent);
+    }
     /** Sets what takes the peers, by name, whenever they change. */
     void onPeers(std::function<void(const std::map<std::string, store_peer> &)> action)
     {
@@ -142,6 +156,9 @@
     std::shared_ptr<prefix_mirror<platform::key_value_store, asio_loop>> m_mirror;
     std::map<std::string, store_peer> m_peers;
     std::function<void()> m_keepInTouch;
+    std::function<bool()> m_isUrgent = [] {
+        return false;
+    };
     std::function<void(const std::map<std::string, store_peer> &)> m_onPeers = [](const auto &) {};
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwarded = &job_forwarder::decline;
     time_point m_askedAt;
--- a/fleet/store_path.h
+++ b/fleet/store_path.h
@@ -82,6 +82,11 @@
     {
         return now - m_servedAt;
     }
+    /** Tells whether the last calls failed on all ways that were tried. */
+    bool isStoreLost() const
+    {
+        return m_lostAt != timeNever;
+    }
     bool isOnDetour(time_point now) const
     {
         return now < m_detourUntil;
