Items are not given up early by stepped clocks

Cause: found by reading. Change: five seconds are added; items may be given up later than their lifetime. The test fails without the margin.

--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -30,6 +30,8 @@
 struct job_progress_options
 {
     duration itemLifetime = std::chrono::seconds(60); ///< After submission; an item that is not finished by then is given up.
+    duration clockMargin = std::chrono::seconds(5); ///< Added to it: the time of submission is by another node's clock, and two clocks may be stepped by two
+                                                    ///< seconds each, in opposite directions.
     int maxFailures = 3; ///< Runs that the server itself failed before an item is given up.
     int maxScoreFailures = 3; ///< The same for its score.
     bool isSingleVersion = false; ///< A text must come from one weight version.
--- a/batch/testing/job_progress_test.cpp
+++ b/batch/testing/job_progress_test.cpp
@@ -113,10 +113,24 @@
     }
 }
 
+/** A node whose clock is two seconds ahead takes over from one whose clock is two seconds behind: it takes the job for four seconds older than it is. */
+TEST(job_progress_test, stepsOfTheClockGiveNoItemUpBeforeItsTime)
+{
+    job_progress_options options;
+    options.itemLifetime = 40s;
+    const time_point submittedByThisClock = start - 4s;
+    job_progress progress(makeJob(1, 2, 1), options, submittedByThisClock);
+    progress.expire(start + 40s);
+    EXPECT_EQ(progress.count(item_stage::Waiting), 2U);
+    progress.expire(start + 46s);
+    EXPECT_EQ(progress.count(item_stage::Finished), 2U);
+}
+
 TEST(job_progress_test, itemsAreGivenUpAtTheEndOfTheirLifetime)
 {
     job_progress_options options;
     options.itemLifetime = 40s;
+    options.clockMargin = 0s;
     job_progress progress(makeJob(1, 2, 1), options, start);
     finish(progress, 0, start);
     progress.expire(start + 39s);
