A duty whose holder nobody knows is found again

Cause: found by a new test of liveness (four nodes, forty seeds of faults, restarts and retirements): in five of them nobody ever acted again. A node whose view had missed a change (its watch had fallen silent) tried to take a key that was there, was refused and did nothing; a holder whose lease had lapsed went on believing in its key; the others believed it too. In the programs a silent watch ends with its poll after 17 s at most, in the test never. Change: a refused attempt and a lapsed lease make a node read everything again, and a mirror opens a watch again that has given no sign of life for 20 s (polls end after 17 s).

--- a/fleet/duty_holder.h
+++ b/fleet/duty_holder.h
@@ -86,6 +86,7 @@
         };
         m_mirror = std::make_shared<prefix_mirror<Store, Loop>>(m_store, m_loop, m_prefix, prefix_mirror_options{}, handlers);
         m_mirror->start();
+        doubtLapsedKey();
     }
 
     /**
@@ -209,6 +210,21 @@
         }
     }
 
+    /** A holder whose lease has lapsed has no key any more, whatever the mirror says. */
+    void doubtLapsedKey()
+    {
+        m_loop.after(m_options.turn, [weak = this->weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self || self->m_isRetired) {
+                return;
+            }
+            if (self->isHolder() && self->m_lease->validFor(self->m_holder->lease, self->m_loop.now()) <= duration::zero()) {
+                self->m_mirror->refresh();
+            }
+            self->doubtLapsedKey();
+        });
+    }
+
     void beginTurn()
     {
         m_followsItself = m_last.empty() || m_last == m_node;
@@ -302,6 +318,8 @@
             if (answer.isSucceeded) {
                 self->m_holder = holder_record{ self->m_node, self->m_incarnation, answer.revision, lease };
                 self->review();
+            } else {
+                self->m_mirror->refresh(); // Somebody has it, and the mirror may have missed that.
             }
         });
     }
--- a/fleet/prefix_mirror.h
+++ b/fleet/prefix_mirror.h
@@ -24,6 +24,7 @@
     bool isPrefix = true;
     bool isShared = true; ///< Whether other nodes mirror the same, so that one may poll for several.
     duration reportInterval{}; ///< Least time between two reports; changes in between come together.
+    duration lifeSignTime = std::chrono::seconds(20); ///< A watch without any report for this long has fallen silent: a poll of the store ends after 17 s.
     duration retryDelay = std::chrono::milliseconds(250); ///< After a failed call, doubled with each further one up to retryDelayMost.
     duration retryDelayMost = std::chrono::milliseconds(1000); ///< The store's return is seen this late at most, and half as late on average.
 };
@@ -66,6 +67,15 @@
         }
     }
 
+    /** Reads everything again, for a caller that has found out that what it was told is not so. */
+    void refresh()
+    {
+        if (m_watch != 0) {
+            m_store.cancelWatch(std::exchange(m_watch, 0));
+            list();
+        }
+    }
+
     /** Tells whether a complete read has succeeded yet. */
     bool hasListed() const
     {
@@ -122,10 +132,29 @@
         call.reportInterval = m_options.reportInterval;
         call.isShared = m_options.isShared;
         m_watch = m_store.watch(call, { guarded(&prefix_mirror::reported), guarded(&prefix_mirror::watchEnded) });
+        m_heardAt = m_loop.now();
+        expectLife(m_watch);
+    }
+
+    /** Opens a watch again that has shown no sign of life for too long: its connection has fallen silent. */
+    void expectLife(store_watch_id watch)
+    {
+        m_loop.after(m_options.lifeSignTime / 2, [weak = this->weak_from_this(), watch] {
+            const auto self = weak.lock();
+            if (!self || self->m_isStopped || self->m_watch != watch) {
+                return;
+            }
+            if (self->m_loop.now() - self->m_heardAt >= self->m_options.lifeSignTime) {
+                self->refresh();
+            } else {
+                self->expectLife(watch);
+            }
+        });
     }
 
     void reported(const store_watch_report &report)
     {
+        m_heardAt = m_loop.now();
         setConnected(true);
         m_revision = std::max(m_revision, report.revision);
         for (const store_watch_event &event : report.events) {
@@ -175,6 +204,7 @@
     store_watch_id m_watch = 0;
     store_revision m_revision = 0;
     time_point m_stateChangedAt;
+    time_point m_heardAt; ///< Of the watch.
     bool m_hasListed = false;
     bool m_isConnected = false;
     bool m_isStopped = false;
--- a/fleet/testing/duty_holder_test.cpp
+++ b/fleet/testing/duty_holder_test.cpp
@@ -272,5 +272,68 @@
     EXPECT_GT(acts.size(), 100U);
 }
 
+class duty_holder_liveness : public duty_holder_test, public testing::WithParamInterface<std::uint64_t>
+{
+};
+
+/** After any series of faults, restarts and retirements somebody acts again once they are over. */
+TEST_P(duty_holder_liveness, somebodyActsOnceAllIsCalm)
+{
+    addNodes(4);
+    random_source random(GetParam());
+    for (int round = 0; round < 12; ++round) {
+        for (int step = 0; step < 20; ++step) {
+            competitor &node = *nodes[random.below(nodes.size())];
+            switch (random.below(9)) {
+            case 0:
+                store.setCut(node.name, random.chance(0.4));
+                break;
+            case 1:
+                store.setDown(random.chance(0.2));
+                break;
+            case 2:
+                store.setAnswerLossChance(random.chance(0.3) ? 0.3 : 0);
+                break;
+            case 3:
+                store.forgetClient(node.name);
+                node.start();
+                break;
+            case 4:
+                store.compact();
+                break;
+            case 5:
+                store.setSlow(random.chance(0.3));
+                break;
+            case 6:
+                node.lease->acquire([](store_lease_id) {}); // For a job.
+                break;
+            case 7:
+                if (node.duty->isHolder()) {
+                    node.duty->retire(random.chance(0.7) ? "word" : "", [] {});
+                    run(std::chrono::milliseconds(random.below(1000)));
+                    store.forgetClient(node.name);
+                    node.start();
+                }
+                break;
+            default:
+                break;
+            }
+            run(std::chrono::milliseconds(random.below(1200)));
+        }
+        store.setDown(false);
+        store.setSlow(false);
+        store.setAnswerLossChance(0);
+        for (const auto &each : nodes) {
+            store.setCut(each->name, false);
+        }
+        run(40s); // A watch whose connection has fallen silent is found out within thirty.
+        acts.clear();
+        run(1s);
+        ASSERT_FALSE(acts.empty()) << "round " << round << ": nobody acts though all has been calm for forty seconds";
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, duty_holder_liveness, testing::Range<std::uint64_t>(1, 41));
+
 } // namespace
 } // namespace reedtrail
