Only servers that fall silent within the same three seconds make a zone suspect

Cause: found by reading. At a node that hears little from a zone, one server that fell silent a minute ago and one that does now counted as two in a row. The silence of a server is forgotten with the time of suspicion; the test fails without that. The job that a call is about is told by plain cases instead of a visitor with a branch that is never taken.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -115,21 +115,18 @@
 /** Returns the job that a call is about; nothing if it is for a service. */
 std::optional<std::string> caller_service::jobOf(const http_request &request, const platform::caller_call &call) const
 {
-    const auto *service = std::get_if<platform::service_call>(&call);
-    if (service == nullptr) {
-        return std::visit(
-            [](const auto &about) -> std::string {
-                if constexpr (std::is_same_v<std::decay_t<decltype(about)>, platform::service_call>) {
-                    return about.id;
-                } else {
-                    return about.job;
-                }
-            },
-            call);
+    if (const auto *read = std::get_if<platform::job_read>(&call)) {
+        return read->job;
+    }
+    if (const auto *item = std::get_if<platform::job_item_read>(&call)) {
+        return item->job;
+    }
+    if (const auto *end = std::get_if<platform::job_end>(&call)) {
+        return end->job;
     }
     const route *where = m_fleet.routes().match(request.fields.get("Host"), request.path());
     const bool isSubmission = where != nullptr && where->kind == route_kind::Batch && request.method == "POST";
-    return isSubmission ? std::optional(service->id) : std::nullopt;
+    return isSubmission ? std::optional(std::get<platform::service_call>(call).id) : std::nullopt;
 }
 
 void caller_service::callDesk(const std::shared_ptr<http_exchange> &exchange, const platform::caller_call &call, bool mayBeDone)
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -202,7 +202,10 @@
     broke(now, id);
     if (const row *place = find(id)) {
         zone_row &zone = m_zones[place->zone];
-        zone.silent.emplace(id);
+        std::erase_if(zone.silent, [&](const auto &each) {
+            return each.second + m_options.suspicion < now;
+        });
+        zone.silent[std::string(id)] = now;
         if (zone.silent.size() >= m_options.silentServers) {
             zone.suspectUntil = now + m_options.suspicion;
         }
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -15,7 +15,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,7 +39,7 @@
     duration longestPause = std::chrono::seconds(3); ///< A registration without a living server lapses after three heartbeats.
     duration refusalPause = std::chrono::milliseconds(150); ///< Before a server that refused is asked again; loading weights takes about a second.
     double moveFactor = 1.8; ///< A stream leaves a server this many times slower than another: full and empty servers differ by 1.35.
-    std::size_t silentServers = 2; ///< Of a zone, in a row, that make it suspect; one may have ended.
+    std::size_t silentServers = 2; ///< Of a zone, in a row and within the time of suspicion, that make it suspect; one may have ended.
     duration suspicion = std::chrono::milliseconds(3000); ///< After the last silent server; registrations of a zone that is cut lapse 3.6 s after the cut.
     duration loadMemory = std::chrono::milliseconds(500); ///< How long a server's own word on its load is believed.
 };
@@ -141,7 +140,7 @@
     /** What was heard of a zone. */
     struct zone_row
     {
-        std::set<std::string, std::less<>> silent; ///< Servers that fell silent since anything was heard.
+        std::map<std::string, time_point, std::less<>> silent; ///< Servers that fell silent since anything was heard, and when.
         time_point suspectUntil;
     };
     bool isSuspect(time_point now, const row &place) const;
--- a/routing/testing/backend_table_test.cpp
+++ b/routing/testing/backend_table_test.cpp
@@ -240,9 +240,12 @@
     EXPECT_TRUE(table.isZoneSuspect(now, "s6"));
     table.heard("s6");
     EXPECT_FALSE(table.isZoneSuspect(now, "s6"));
-    // One more is no evidence after the zone was heard.
+    // One more is no evidence after the zone was heard, nor is a second one much later at a node that hears little.
     table.fellSilent(now, "s0");
     EXPECT_FALSE(table.isZoneSuspect(now, "s6"));
+    now += 30s;
+    table.fellSilent(now, "s3");
+    EXPECT_FALSE(table.isZoneSuspect(now, "s6"));
 }
 
 TEST_F(backend_table_test, nodeThatHearsNoZoneAsksThemAll)
