The way to the store and the node among its peers are two files

Moved only: detour_transport.h/.cpp, peer_transport_service.h/.cpp, and what nodes say to each other in peer_protocol.h.

--- a/edge/testing/detour_transport_test.cpp
+++ b/edge/testing/detour_transport_test.cpp
@@ -1,4 +1,6 @@
-#include "edge/peer_transport_service.h"
+#include "edge/detour_transport.h"
+
+#include "net/http_server.h"
 
 #include <gtest/gtest.h>
 
