A candidate for a duty no longer replaces a holder that was quicker

Cause: a node that saw the duty free asked for a lease, and meanwhile saw another take it; its attempt then expected the holder's key as it had just become known, and replaced it. Change: whether the duty is free is asked again once the lease is there. The new test (150 retirements among six nodes) has two holders in some rounds on the code before, and one in each with the change. The fake store took a key with the end of a lease that it had stood under before it was deleted and written anew under another; the standin for processes does not. Mended; the tests' nodes now let unneeded leases lapse as the programs do.

--- a/fleet/duty_holder.h
+++ b/fleet/duty_holder.h
@@ -202,8 +202,7 @@
             }
             m_onChange();
         }
-        const bool isFree = !m_holder || (m_holder->node == m_node && m_holder->incarnation != m_incarnation);
-        if (isFree && !m_isRetired && !m_isCompeting) {
+        if (isFree() && !m_isRetired && !m_isCompeting) {
             // The machine that acted last needs not wait out its own turn, so it goes first.
             const bool goesFirst = m_last.empty() || m_last == m_node;
             compete(fromSeconds(m_random.unit() * toSeconds(m_options.candidateSpread)) + (goesFirst ? duration::zero() : m_options.firstClaim));
@@ -278,8 +277,7 @@
     void tryToTake()
     {
         m_isCompeting = false;
-        const bool isFree = !m_holder || (m_holder->node == m_node && m_holder->incarnation != m_incarnation);
-        if (!isFree || m_isRetired) {
+        if (!isFree() || m_isRetired) {
             return;
         }
         m_isCompeting = true;
@@ -296,8 +294,18 @@
         });
     }
 
+    /** Tells whether nobody has the duty, or an earlier process of this node. */
+    bool isFree() const
+    {
+        return !m_holder || (m_holder->node == m_node && m_holder->incarnation != m_incarnation);
+    }
+
     void take(store_lease_id lease)
     {
+        if (!isFree() || m_isRetired) {
+            m_isCompeting = false; // Another has taken it while the lease was granted.
+            return;
+        }
         store_txn txn;
         txn.compares.push_back(m_holder ? store_compare::unchanged(holderKey(), m_holder->revision) : store_compare::absent(holderKey()));
         txn.onSuccess.push_back(store_put{ holderKey(), encoded(), lease });
--- a/fleet/testing/duty_holder_test.cpp
+++ b/fleet/testing/duty_holder_test.cpp
@@ -4,6 +4,7 @@
 #include "harness/virtual_time.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace reedtrail {
 namespace {
@@ -33,6 +34,11 @@
         lease = std::make_shared<lease_type>(client, world, node_lease_options{});
         duty = std::make_shared<duty_type>(
             client, world, lease, "orders", name, std::to_string(incarnation), incarnation * 31 + name.back(), duty_holder_options{});
+        // As in the programs: a lease that nothing rests on is left to lapse.
+        lease->setNeed([weak = std::weak_ptr(duty)] {
+            const auto self = weak.lock();
+            return self && self->isHolder();
+        });
         duty->start([] {});
     }
 
@@ -240,6 +246,30 @@
     expectTurns();
 }
 
+/** Nodes without a lease of their own compete at nearly the same time: one of them has the duty, and keeps it. */
+TEST_F(duty_holder_test, aHolderIsNotReplacedByACandidateThatWasSlower)
+{
+    addNodes(6);
+    run(2s);
+    for (int round = 0; round < 150; ++round) {
+        competitor &before = *holder();
+        before.duty->retire("word", [] {});
+        std::set<std::string> holders;
+        for (int i = 0; i < 200; ++i) {
+            run(10ms);
+            for (const auto &node : nodes) {
+                if (node->duty->isHolder()) {
+                    holders.insert(node->name);
+                }
+            }
+        }
+        EXPECT_EQ(holders.size(), 1U) << "round " << round;
+        store.forgetClient(before.name);
+        before.start();
+        run(3s);
+    }
+}
+
 TEST_F(duty_holder_test, turnsHoldUnderRandomFaults)
 {
     addNodes(4);
--- a/harness/fake_store.cpp
+++ b/harness/fake_store.cpp
@@ -370,7 +370,15 @@
 
 void fake_store::eraseKey(const std::string &key, store_revision revision)
 {
-    m_items.erase(key);
+    const auto item = m_items.find(key);
+    if (item == m_items.end()) {
+        return;
+    }
+    // The lease's end must not take a later key of the same name.
+    if (const auto lease = m_leases.find(item->second.lease); lease != m_leases.end()) {
+        lease->second.keys.erase(key);
+    }
+    m_items.erase(item);
     store_key_value gone;
     gone.key = key;
     gone.modRevision = revision;
