--- a/batch/job_session.h
+++ b/batch/job_session.h
@@ -4,10 +4,12 @@
  *
  *     auto session = std::make_shared<job_session<Store, Loop>>(store, loop, *lease, "job-1", self, handlers);
  *     session->accept(facts, document, [](accept_outcome outcome) { ... });      // or session->load(...)
- *     session->append(results);                                                  // by the owner; onRecorded follows
+ *     session->append(results, drafts);                                          // by the owner; onRecorded follows
+ *     session->verify([](bool isCaughtUp) { ... });                              // before a caller is told that there is nothing further
  *
  * A reader watches all keys of the job, as long as somebody waits for results here, and so sees the owner key go; it then claims the job itself. Claims of
- * several readers race in the store and one wins. catchUp() goes on from where the watch was left.
+ * several readers race in the store and one wins. catchUp() goes on from where the watch was left. What a watch has not told is no proof of anything, so
+ * verify() asks the store unless it has answered a moment ago.
  * An owner only watches its own key and the end of the job. A write whose answer was lost is written again unchanged until the store gives a definite
  * answer, so a batch of results is either recorded once or not at all. What an owner has in memory is the whole truth only while its key is unchanged; when
  * that is in doubt the next read goes to the store.
