--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -83,6 +83,16 @@
         return;
     }
     platform::caller_call call = platform::decodeCall(exchange->request());
+    if (std::holds_alternative<platform::service_call>(call)) {
+        const bool isCurrent = m_fleet.ensureCurrent([this, exchange] {
+            if (!exchange->isGone()) {
+                dispatch(exchange);
+            }
+        });
+        if (!isCurrent) {
+            return;
+        }
+    }
     const std::optional<std::string> job = jobIdOf(exchange->request(), call);
     if (!job) {
         relayToBackend(std::move(exchange), std::get<platform::service_call>(std::move(call)));
--- a/edge/edge_settings.h
+++ b/edge/edge_settings.h
@@ -26,8 +26,10 @@
     endpoint readiness; ///< Listen address for readiness probes, metrics and dumps.
     std::optional<endpoint> peers; ///< Listen address for other nodes; empty if this process serves none.
     endpoint store; ///< Address of the platform's store.
+    bool isFirstStart = false; ///< Whether the whole deployment starts for the first time, so that all nodes register together.
     double processorShare = 0; ///< Share of one processor core that this process may use; 0 if unknown.
     duration maxDrainDelay = std::chrono::milliseconds(2000); ///< A server that announces its shutdown receives no new requests after this time.
+    duration maxConfigurationDelay = std::chrono::milliseconds(2000); ///< Requests are judged by a new configuration after this time.
     duration shutdownGracePeriod = std::chrono::seconds(8); ///< Time from the stop signal until the process is killed.
     duration orderHandoverInterval = std::chrono::milliseconds(3000); ///< Minimum time between load orders of two different nodes to the same server.
 };
--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -1,14 +1,18 @@
 #include "edge/fleet_cache.h"
 
+#include "base/cbor_codec.h"
 #include "kernel/log.h"
+#include "net/http_status.h"
 #include "platform/fleet_wire.h"
 
 namespace reedtrail {
 namespace {
 
-// Share of maxDrainDelay between two reports of server changes. Registrations change with every load of weights, so changes are reported in batches. The
-// remaining 0.8 s of the default maxDrainDelay are left for the read itself and for one retry.
-constexpr double serverReportIntervalShare = 0.6;
+// Ages of a state on which decisions rest, as shares of the time after which a change must be in effect. The rest of that time covers a new connection to the
+// server, and a request that waits in this node for its turn.
+constexpr double allowanceShare = 0.6;
+constexpr double replyAgeShare = 0.45; // Leaves a share of 0.15 for the way from the zone's reader to this node.
+constexpr double prefetchAgeShare = 0.3; // Under steady load a read ends long before decisions would have to wait for it.
 
 backend_table_options optionsFor(const edge_settings &settings)
 {
@@ -19,8 +23,9 @@
 
 } // namespace
 
-fleet_cache::fleet_cache(edge_context &context)
+fleet_cache::fleet_cache(edge_context &context, peer_snapshot_source &source)
     : m_context(context)
+    , m_source(source)
     , m_backends(optionsFor(context.settings), context.randomSeed)
 {
     m_backends.setConnectionQuery([this](const endpoint &address) {
@@ -30,63 +35,133 @@
 
 result<void> fleet_cache::start(kernel &)
 {
-    prefix_mirror_handlers configurationHandlers;
-    configurationHandlers.onListing = [this](std::span<const store_key_value> items) {
-        for (const store_key_value &item : items) {
-            applyConfiguration(item);
-        }
+    const auto logConnection = [](const char *what) {
+        return [what](bool isConnected) {
+            logLine(log_level::Info, isConnected ? "store-regained" : "store-lost", { { "read", what } });
+        };
     };
-    configurationHandlers.onEvent = [this](const store_watch_event &event) {
+    snapshot_mirror_handlers configurationHandlers;
+    configurationHandlers.onEvent = [this](const store_watch_event &event, bool) {
         if (event.type == store_watch_event::kind::Put) {
             applyConfiguration(event.item);
         }
     };
-    configurationHandlers.onConnectionChange = [](bool isConnected) {
-        logLine(log_level::Info, isConnected ? "store-regained" : "store-lost", { { "watch", "configuration" } });
-    };
-    prefix_mirror_options configurationOptions;
-    configurationOptions.isPrefix = false;
-    // Changes must arrive within a time limit, so each node watches the store itself: a fault of a shared reader would delay its whole zone.
-    configurationOptions.isShared = false;
-    m_configurationMirror =
-        std::make_shared<mirror>(m_context.store, m_context.loop, std::string(platform::configurationKey), configurationOptions, configurationHandlers);
-    m_configurationMirror->start();
-
-    prefix_mirror_handlers serverHandlers;
-    serverHandlers.onListing = [this](std::span<const store_key_value> items) {
-        replaceServers(items);
-    };
-    serverHandlers.onEvent = [this](const store_watch_event &event) {
-        applyServerEvent(event);
+    configurationHandlers.onConnectionChange = logConnection("configuration");
+    m_configurationMirror = makeMirror(platform::configurationKey, false, m_context.settings.maxConfigurationDelay, std::move(configurationHandlers));
+
+    snapshot_mirror_handlers serverHandlers;
+    serverHandlers.onEvent = [this](const store_watch_event &event, bool mayHaveLapsed) {
+        applyServerEvent(event, mayHaveLapsed);
     };
-    serverHandlers.onCaughtUp = [this] {
+    serverHandlers.onCaughtUp = [this](bool mayHaveLapsed) {
+        if (!mayHaveLapsed) {
+            m_directory.dropLapsed(m_context.loop.now());
+        }
         onServersChanged();
     };
-    serverHandlers.onConnectionChange = [this](bool isConnected) {
+    serverHandlers.onConnectionChange = [this, log = logConnection("servers")](bool isConnected) {
         isConnected ? m_outages.recordReconnect(m_context.loop.now()) : m_outages.recordDisconnect(m_context.loop.now());
-        logLine(log_level::Info, isConnected ? "store-regained" : "store-lost", { { "watch", "servers" } });
+        log(isConnected);
+    };
+    serverHandlers.lapseGrace = [this](time_point askedAt) {
+        return m_outages.lapseGrace(askedAt);
     };
-    prefix_mirror_options serversOptions;
-    serversOptions.isShared = false; // Same reason as for the configuration.
-    serversOptions.reportInterval = fromSeconds(toSeconds(m_context.settings.maxDrainDelay) * serverReportIntervalShare);
-    m_serverMirror = std::make_shared<mirror>(m_context.store, m_context.loop, std::string(platform::serversPrefix), serversOptions, serverHandlers);
-    m_serverMirror->start();
+    m_serverMirror = makeMirror(platform::serversPrefix, true, m_context.settings.maxDrainDelay, std::move(serverHandlers));
     return {};
 }
 
+std::shared_ptr<fleet_cache::mirror> fleet_cache::makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers)
+{
+    snapshot_mirror_options options;
+    options.prefix = prefix;
+    options.isPrefix = isPrefix;
+    options.allowance = fromSeconds(toSeconds(bound) * allowanceShare);
+    options.replyAge = fromSeconds(toSeconds(bound) * replyAgeShare);
+    options.prefetchAge = fromSeconds(toSeconds(bound) * prefetchAgeShare);
+    return std::make_shared<mirror>(m_source, m_context.loop, std::move(options), std::move(handlers));
+}
+
+void fleet_cache::beginReading()
+{
+    if (!std::exchange(m_hasBegun, true)) {
+        m_configurationMirror->start();
+        m_serverMirror->start();
+    }
+}
+
 void fleet_cache::stop()
 {
     m_configurationMirror->stop();
     m_serverMirror->stop();
 }
 
+bool fleet_cache::ensureCurrent(const std::function<void()> &whenReady)
+{
+    if (m_context.isIsolated()) {
+        return true; // Neither the store nor a peer that reaches it can answer.
+    }
+    m_configurationMirror->prefetch();
+    m_serverMirror->prefetch();
+    return m_configurationMirror->ensureFresh(whenReady) && m_serverMirror->ensureFresh(whenReady);
+}
+
+void fleet_cache::recordLeaving(const std::string &server, std::string_view source)
+{
+    if (m_directory.recordLeaving(m_context.loop.now(), server)) {
+        logLine(log_level::Info, "server-leaving", { { "server", server }, { "source", std::string(source) } });
+        onServersChanged();
+    }
+}
+
+void fleet_cache::serveSnapshot(const std::shared_ptr<http_exchange> &exchange)
+{
+    snapshot_query query;
+    const std::optional<failure> error = failureOf([&]() -> result<void> {
+        const std::string &body = exchange->request().body;
+        BOOST_LEAF_AUTO(message, decodeEnvelope({ reinterpret_cast<const std::uint8_t *>(body.data()), body.size() }));
+        BOOST_LEAF_ASSIGN(query, decodeBody<snapshot_query>(message));
+        return {};
+    });
+    const auto found = query.prefix == platform::serversPrefix ? m_serverMirror : query.prefix == platform::configurationKey ? m_configurationMirror : nullptr;
+    if (error || !found) {
+        exchange->respond(textResponse(http_status::badRequest, "bad query\n"));
+        return;
+    }
+    if (m_context.isDraining) {
+        exchange->respond(textResponse(http_status::unavailable, ""));
+        return;
+    }
+    found->serve(query, [exchange](const std::optional<snapshot_reply> &reply) {
+        if (!reply) {
+            exchange->respond(textResponse(http_status::unavailable, ""));
+            return;
+        }
+        const std::vector<std::uint8_t> bytes = encodeMessage(*reply);
+        http_response response;
+        response.status = http_status::ok;
+        response.body.assign(bytes.begin(), bytes.end());
+        exchange->respond(std::move(response));
+    });
+}
+
 nlohmann::json fleet_cache::dump() const
 {
     nlohmann::json servers = nlohmann::json::array();
     for (const server_entry *entry : m_directory.allUsable()) {
         servers.push_back({ { "id", entry->id }, { "service", entry->service }, { "zone", entry->zone }, { "running", m_backends.running(entry->id) } });
     }
-    return { { "configuration", m_routes.document().version }, { "routes", m_routes.document().routes.size() }, { "servers", servers } };
+    const time_point now = m_context.loop.now();
+    const auto describe = [now](const mirror &each) -> nlohmann::json {
+        const snapshot_mirror_counts &counts = each.counts();
+        return { { "revision", each.revision() },         { "ageMs", each.hasListed() ? each.age(now) / std::chrono::milliseconds(1) : -1 },
+                 { "storeReads", counts.storeReads },     { "peerReads", counts.peerReads },
+                 { "peerFailures", counts.peerFailures }, { "staleDecisions", counts.staleDecisions } };
+    };
+    return { { "configuration", m_routes.document().version },
+             { "routes", m_routes.document().routes.size() },
+             { "servers", servers },
+             { "configurationState", describe(*m_configurationMirror) },
+             { "serverState", describe(*m_serverMirror) } };
 }
 
 bool fleet_cache::isReady() const
@@ -131,23 +206,13 @@
     return entry;
 }
 
-void fleet_cache::replaceServers(std::span<const store_key_value> items)
-{
-    std::vector<server_entry> entries;
-    for (const store_key_value &item : items) {
-        if (std::optional<server_entry> entry = decodeServerEntry(item)) {
-            entries.push_back(std::move(*entry));
-        }
-    }
-    m_directory.replaceAll(m_context.loop.now(), std::move(entries), hadStoreOutage());
-}
-
-void fleet_cache::applyServerEvent(const store_watch_event &event)
+void fleet_cache::applyServerEvent(const store_watch_event &event, bool mayHaveLapsed)
 {
     if (event.type == store_watch_event::kind::Delete) {
         const std::string id = event.item.key.substr(platform::serversPrefix.size());
-        logLine(log_level::Info, "server-unregistered", { { "server", id }, { "store-disturbed", hadStoreOutage() ? "yes" : "no" } });
-        m_directory.remove(m_context.loop.now(), id, hadStoreOutage());
+        logLine(log_level::Info, "server-unregistered", { { "server", id }, { "may-have-lapsed", mayHaveLapsed ? "yes" : "no" } });
+        m_directory.remove(m_context.loop.now(), id, mayHaveLapsed);
+        m_hasLapsedServers = m_hasLapsedServers || mayHaveLapsed;
         return;
     }
     std::optional<server_entry> entry = decodeServerEntry(event.item);
@@ -179,7 +244,7 @@
 void fleet_cache::removeExpiredServers()
 {
     m_directory.expire(m_context.loop.now());
-    if (hadStoreOutage()) {
+    if (std::exchange(m_hasLapsedServers, false)) {
         m_context.loop.after(server_directory::lapseGracePeriod, [this] {
             if (m_directory.expire(m_context.loop.now())) {
                 onServersChanged();
@@ -188,9 +253,4 @@
     }
 }
 
-bool fleet_cache::hadStoreOutage() const
-{
-    return m_outages.mayHaveLapsed(m_context.loop.now());
-}
-
 } // namespace reedtrail
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -1,15 +1,18 @@
 /**
  * @file
- * Caches the routes and backend servers of the deployment, kept up to date by watches of the store. The cache stays in use while the store is unavailable.
+ * Caches the routes and backend servers of the deployment. They are read when a decision is due that allows no older state (fleet/snapshot_mirror.h), and stay
+ * in use while the store is unavailable.
  */
 #pragma once
 
 #include "edge/edge_context.h"
+#include "edge/peer_snapshot_source.h"
 #include "fleet/outage_memory.h"
-#include "fleet/prefix_mirror.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
+#include "fleet/snapshot_mirror.h"
 #include "kernel/service.h"
+#include "net/http_server.h"
 #include "routing/backend_table.h"
 
 #include <functional>
@@ -22,14 +25,28 @@
 class fleet_cache : public service
 {
 public:
-    explicit fleet_cache(edge_context &context);
+    fleet_cache(edge_context &context, peer_snapshot_source &source);
 
     result<void> start(kernel &process) override;
     void stop() override;
     nlohmann::json dump() const override;
 
+    /** Reads routes and servers for the first time. Called once this node knows its peers, or knows that it cannot learn of them. */
+    void beginReading();
     /** Tells whether routes and servers have been read, so that requests can be served. */
     bool isReady() const;
+    /**
+     * Tells whether a request may be judged by the routes and placed on a server now. False while a read is under way because routes or servers are too old.
+     * @param whenReady called later, and only if the result is false; it should ask again
+     */
+    bool ensureCurrent(const std::function<void()> &whenReady);
+    /**
+     * Records the word of a server that it is about to end; this node gives it no new work from now on.
+     * @param source kind of the response that said so, for the log
+     */
+    void recordLeaving(const std::string &server, std::string_view source);
+    /** Answers a peer's query for a snapshot. */
+    void serveSnapshot(const std::shared_ptr<http_exchange> &exchange);
     const route_table &routes() const
     {
         return m_routes;
@@ -49,23 +66,25 @@
     }
 
 private:
-    using mirror = prefix_mirror<edge_store, asio_loop>;
+    using mirror = snapshot_mirror<peer_snapshot_source, asio_loop>;
 
+    std::shared_ptr<mirror> makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers);
     void applyConfiguration(const store_key_value &item);
-    void replaceServers(std::span<const store_key_value> items);
-    void applyServerEvent(const store_watch_event &event);
+    void applyServerEvent(const store_watch_event &event, bool mayHaveLapsed);
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
     void onServersChanged();
     void removeExpiredServers();
-    bool hadStoreOutage() const;
 
     edge_context &m_context;
+    peer_snapshot_source &m_source;
     std::shared_ptr<mirror> m_configurationMirror;
     std::shared_ptr<mirror> m_serverMirror;
     route_table m_routes;
     server_directory m_directory;
     backend_table m_backends;
     outage_tracker m_outages;
+    bool m_hasBegun = false;
+    bool m_hasLapsedServers = false; ///< Registrations have gone since the last check that may only have lapsed.
     std::uint64_t m_appliedDirectoryChanges = 0;
     std::vector<std::function<void()>> m_listeners;
 };
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -115,12 +115,29 @@
     const time_point now = m_context.loop.now();
     m_progress.expire(now);
     abortSilentRuns(now);
-    moveRunFromSlowServer(now);
-    startScores(now);
-    startItems(now);
+    if (isFleetCurrent()) {
+        moveRunFromSlowServer(now);
+        startScores(now);
+        startItems(now);
+    }
     recordDueResults(now);
 }
 
+/** Tells whether runs may start now. If not, continues when routes and servers have been read. */
+bool job_worker::isFleetCurrent()
+{
+    if (m_isAwaitingFleet) {
+        return false;
+    }
+    m_isAwaitingFleet = !m_fleet.ensureCurrent([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_isAwaitingFleet = false;
+            self->advance();
+        }
+    });
+    return !m_isAwaitingFleet;
+}
+
 void job_worker::startItems(time_point now)
 {
     const route *matchedRoute = jobRoute();
@@ -233,6 +250,9 @@
     current.answer = platform::decodeAnswer(head);
     current.lastActivityAt = m_context.loop.now();
     m_fleet.backends().onResponse(current.server);
+    if (current.answer.isLeaving) {
+        m_fleet.recordLeaving(current.server, current.isScore ? "score" : "item");
+    }
     const std::string &expected = current.isScore ? m_progress.item(current.item).score->id : m_progress.item(current.item).id;
     if (!current.answer.isNotStarted && current.answer.requestId != expected) {
         current.isInvalidResponse = true;
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -73,6 +73,7 @@
 
     static job_progress_options optionsFor(const fleet_cache &fleet, const job_metadata &metadata, const job_spec &spec);
     const route *jobRoute() const;
+    bool isFleetCurrent();
     void startItems(time_point now);
     void startScores(time_point now);
     void startItem(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server);
@@ -102,6 +103,7 @@
     std::uint64_t m_nextRunNumber = 1;
     time_point m_lastRecordedAt;
     time_point m_lastDraftsKeptAt;
+    bool m_isAwaitingFleet = false; ///< Routes and servers are being read, because they are too old to start runs.
     bool m_isStopped = false;
 };
 
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -36,6 +36,7 @@
         , m_store(m_io, m_transport)
         , m_context{ std::move(settings), std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,   m_store,
                      m_serverClient,      std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics }
+        , m_snapshots(m_loop, m_store, m_transport.path(), m_peerClient)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
@@ -43,7 +44,7 @@
 
     int run()
     {
-        auto fleet = std::make_unique<fleet_cache>(m_context);
+        auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshots);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
         auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet);
         auto callers = std::make_unique<caller_service>(m_context, *fleet, *jobs, m_forwarder);
@@ -65,6 +66,12 @@
         peers->onForwardedCall([callers = callers.get()](std::shared_ptr<http_exchange> exchange) {
             callers->dispatchForwarded(std::move(exchange));
         });
+        peers->onSnapshotQuery([fleet = fleet.get()](const std::shared_ptr<http_exchange> &exchange) {
+            fleet->serveSnapshot(exchange);
+        });
+        peers->onFirstPeers([fleet = fleet.get()] {
+            fleet->beginReading();
+        });
         peers->onPeersChanged([this](const std::map<std::string, store_peer> &knownPeers) {
             updateJobHosts(knownPeers);
         });
@@ -150,6 +157,7 @@
             return;
         }
         m_context.settings.maxDrainDelay = settings.maxDrainDelay;
+        m_context.settings.maxConfigurationDelay = settings.maxConfigurationDelay;
         m_context.settings.shutdownGracePeriod = settings.shutdownGracePeriod;
         m_context.settings.orderHandoverInterval = settings.orderHandoverInterval;
         logLine(log_level::Info, "settings-reloaded", {});
@@ -186,6 +194,7 @@
     edge_store m_store;
     metric_registry m_metrics;
     edge_context m_context;
+    peer_snapshot_source m_snapshots;
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
--- a/edge/order_service.cpp
+++ b/edge/order_service.cpp
@@ -181,7 +181,14 @@
 
 void weight_load_service::startDueLoads()
 {
-    if (!m_leadership->mayAct() || m_isDraining) {
+    if (!m_leadership->mayAct() || m_isDraining || m_isAwaitingFleet) {
+        return;
+    }
+    m_isAwaitingFleet = !m_fleet.ensureCurrent([this] {
+        m_isAwaitingFleet = false;
+        startDueLoads();
+    });
+    if (m_isAwaitingFleet) {
         return;
     }
     for (const server_poll &intent : m_planner.next(m_context.loop.now())) {
@@ -197,6 +204,7 @@
     m_context.serverClient.call(
         intent.address, platform::reportRequest(intent.server), options, [this, intent](const http_call_end &end, const http_response &response) {
             const time_point now = m_context.loop.now();
+            recordLeaving(intent, response, "report");
             const std::optional<engine_report> report =
                 end.error == error_kind::None && response.status == 200 ? platform::decodeReport(response.body) : std::nullopt;
             if (!report) {
@@ -214,6 +222,13 @@
         });
 }
 
+void weight_load_service::recordLeaving(const server_poll &intent, const http_response &response, std::string_view source)
+{
+    if (platform::isServerLeaving(response)) {
+        m_fleet.recordLeaving(intent.server, source);
+    }
+}
+
 void weight_load_service::sendLoadOrder(const server_poll &intent, load_order loadOrder)
 {
     // Checked again right before the order is sent, because the lease may have expired while the report was being read.
@@ -231,6 +246,7 @@
     m_context.serverClient.call(
         intent.address, platform::orderRequest(loadOrder), options, [this, intent, loadOrder](const http_call_end &end, const http_response &response) {
             --m_ordersInFlight;
+            recordLeaving(intent, response, "order");
             const order_answer answer = end.error == error_kind::None ? platform::decodeOrderAnswer(response.status) : order_answer::Unknown;
             logLine(log_level::Info,
                     "load-order",
--- a/edge/order_service.h
+++ b/edge/order_service.h
@@ -46,6 +46,7 @@
     void startDueLoads();
     void scheduleNextPass();
     void requestReport(const server_poll &intent);
+    void recordLeaving(const server_poll &intent, const http_response &response, std::string_view source);
     void sendLoadOrder(const server_poll &intent, load_order loadOrder);
 
     edge_context &m_context;
@@ -56,6 +57,7 @@
     std::shared_ptr<mirror> m_demandMirror;
     load_planner m_planner;
     int m_ordersInFlight = 0; ///< Orders sent and not yet answered.
+    bool m_isAwaitingFleet = false; ///< Routes and servers are being read, because they are too old for an order.
     bool m_isPassScheduled = false;
     bool m_isDraining = false;
 };
--- a/edge/peer_protocol.h
+++ b/edge/peer_protocol.h
@@ -22,6 +22,8 @@
 inline constexpr std::string_view targetField = "Reedtrail-Target"; ///< HTTP target of the store call.
 inline constexpr std::string_view timeoutField = "Reedtrail-Timeout-Ms"; ///< Timeout of the store call.
 
+inline constexpr std::string_view snapshotPath = "/snapshot"; ///< Query for a snapshot of a store prefix; bodies are snapshot_query and snapshot_reply.
+
 inline constexpr std::string_view followPath = "/follow"; ///< Watch request to the hub of the zone's reader.
 inline constexpr std::string_view prefixField = "Reedtrail-Prefix"; ///< Watched key prefix.
 inline constexpr std::string_view afterField = "Reedtrail-After"; ///< Revision after which changes are requested.
--- /dev/null
+++ b/edge/peer_snapshot_source.cpp
@@ -0,0 +1,76 @@
+#include "edge/peer_snapshot_source.h"
+
+#include "base/cbor_codec.h"
+#include "edge/peer_protocol.h"
+#include "kernel/log.h"
+
+namespace reedtrail {
+namespace {
+
+constexpr duration askTimeout = std::chrono::milliseconds(1000); // The mirror passes the reader over long before; a late reply still updates it.
+
+std::optional<snapshot_reply> decodeReply(const http_response &response)
+{
+    std::optional<snapshot_reply> reply;
+    const std::optional<failure> error = failureOf([&]() -> result<void> {
+        const auto *bytes = reinterpret_cast<const std::uint8_t *>(response.body.data());
+        BOOST_LEAF_AUTO(message, decodeEnvelope({ bytes, response.body.size() }));
+        BOOST_LEAF_AUTO(body, decodeBody<snapshot_reply>(message));
+        reply = std::move(body);
+        return {};
+    });
+    if (error) {
+        logLine(log_level::Warning, "snapshot-reply-unreadable", { { "reason", error->detail }, { "bytes", std::to_string(response.body.size()) } });
+    }
+    return reply;
+}
+
+} // namespace
+
+void peer_snapshot_source::list(const std::string &prefix, bool isPrefix, std::function<void(const store_range_answer &)> onListing)
+{
+    m_store.range({ prefix, isPrefix, 0 }, std::move(onListing));
+}
+
+std::optional<std::string> peer_snapshot_source::reader() const
+{
+    const auto reader = m_router.zoneReader(m_loop.now());
+    return reader ? std::optional(reader->first) : std::nullopt;
+}
+
+void peer_snapshot_source::ask(const std::string &reader, const snapshot_query &query, std::function<void(const std::optional<snapshot_reply> &)> onReply)
+{
+    const std::optional<endpoint> address = m_router.peerAddress(reader);
+    if (!address) {
+        m_loop.after(duration::zero(), [onReply = std::move(onReply)] {
+            onReply(std::nullopt);
+        });
+        return;
+    }
+    const std::vector<std::uint8_t> bytes = encodeMessage(query);
+    http_request request;
+    request.method = "POST";
+    request.target = peer_protocol::snapshotPath;
+    request.body.assign(bytes.begin(), bytes.end());
+    http_call_options options;
+    options.connectTimeout = askTimeout;
+    options.silenceTimeout = askTimeout;
+    options.deadline = askTimeout;
+    m_peerClient.call(*address, std::move(request), options, [onReply = std::move(onReply)](const http_call_end &end, const http_response &response) {
+        const bool isAnswered = end.error == error_kind::None && response.status == http_status::ok;
+        onReply(isAnswered ? decodeReply(response) : std::nullopt);
+    });
+}
+
+void peer_snapshot_source::recordReaderFailure(const std::string &reader)
+{
+    logLine(log_level::Info, "reader-passed-over", { { "reader", reader } });
+    m_router.recordReaderFailure(m_loop.now(), reader);
+}
+
+void peer_snapshot_source::recordReaderSuccess(const std::string &reader)
+{
+    m_router.recordReaderSuccess(reader);
+}
+
+} // namespace reedtrail
--- /dev/null
+++ b/edge/peer_snapshot_source.h
@@ -0,0 +1,47 @@
+/**
+ * @file
+ * Reads the store's prefixes for a snapshot_mirror: from the store, or from the node that reads for this zone.
+ */
+#pragma once
+
+#include "edge/edge_context.h"
+#include "fleet/dated_snapshot.h"
+#include "fleet/store_path.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace reedtrail {
+
+/** Satisfies snapshot_source. */
+class peer_snapshot_source
+{
+public:
+    /** @param router knows the zone's reader @param peerClient connects to other nodes */
+    peer_snapshot_source(asio_loop &loop, edge_store &store, store_router &router, http_client &peerClient)
+        : m_loop(loop)
+        , m_store(store)
+        , m_router(router)
+        , m_peerClient(peerClient)
+    {
+    }
+
+    /** Reads all keys that begin with @p prefix, or the one key that equals it, from the store. */
+    void list(const std::string &prefix, bool isPrefix, std::function<void(const store_range_answer &)> onListing);
+    /** Returns the name of the node that reads for this zone; nothing if this node does. */
+    std::optional<std::string> reader() const;
+    /** Asks the node @p reader. @param onReply called with nothing if it does not reply or cannot answer */
+    void ask(const std::string &reader, const snapshot_query &query, std::function<void(const std::optional<snapshot_reply> &)> onReply);
+    /** Passes @p reader over for a while. */
+    void recordReaderFailure(const std::string &reader);
+    void recordReaderSuccess(const std::string &reader);
+
+private:
+    asio_loop &m_loop;
+    edge_store &m_store;
+    store_router &m_router;
+    http_client &m_peerClient;
+};
+
+} // namespace reedtrail
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_transport_service.cpp
@@ -17,6 +17,8 @@
 constexpr duration pingInterval = std::chrono::milliseconds(500); // Half of the interval between two readiness probes of the ingress.
 constexpr duration watchingPeerMemory = std::chrono::seconds(3); // Watching peers send a request every half second.
 constexpr duration registrationRetryDelay = std::chrono::seconds(1);
+constexpr duration firstStartDelay = std::chrono::milliseconds(1500); // All nodes of a deployment start within 0.3 s; by then most have registered.
+constexpr duration firstPeersPatience = std::chrono::milliseconds(500); // Without the peers, this node reads the store itself.
 
 } // namespace
 
@@ -41,6 +43,9 @@
 result<void> peer_service::start(kernel &)
 {
     if (!m_settings.peers) {
+        m_loop.after(duration::zero(), [this] {
+            notifyFirstPeers();
+        });
         return {};
     }
     http_server_options options;
@@ -51,6 +56,16 @@
     });
     BOOST_LEAF_CHECK(m_server->start());
     registerNode();
+    m_loop.after(m_settings.isFirstStart ? firstStartDelay : duration::zero(), [this] {
+        startMirror();
+    });
+    schedulePing();
+    return {};
+}
+
+/** Follows the registrations of the other nodes. */
+void peer_service::startMirror()
+{
     prefix_mirror_handlers handlers;
     handlers.onListing = [this](std::span<const store_key_value> items) {
         m_peers.clear();
@@ -66,13 +81,22 @@
     handlers.onCaughtUp = [this] {
         m_transport.path().setPeers(m_peers);
         m_onPeersChanged(m_peers);
+        notifyFirstPeers();
     };
     prefix_mirror_options mirrorOptions;
     mirrorOptions.reportInterval = std::chrono::seconds(2); // Nodes come and go in groups, and a peer is needed only while the store is unavailable.
     m_mirror = std::make_shared<prefix_mirror<platform::key_value_store, asio_loop>>(m_store, m_loop, std::string(nodesPrefix), mirrorOptions, handlers);
     m_mirror->start();
-    schedulePing();
-    return {};
+    m_loop.after(firstPeersPatience, [this] {
+        notifyFirstPeers();
+    });
+}
+
+void peer_service::notifyFirstPeers()
+{
+    if (const std::function<void()> action = std::exchange(m_onFirstPeers, nullptr)) {
+        action();
+    }
 }
 
 void peer_service::schedulePing()
@@ -187,6 +211,10 @@
         exchange->respond(textResponse(http_status::ok, ""));
         return;
     }
+    if (request.path() == snapshotPath) {
+        m_onSnapshotQuery(exchange);
+        return;
+    }
     if (request.path() == followPath) {
         serveWatchRequest(std::move(exchange));
         return;
--- a/edge/peer_transport_service.h
+++ b/edge/peer_transport_service.h
@@ -50,6 +50,17 @@
         m_onForwardedCall = std::move(action);
     }
 
+    /** Sets the handler of peers' queries for snapshots of store prefixes. */
+    void onSnapshotQuery(std::function<void(const std::shared_ptr<http_exchange> &)> action)
+    {
+        m_onSnapshotQuery = std::move(action);
+    }
+    /** Sets the action that runs once, when the peers have been read for the first time or the store has not answered for a while. */
+    void onFirstPeers(std::function<void()> action)
+    {
+        m_onFirstPeers = std::move(action);
+    }
+
     result<void> start(kernel &process) override;
     void drain(std::function<void()> done) override;
     void stop() override;
@@ -59,6 +70,8 @@
 
 private:
     std::string encodeOwnEntry() const;
+    void startMirror();
+    void notifyFirstPeers();
     void pingPeers();
     void schedulePing();
     void checkStore();
@@ -80,6 +93,8 @@
     };
     std::function<void(const std::map<std::string, store_peer> &)> m_onPeersChanged = [](const auto &) {};
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwardedCall = &job_forwarder::decline;
+    std::function<void(const std::shared_ptr<http_exchange> &)> m_onSnapshotQuery;
+    std::function<void()> m_onFirstPeers;
     time_point m_lastWatchRequestAt;
     bool m_isDraining = false;
     bool m_isCheckingStore = false;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -56,6 +56,17 @@
     if (m_isDone) {
         return;
     }
+    const bool isCurrent = m_fleet.ensureCurrent([self = shared_from_this()] {
+        self->startNextAttempt();
+    });
+    if (isCurrent) {
+        placeAttempt();
+    }
+}
+
+/** Sends the request to the best server known. */
+void request_relay::placeAttempt()
+{
     backend_criteria criteria;
     criteria.service = m_service;
     criteria.model = m_call.model;
@@ -147,6 +158,9 @@
     m_response = head;
     m_serverAnswer = platform::decodeAnswer(head);
     m_fleet.backends().onResponse(m_server.id);
+    if (m_serverAnswer.isLeaving) {
+        m_fleet.recordLeaving(m_server.id, "request");
+    }
     if (m_serverAnswer.serverLoad) {
         m_fleet.backends().onLoad(m_context.loop.now(), m_server.id, m_serverAnswer.serverLoad->running, m_serverAnswer.serverLoad->waiting);
     }
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -30,6 +30,7 @@
 
 private:
     void startNextAttempt();
+    void placeAttempt();
     void sendAttempt(const backend_choice &server);
     duration attemptTimeout() const;
     void onResponseHead(const http_response &head);
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -4,18 +4,42 @@
 #include "fleet/server_directory.h"
 
 #include <algorithm>
-#include <set>
 
 namespace reedtrail {
 
 void server_directory::put(server_entry entry)
 {
+    if (const auto notice = m_leaving.find(entry.id); notice != m_leaving.end() && entry.startedAt > notice->second.startedAt) {
+        m_leaving.erase(notice);
+    }
     row &entryRow = m_rows[entry.id];
     entryRow.entry = std::move(entry);
     entryRow.graceUntil = timeNever;
     ++m_changes;
 }
 
+bool server_directory::recordLeaving(time_point now, std::string_view id)
+{
+    if (m_leaving.contains(id)) {
+        return false;
+    }
+    const auto registered = m_rows.find(id);
+    const auto former = m_former.find(id);
+    if (registered != m_rows.end()) {
+        m_leaving.emplace(id, leaving_notice{ registered->second.entry.startedAt, now });
+        ++m_changes;
+    } else if (former != m_former.end()) {
+        m_leaving.emplace(id, leaving_notice{ former->second.startedAt, now });
+    }
+    return m_leaving.contains(id);
+}
+
+std::optional<time_point> server_directory::leavingSince(std::string_view id) const
+{
+    const auto notice = m_leaving.find(id);
+    return notice == m_leaving.end() ? std::nullopt : std::optional(notice->second.since);
+}
+
 void server_directory::remove(time_point now, std::string_view id, bool afterOutage)
 {
     const auto found = m_rows.find(id);
@@ -26,32 +50,36 @@
         found->second.graceUntil = std::min(found->second.graceUntil, now + lapseGracePeriod);
         return;
     }
+    m_former[found->first] = { found->second.entry.startedAt, now };
     m_rows.erase(found);
     ++m_changes;
 }
 
-void server_directory::replaceAll(time_point now, std::vector<server_entry> entries, bool afterOutage)
+bool server_directory::dropLapsed(time_point now)
 {
-    std::set<std::string, std::less<>> listed;
-    for (server_entry &entry : entries) {
-        listed.insert(entry.id);
-        put(std::move(entry));
-    }
-    std::vector<std::string> gone;
-    for (const auto &[id, entryRow] : m_rows) {
-        if (!listed.contains(id)) {
-            gone.push_back(id);
-        }
-    }
-    for (const std::string &id : gone) {
-        remove(now, id, afterOutage);
-    }
+    return dropGraceEndingBy(now, timeNever - duration(1));
 }
 
 bool server_directory::expire(time_point now)
+{
+    std::erase_if(m_leaving, [&](const auto &notice) {
+        return now - notice.second.since > leavingMemory && !m_rows.contains(notice.first);
+    });
+    std::erase_if(m_former, [&](const auto &former) {
+        return now - former.second.goneAt > leavingMemory;
+    });
+    return dropGraceEndingBy(now, now);
+}
+
+/** Drops the servers whose grace period ends at @p end or before. */
+bool server_directory::dropGraceEndingBy(time_point now, time_point end)
 {
     const std::size_t dropped = std::erase_if(m_rows, [&](const auto &entryRow) {
-        return entryRow.second.graceUntil <= now;
+        const bool isDropped = entryRow.second.graceUntil <= end;
+        if (isDropped) {
+            m_former[entryRow.first] = { entryRow.second.entry.startedAt, now };
+        }
+        return isDropped;
     });
     m_changes += dropped > 0 ? 1 : 0;
     return dropped > 0;
@@ -61,7 +89,7 @@
 {
     std::vector<const server_entry *> found;
     for (const auto &[id, entryRow] : m_rows) {
-        if (!entryRow.entry.isDraining && entryRow.entry.service == service) {
+        if (isUsable(entryRow.entry) && entryRow.entry.service == service) {
             found.push_back(&entryRow.entry);
         }
     }
@@ -72,7 +100,7 @@
 {
     std::vector<const server_entry *> found;
     for (const auto &[id, entryRow] : m_rows) {
-        if (!entryRow.entry.isDraining) {
+        if (isUsable(entryRow.entry)) {
             found.push_back(&entryRow.entry);
         }
     }
--- a/fleet/server_directory.h
+++ b/fleet/server_directory.h
@@ -4,6 +4,9 @@
  *
  * A registration that disappears means that its server leaves, unless the store had an outage: registrations lapse during an outage, and running servers
  * register again soon after it. The directory keeps such servers for a grace period.
+ *
+ * A server that is about to end also says so in its answers. Such word reaches a node that has no connection to the store, and it may be earlier than the
+ * registration. It holds for that instance of the server, whatever the store says, until the registration shows a later start.
  */
 #pragma once
 
@@ -14,7 +17,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +43,8 @@
 public:
     /** Time for which a server is kept whose registration lapsed around a store outage. Servers register again within two seconds of the store's return. */
     static constexpr duration lapseGracePeriod = std::chrono::seconds(2);
+    /** Time for which the word of a server that it is about to end, and its start time, are kept after its registration is gone. */
+    static constexpr duration leavingMemory = std::chrono::minutes(2);
 
     /** Adds or replaces a registration. */
     void put(server_entry entry);
@@ -49,14 +53,18 @@
      * @param afterOutage whether the store had an outage recently, so that the registration of a running server may have lapsed
      */
     void remove(time_point now, std::string_view id, bool afterOutage);
-    /** Replaces the directory by a complete listing; calls remove() for each server that is not in it. */
-    void replaceAll(time_point now, std::vector<server_entry> entries, bool afterOutage);
+    /** Records that the server itself said that it is about to end, also if its registration is missing. @return whether that is new */
+    bool recordLeaving(time_point now, std::string_view id);
+    /** Returns when the server said that it is about to end, or nothing if its current instance did not. */
+    std::optional<time_point> leavingSince(std::string_view id) const;
+    /** Drops all servers in their grace period; called for a state of the store in which lapsed registrations are back. @return whether any was dropped */
+    bool dropLapsed(time_point now);
     /** Drops the servers whose grace period has ended. @return whether any was dropped */
     bool expire(time_point now);
 
-    /** Returns the servers of @p service that are not draining, ordered by id. */
+    /** Returns the servers of @p service that are not about to end, ordered by id. */
     std::vector<const server_entry *> usable(std::string_view service) const;
-    /** Returns the servers of all services that are not draining, ordered by id. */
+    /** Returns the servers of all services that are not about to end, ordered by id. */
     std::vector<const server_entry *> allUsable() const;
     /** Returns the server with this id, draining or not, or null if there is none. */
     const server_entry *find(std::string_view id) const;
@@ -76,7 +84,28 @@
         server_entry entry;
         time_point graceUntil = timeNever; ///< End of the grace period; timeNever while the server is registered.
     };
+    /** Word of a server that it is about to end. */
+    struct leaving_notice
+    {
+        std::int64_t startedAt = 0; ///< Start time of the instance that said so, as server_entry::startedAt.
+        time_point since;
+    };
+    bool isUsable(const server_entry &entry) const
+    {
+        return !entry.isDraining && !m_leaving.contains(entry.id);
+    }
+
     std::map<std::string, row, std::less<>> m_rows;
+    /** A server whose registration is gone. It may register again. */
+    struct former_server
+    {
+        std::int64_t startedAt = 0;
+        time_point goneAt;
+    };
+    bool dropGraceEndingBy(time_point now, time_point end);
+
+    std::map<std::string, former_server, std::less<>> m_former; ///< By id.
+    std::map<std::string, leaving_notice, std::less<>> m_leaving; ///< By id; kept while the registration is missing, which may be a lapse.
     std::uint64_t m_changes = 0;
 };
 
--- /dev/null
+++ b/fleet/snapshot_mirror.h
@@ -0,0 +1,410 @@
+/**
+ * @file
+ * Keeps a dated_snapshot of one store prefix fresh enough for the decisions that rest on it, and reads only when a decision is due.
+ *
+ * Load pattern: hundreds of nodes know the same few prefixes, most of them get a request every few seconds, and each read of the store is charged. A node that
+ * polls at an interval pays for times in which it decides nothing. Here a decision states the greatest age that it allows. If the snapshot is older, the node
+ * first asks the reader of its zone, and the store itself if the reader is silent, cannot answer, or knows nothing newer. One read serves all decisions that
+ * wait, and the reader's one read of the store serves its whole zone. A reader that is frozen, cut off or gone therefore costs a call, never a bound.
+ *
+ * What waits is bounded: after holdTime, or once the store has failed, decisions go ahead on the state at hand, because a store outage must not stop the nodes
+ * from serving. They do not wait at all while a read that failed was begun less than failureMemory ago. That time counts from the begin of the read: its end
+ * may come seconds after the store has recovered.
+ *
+ *     auto mirror = std::make_shared<snapshot_mirror<Source, Loop>>(source, loop, options, handlers);
+ *     mirror->start();
+ *     if (mirror->ensureFresh([&] { ... decide again ... })) { ... decide ... }
+ */
+#pragma once
+
+#include "fleet/dated_snapshot.h"
+#include "fleet/event_loop.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace reedtrail {
+
+/** Reads the store and peers for a snapshot_mirror. Handlers run exactly once, never from inside the call. */
+template<class Source>
+concept snapshot_source = requires(Source source,
+                                   const std::string &name,
+                                   const snapshot_query &query,
+                                   bool isPrefix,
+                                   std::function<void(const store_range_answer &)> onListing,
+                                   std::function<void(const std::optional<snapshot_reply> &)> onReply)
+{
+    source.list(name, isPrefix, onListing);
+    {
+        source.reader()
+        } -> std::same_as<std::optional<std::string>>;
+    source.ask(name, query, onReply);
+    source.recordReaderFailure(name);
+    source.recordReaderSuccess(name);
+};
+
+/** What a snapshot_mirror reads, and its ages and times. */
+struct snapshot_mirror_options
+{
+    std::string prefix;
+    bool isPrefix = true; ///< Whether all keys that begin with the prefix are read, or the one key that equals it.
+    duration allowance = std::chrono::milliseconds(1200); ///< Greatest age on which a decision may rest.
+    duration replyAge = std::chrono::milliseconds(800); ///< Greatest age of a reader's reply; what is left of the allowance covers the way to the node.
+    duration prefetchAge = std::chrono::milliseconds(600); ///< From this age on a decision starts a read in the background.
+    duration readerPatience = std::chrono::milliseconds(100); ///< A reader that has not replied by then is passed over.
+    duration holdTime = std::chrono::milliseconds(400); ///< Longest wait of a decision.
+    duration failureMemory = std::chrono::milliseconds(1400); ///< Decisions do not wait for this long after the begin of a read that failed.
+    duration retryDelay = std::chrono::milliseconds(250); ///< Between two reads after a failure.
+};
+
+/** Callbacks of a snapshot_mirror. */
+struct snapshot_mirror_handlers
+{
+    std::function<void(const store_watch_event &event, bool mayHaveLapsed)> onEvent; ///< Called for each difference from the state before. A removed key
+                                                                                     ///< may have lapsed in an outage of the store, and may come back.
+    std::function<void(bool mayHaveLapsed)> onCaughtUp; ///< Called after all differences of one read; keys that lapsed are back if the argument is false.
+    std::function<void(bool isConnected)> onConnectionChange; ///< Called when reads of the store begin to fail or to succeed.
+    std::function<duration(time_point askedAt)> lapseGrace; ///< Returns for how much longer keys may come back that are missing in a listing.
+};
+
+/** Counts of a snapshot_mirror since its start. */
+struct snapshot_mirror_counts
+{
+    std::uint64_t storeReads = 0;
+    std::uint64_t peerReads = 0;
+    std::uint64_t peerFailures = 0; ///< Reads from a peer that were silent, refused or too old.
+    std::uint64_t staleDecisions = 0; ///< Decisions that went ahead on a state older than the allowance.
+};
+
+/** Follows the keys of one prefix on demand. */
+template<snapshot_source Source, event_loop Loop>
+class snapshot_mirror : public std::enable_shared_from_this<snapshot_mirror<Source, Loop>>
+{
+public:
+    snapshot_mirror(Source &source, Loop &loop, snapshot_mirror_options options, snapshot_mirror_handlers handlers)
+        : m_source(source)
+        , m_loop(loop)
+        , m_options(std::move(options))
+        , m_handlers(std::move(handlers))
+    {
+    }
+
+    /** Reads until a first read has succeeded. */
+    void start()
+    {
+        refresh();
+    }
+    /** Stops permanently; no handler is called afterwards. */
+    void stop()
+    {
+        m_isStopped = true;
+        m_waiting.clear();
+        m_askers.clear();
+    }
+
+    /** Starts a read in the background if the state is about to become too old. */
+    void prefetch()
+    {
+        if (age(m_loop.now()) > m_options.prefetchAge) {
+            refresh();
+        }
+    }
+
+    /**
+     * Tells whether a decision may be made now. Starts a read in the background if the state is about to become too old.
+     * @param whenReady called later, and only if the result is false, when the decision may be made
+     */
+    bool ensureFresh(std::function<void()> whenReady)
+    {
+        prefetch();
+        const time_point now = m_loop.now();
+        if (age(now) <= m_options.allowance) {
+            return true;
+        }
+        if (hasFailedRecently(now)) {
+            ++m_counts.staleDecisions;
+            return true;
+        }
+        if (m_waiting.empty()) {
+            limitWait();
+        }
+        m_waiting.push_back(std::move(whenReady));
+        return false;
+    }
+
+    /**
+     * Answers a peer's query from a state that is at most as old as the query allows; reads the store first if necessary, but asks no further peer.
+     * @param onReply called with the reply, or with nothing if the store does not answer
+     */
+    void serve(const snapshot_query &query, std::function<void(const std::optional<snapshot_reply> &)> onReply)
+    {
+        m_askers.push_back({ query, std::move(onReply) });
+        answerAskers();
+        if (mayRetry(m_loop.now()) && (!m_askers.empty() || age(m_loop.now()) > m_options.prefetchAge)) {
+            listStore();
+        }
+        if (!m_isListing) {
+            rejectAskers();
+        }
+    }
+
+    /** Tells whether a state has been read. */
+    bool hasListed() const
+    {
+        return m_snapshot.isPresent();
+    }
+    /** Returns how long ago the store was asked for the current state. */
+    duration age(time_point now) const
+    {
+        return m_snapshot.isPresent() ? now - m_snapshot.askedAt() : duration::max();
+    }
+    store_revision revision() const
+    {
+        return m_snapshot.revision();
+    }
+    const snapshot_mirror_counts &counts() const
+    {
+        return m_counts;
+    }
+
+private:
+    struct asker
+    {
+        snapshot_query query;
+        std::function<void(const std::optional<snapshot_reply> &)> onReply;
+    };
+
+    /** Wraps @p action so that it runs only while this mirror exists and is not stopped. */
+    template<class Action>
+    auto guarded(Action action)
+    {
+        return [weak = this->weak_from_this(), action](const auto &...arguments) {
+            const auto self = weak.lock();
+            if (self && !self->m_isStopped) {
+                action(*self, arguments...);
+            }
+        };
+    }
+
+    bool hasFailedRecently(time_point now) const
+    {
+        return m_failedAt && now - *m_failedAt < m_options.failureMemory;
+    }
+
+    bool mayRetry(time_point now) const
+    {
+        return !m_failedAt || now - *m_failedAt >= m_options.retryDelay;
+    }
+
+    /** Begins a read unless one is under way or one has just failed. */
+    void refresh()
+    {
+        if (m_isReading || !mayRetry(m_loop.now())) {
+            return;
+        }
+        m_isReading = true;
+        if (const std::optional<std::string> reader = m_source.reader()) {
+            askReader(*reader);
+        } else {
+            listStore();
+        }
+    }
+
+    /** Releases the decisions that begin to wait now after the hold time, also if a read that began long before is still under way. */
+    void limitWait()
+    {
+        m_loop.after(m_options.holdTime, guarded([batch = m_batch](snapshot_mirror &self) {
+                         if (self.m_batch == batch) {
+                             self.recordFailure(self.m_loop.now() - self.m_options.holdTime);
+                             self.releaseWaiting();
+                         }
+                     }));
+    }
+
+    void askReader(const std::string &reader)
+    {
+        ++m_counts.peerReads;
+        m_isAskingReader = true;
+        const time_point askedAt = m_loop.now();
+        const auto isPending = std::make_shared<bool>(true);
+        const auto passOver = guarded([reader, isPending](snapshot_mirror &self) {
+            if (std::exchange(*isPending, false)) {
+                self.m_isAskingReader = false;
+                ++self.m_counts.peerFailures;
+                self.m_source.recordReaderFailure(reader);
+                self.listStore();
+            }
+        });
+        m_loop.after(m_options.readerPatience, passOver);
+        const snapshot_query query{ m_options.prefix, m_snapshot.revision(), m_options.replyAge.count() };
+        m_source.ask(reader, query, guarded([reader, askedAt, isPending, passOver](snapshot_mirror &self, const std::optional<snapshot_reply> &reply) {
+                         // The age counts from the question, so that time on the way, in a queue or in a frozen reader makes the state older.
+                         const bool isUsable = reply && reply->age() <= self.m_options.replyAge && self.applyReply(askedAt - reply->age(), *reply);
+                         if (!isUsable) {
+                             passOver();
+                         } else if (std::exchange(*isPending, false)) {
+                             self.m_isAskingReader = false;
+                             self.m_source.recordReaderSuccess(reader);
+                             self.endRead(true);
+                         }
+                     }));
+    }
+
+    bool applyReply(time_point askedAt, const snapshot_reply &reply)
+    {
+        const auto changes = m_snapshot.apply(askedAt, reply);
+        if (changes) {
+            m_lapseGrace = duration(reply.lapseGraceUs);
+            report(*changes);
+        }
+        return changes.has_value();
+    }
+
+    /** Reads the store, once for this node's decisions and for the peers that ask. */
+    void listStore()
+    {
+        if (m_isListing) {
+            return;
+        }
+        m_isListing = true;
+        ++m_counts.storeReads;
+        const time_point askedAt = m_loop.now();
+        const auto isOverdue = std::make_shared<bool>(false);
+        m_loop.after(m_options.holdTime, guarded([askedAt, isOverdue, number = ++m_listNumber](snapshot_mirror &self) {
+                         if (self.m_isListing && self.m_listNumber == number) {
+                             *isOverdue = true;
+                             self.handleListFailure(askedAt);
+                         }
+                     }));
+        m_source.list(m_options.prefix, m_options.isPrefix, guarded([askedAt, isOverdue](snapshot_mirror &self, const store_range_answer &answer) {
+                          if (!answer.error) {
+                              self.applyListing(askedAt, answer);
+                          }
+                          if (!*isOverdue) {
+                              answer.error ? self.handleListFailure(askedAt) : self.handleListSuccess();
+                          }
+                      }));
+    }
+
+    void applyListing(time_point askedAt, const store_range_answer &answer)
+    {
+        setConnected(true);
+        const std::vector<store_watch_event> changes = m_snapshot.replace(askedAt, answer.revision, answer.items);
+        m_lapseGrace = m_handlers.lapseGrace ? m_handlers.lapseGrace(askedAt) : duration::zero();
+        report(changes);
+        answerAskers();
+    }
+
+    void handleListSuccess()
+    {
+        m_isListing = false;
+        rejectAskers();
+        endRead(true);
+    }
+
+    /** Handles a read of the store, begun at @p askedAt, that has failed or is overdue. An overdue read may still succeed later. */
+    void handleListFailure(time_point askedAt)
+    {
+        m_isListing = false;
+        recordFailure(askedAt);
+        setConnected(false);
+        rejectAskers();
+        if (!m_isAskingReader) {
+            endRead(false);
+        }
+    }
+
+    void recordFailure(time_point askedAt)
+    {
+        m_failedAt = std::max(m_failedAt.value_or(askedAt), askedAt);
+    }
+
+    void endRead(bool isSuccess)
+    {
+        m_isReading = false;
+        if (isSuccess) {
+            m_failedAt.reset();
+        } else if (!m_snapshot.isPresent()) {
+            m_loop.after(m_options.retryDelay, guarded([](snapshot_mirror &self) {
+                             self.refresh();
+                         }));
+        }
+        releaseWaiting();
+    }
+
+    void releaseWaiting()
+    {
+        ++m_batch;
+        for (const auto &whenReady : std::exchange(m_waiting, {})) {
+            whenReady();
+        }
+    }
+
+    void answerAskers()
+    {
+        const time_point now = m_loop.now();
+        std::vector<asker> answered;
+        std::erase_if(m_askers, [&](asker &each) {
+            const bool isFresh = age(now).count() <= each.query.maxAgeUs;
+            if (isFresh) {
+                answered.push_back(std::move(each));
+            }
+            return isFresh;
+        });
+        for (const asker &each : answered) {
+            snapshot_reply reply = m_snapshot.replySince(now, each.query.since);
+            reply.lapseGraceUs = m_lapseGrace.count();
+            each.onReply(reply);
+        }
+    }
+
+    void rejectAskers()
+    {
+        for (const asker &waiting : std::exchange(m_askers, {})) {
+            waiting.onReply(std::nullopt);
+        }
+    }
+
+    void report(std::span<const store_watch_event> changes)
+    {
+        const bool mayHaveLapsed = m_lapseGrace > duration::zero();
+        for (const store_watch_event &event : changes) {
+            m_handlers.onEvent(event, mayHaveLapsed);
+        }
+        if (m_handlers.onCaughtUp) {
+            m_handlers.onCaughtUp(mayHaveLapsed);
+        }
+    }
+
+    void setConnected(bool isConnected)
+    {
+        if (std::exchange(m_isConnected, isConnected) != isConnected && m_handlers.onConnectionChange) {
+            m_handlers.onConnectionChange(isConnected);
+        }
+    }
+
+    Source &m_source;
+    Loop &m_loop;
+    snapshot_mirror_options m_options;
+    snapshot_mirror_handlers m_handlers;
+    dated_snapshot m_snapshot;
+    std::vector<std::function<void()>> m_waiting; ///< Decisions that wait for the read under way.
+    std::vector<asker> m_askers; ///< Peers that wait for the read of the store.
+    std::optional<time_point> m_failedAt; ///< When the last read that failed began; empty after a success.
+    duration m_lapseGrace{}; ///< Of the state at hand, from the moment at which the store was asked for it.
+    std::uint64_t m_listNumber = 0; ///< Counts the reads of the store.
+    std::uint64_t m_batch = 0; ///< Counts the times at which waiting decisions were released.
+    bool m_isReading = false; ///< A read for this node's decisions is under way, from a peer or the store.
+    bool m_isAskingReader = false; ///< The reader of the zone has been asked, has not replied, and is not passed over yet.
+    bool m_isListing = false; ///< A read of the store is under way.
+    bool m_isConnected = false;
+    bool m_isStopped = false;
+    snapshot_mirror_counts m_counts;
+};
+
+} // namespace reedtrail
--- a/fleet/store_path.cpp
+++ b/fleet/store_path.cpp
@@ -16,6 +16,9 @@
         return isUnknown(each.first);
     });
     std::erase_if(m_unreachable, isUnknown);
+    std::erase_if(m_readerPauses, [&](const auto &each) {
+        return isUnknown(each.first);
+    });
 }
 
 std::optional<std::pair<std::string, endpoint>> store_router::choose(time_point now)
@@ -39,8 +42,8 @@
 {
     const auto *best = &m_ownName;
     for (const auto &[name, peer] : m_peers) {
-        const auto pause = m_readerPausedUntil.find(name);
-        const bool isUsable = peer.zone == m_ownZone && (pause == m_readerPausedUntil.end() || pause->second <= now);
+        const auto pause = m_readerPauses.find(name);
+        const bool isUsable = peer.zone == m_ownZone && (pause == m_readerPauses.end() || pause->second.until <= now);
         if (isUsable && rendezvousRank(m_ownZone, name) > rendezvousRank(m_ownZone, *best)) {
             best = &name;
         }
@@ -50,7 +53,23 @@
 
 void store_router::recordReaderFailure(time_point now, const std::string &peer)
 {
-    m_readerPausedUntil[peer] = now + m_options.peerPause;
+    reader_pause &pause = m_readerPauses[peer];
+    if (now < pause.until) {
+        return; // Several calls in flight to the same reader fail together.
+    }
+    pause.length = std::clamp(pause.length * 2, m_options.peerPause, m_options.maxReaderPause);
+    pause.until = now + pause.length;
+}
+
+void store_router::recordReaderSuccess(const std::string &peer)
+{
+    m_readerPauses.erase(peer);
+}
+
+std::optional<endpoint> store_router::peerAddress(const std::string &peer) const
+{
+    const auto found = m_peers.find(peer);
+    return found == m_peers.end() ? std::nullopt : std::optional(found->second.address);
 }
 
 void store_router::recordDirectResult(time_point now, bool isServed)
--- a/fleet/store_path.h
+++ b/fleet/store_path.h
@@ -34,6 +34,7 @@
     duration reachableTime = std::chrono::milliseconds(1000); ///< Time for which a peer counts as reachable after it answered; two ping intervals.
     std::size_t isolationPeers = 2; ///< Peers of other zones that must be unreachable for isolation; a single one may have failed itself.
     duration peerPause = std::chrono::milliseconds(3000); ///< Time for which a peer is not used after it could not reach the store.
+    duration maxReaderPause = std::chrono::seconds(24); ///< Longest time for which a peer is not chosen as reader after failures in a row.
 };
 
 /** Another node through which calls to the store may go. */
@@ -67,8 +68,15 @@
      * the same peers and pass over the same ones.
      */
     std::optional<std::pair<std::string, endpoint>> zoneReader(time_point now) const;
-    /** Records that the zone's reader did not answer in time or could not serve the call. It is not chosen again until the peer pause ends. */
+    /**
+     * Records that the zone's reader did not answer in time or could not serve the call. It is not chosen again until a pause ends, which starts at peerPause
+     * and doubles with each further failure up to maxReaderPause, so that a node that is gone for good is rarely asked.
+     */
     void recordReaderFailure(time_point now, const std::string &peer);
+    /** Records that the zone's reader has answered. */
+    void recordReaderSuccess(const std::string &peer);
+    /** Returns the address of a known peer, or nothing if no peer has this name. */
+    std::optional<endpoint> peerAddress(const std::string &peer) const;
     /** Records the result of a direct call. @param isServed whether the store served it */
     void recordDirectResult(time_point now, bool isServed);
     /** Records the result of a call through @p peer. @param isServed whether the store served it @param isReached whether the peer itself answered */
@@ -119,7 +127,13 @@
     std::string m_ownZone;
     random_source m_random;
     std::map<std::string, store_peer> m_peers;
-    std::map<std::string, time_point> m_readerPausedUntil; ///< Peers that failed as the zone's reader, by name.
+    /** Failures of a peer as the zone's reader. */
+    struct reader_pause
+    {
+        time_point until;
+        duration length{}; ///< Of the last pause.
+    };
+    std::map<std::string, reader_pause> m_readerPauses; ///< Peers that failed as the zone's reader, by name.
     std::map<std::string, time_point> m_reachedAt; ///< When each peer answered last, by name.
     std::set<std::string> m_unreachable; ///< Peers that did not answer their last call or ping.
     std::string m_pingPeer; ///< The peer to ping; it stays the same while it answers, so that its connection stays open.
--- a/fleet/testing/server_directory_test.cpp
+++ b/fleet/testing/server_directory_test.cpp
@@ -38,7 +38,9 @@
     directory.put(entryOf("b"));
     directory.put(entryOf("c", true));
     const time_point back{ 10s };
-    directory.replaceAll(back, {}, true);
+    for (const char *id : { "a", "b", "c" }) {
+        directory.remove(back, id, true);
+    }
     EXPECT_EQ(directory.usable("shop").size(), 2U);
     EXPECT_EQ(directory.find("c"), nullptr) << "a draining server has no grace period";
     directory.put(entryOf("a"));
@@ -52,26 +54,112 @@
 {
     server_directory directory;
     directory.put(entryOf("a"));
-    directory.replaceAll(time_point(10s), {}, true);
-    directory.replaceAll(time_point(11s), {}, true);
+    directory.remove(time_point(10s), "a", true);
+    directory.remove(time_point(11s), "a", true);
     EXPECT_TRUE(directory.expire(time_point(12s)));
     EXPECT_EQ(directory.size(), 0U);
 }
 
-TEST(outage_tracker_test, shortDisconnectIsNoOutage)
+TEST(server_directory_test, registrationMissingAfterLapsesAreBackIsGone)
+{
+    server_directory directory;
+    directory.put(entryOf("a"));
+    directory.put(entryOf("b"));
+    directory.remove(time_point(10s), "a", true);
+    EXPECT_TRUE(directory.dropLapsed(time_point(11s)));
+    EXPECT_FALSE(directory.dropLapsed(time_point(11s)));
+    ASSERT_EQ(directory.usable("shop").size(), 1U);
+    EXPECT_EQ(directory.usable("shop").front()->id, "b");
+}
+
+TEST(outage_tracker_test, lapsedRegistrationsMayComeBackForTwoSecondsAfterOutage)
 {
     outage_tracker outages;
     const time_point start{ 10s };
-    EXPECT_FALSE(outages.mayHaveLapsed(start));
+    EXPECT_EQ(outages.lapseGrace(start), 0s);
     outages.recordDisconnect(start);
     outages.recordReconnect(start + 300ms);
-    EXPECT_FALSE(outages.mayHaveLapsed(start + 400ms)) << "a server that is missing after a short disconnect has left";
+    EXPECT_EQ(outages.lapseGrace(start + 400ms), 0s) << "a server that is missing after a short disconnect has left";
     outages.recordDisconnect(start + 1s);
-    EXPECT_FALSE(outages.mayHaveLapsed(start + 1900ms));
-    EXPECT_TRUE(outages.mayHaveLapsed(start + 2s));
+    EXPECT_EQ(outages.lapseGrace(start + 1900ms), 0s);
+    EXPECT_EQ(outages.lapseGrace(start + 2s), 2s);
     outages.recordReconnect(start + 5s);
-    EXPECT_TRUE(outages.mayHaveLapsed(start + 7900ms));
-    EXPECT_FALSE(outages.mayHaveLapsed(start + 8s));
+    EXPECT_EQ(outages.lapseGrace(start + 6900ms), 100ms);
+    EXPECT_EQ(outages.lapseGrace(start + 7s), 0s) << "an entry that is missing two seconds after the store's return is gone";
+}
+
+server_entry instanceOf(const std::string &id, std::int64_t startedAt)
+{
+    server_entry entry = entryOf(id);
+    entry.startedAt = startedAt;
+    return entry;
+}
+
+TEST(server_directory_test, serverThatSaysItLeavesIsNotUsable)
+{
+    server_directory directory;
+    directory.put(instanceOf("a", 100));
+    directory.put(instanceOf("b", 100));
+    const std::uint64_t changes = directory.changes();
+    EXPECT_TRUE(directory.recordLeaving(time_point(5s), "a"));
+    EXPECT_FALSE(directory.recordLeaving(time_point(6s), "a")) << "it has said so before";
+    EXPECT_GT(directory.changes(), changes);
+    ASSERT_EQ(directory.allUsable().size(), 1U);
+    EXPECT_EQ(directory.allUsable().front()->id, "b");
+    EXPECT_EQ(directory.leavingSince("a"), time_point(5s));
+    EXPECT_NE(directory.find("a"), nullptr);
+}
+
+/** The word of the server is about this instance, so only a registration that shows a later start ends it. */
+TEST(server_directory_test, onlyLaterInstanceIsUsableAfterServerSaidItLeaves)
+{
+    struct row
+    {
+        const char *what;
+        std::int64_t startedAt; ///< In the registration read after the word.
+        bool isUsable;
+    };
+    const row rows[] = { { "a registration read late that says the server is ready", 100, false },
+                         { "a registration of an earlier instance", 90, false },
+                         { "a registration without a start time", 0, false },
+                         { "a restart under the same id", 101, true } };
+    for (const row &each : rows) {
+        server_directory directory;
+        directory.put(instanceOf("a", 100));
+        directory.recordLeaving(time_point(5s), "a");
+        directory.put(instanceOf("a", each.startedAt));
+        EXPECT_EQ(directory.usable("shop").size(), each.isUsable ? 1U : 0U) << each.what;
+        directory.remove(time_point(6s), "a", false);
+        directory.put(instanceOf("a", each.startedAt));
+        EXPECT_EQ(directory.usable("shop").size(), each.isUsable ? 1U : 0U) << each.what << ", after its registration was missing";
+    }
+}
+
+/** A server that is cut off from the store loses its registration, says in an answer that it leaves, and registers again when the cut heals. */
+TEST(server_directory_test, wordOfUnregisteredServerHoldsWhenItRegistersAgain)
+{
+    server_directory directory;
+    directory.put(instanceOf("a", 100));
+    directory.remove(time_point(5s), "a", false);
+    EXPECT_TRUE(directory.recordLeaving(time_point(6s), "a"));
+    directory.put(instanceOf("a", 100));
+    EXPECT_TRUE(directory.usable("shop").empty());
+    EXPECT_FALSE(directory.recordLeaving(time_point(7s), "never-seen")) << "nothing is known of a server with this id";
+}
+
+/** A server's word is dropped a while after its registration is gone, so that the table does not grow for good. */
+TEST(server_directory_test, wordIsForgottenAfterServerIsGone)
+{
+    server_directory directory;
+    directory.put(instanceOf("a", 100));
+    directory.recordLeaving(time_point(5s), "a");
+    directory.expire(time_point(5s) + server_directory::leavingMemory + 1s);
+    EXPECT_TRUE(directory.leavingSince("a")) << "it is still registered";
+    directory.remove(time_point(6s), "a", false);
+    directory.expire(time_point(5s) + server_directory::leavingMemory);
+    EXPECT_TRUE(directory.leavingSince("a"));
+    directory.expire(time_point(5s) + server_directory::leavingMemory + 1s);
+    EXPECT_FALSE(directory.leavingSince("a"));
 }
 
 TEST(route_table_test, longestPathPrefixOfHostMatches)
@@ -240,6 +328,34 @@
     EXPECT_FALSE(chosen.contains("n3"));
 }
 
+/** A node that is gone for good stays registered, so the pause in which it is not asked grows. */
+TEST(store_router_test, readerPauseDoublesUntilItAnswers)
+{
+    store_router router("n0", "a", 3);
+    router.setPeers({ { "n1", { { "127.0.0.1", 1 }, "a" } }, { "n2", { { "127.0.0.1", 2 }, "a" } } });
+    router.setPeers({ { "n1", { { "127.0.0.1", 1 }, "a" } }, { "n2", { { "127.0.0.1", 2 }, "a" } }, { "n3", { { "127.0.0.1", 3 }, "a" } } });
+    time_point now{ 1s };
+    const auto reader = router.zoneReader(now);
+    ASSERT_TRUE(reader);
+    const std::string name = reader->first;
+    const auto isChosen = [&](time_point when) {
+        const auto chosen = router.zoneReader(when);
+        return chosen && chosen->first == name;
+    };
+    for (const duration pause : { 3s, 6s, 12s, 24s, 24s }) {
+        router.recordReaderFailure(now, name);
+        router.recordReaderFailure(now + 10ms, name);
+        EXPECT_FALSE(isChosen(now + pause - 1ms)) << toSeconds(pause);
+        EXPECT_TRUE(isChosen(now + pause)) << toSeconds(pause);
+        now += pause;
+    }
+    router.recordReaderSuccess(name);
+    router.recordReaderFailure(now, name);
+    EXPECT_TRUE(isChosen(now + 3s)) << "an answer resets the pause";
+    EXPECT_FALSE(router.peerAddress("n9"));
+    EXPECT_EQ(router.peerAddress("n2"), (endpoint{ "127.0.0.1", 2 }));
+}
+
 TEST(store_router_test, singleZoneDeploymentIsNeverIsolated)
 {
     store_router router("n0", "a", 3);
--- /dev/null
+++ b/fleet/testing/snapshot_simulation.cpp
@@ -0,0 +1,371 @@
+#include "fleet/testing/snapshot_simulation.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace reedtrail::testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto prefix = "servers/";
+constexpr duration callTimeout = 2s; // Of a question to a peer.
+constexpr double longestDelaySeconds = 1.5; // Of a message that is delayed.
+constexpr duration readerPause = 3s;
+constexpr std::uint64_t keyCount = 12;
+
+} // namespace
+
+void node_loop::after(duration delay, std::function<void()> action)
+{
+    m_world.after(delay, [this, action = std::move(action)] {
+        m_simulation.runOrDefer(m_node, action);
+    });
+}
+
+void simulated_source::list(const std::string &listedPrefix, bool isPrefix, std::function<void(const store_range_answer &)> onListing)
+{
+    m_simulation.m_nodes.at(m_node).client->range({ listedPrefix, isPrefix, 0 }, [this, onListing](const store_range_answer &answer) {
+        m_simulation.runOrDefer(m_node, [onListing, answer] {
+            onListing(answer);
+        });
+    });
+}
+
+std::optional<std::string> simulated_source::reader() const
+{
+    const auto &self = m_simulation.m_nodes.at(m_node);
+    const std::string *best = &m_node;
+    for (const auto &[name, each] : m_simulation.m_nodes) {
+        const auto pause = m_pausedUntil.find(name);
+        const bool isUsable = each.zone == self.zone && (pause == m_pausedUntil.end() || pause->second <= self.loop->now());
+        if (isUsable && rendezvousRank(self.zone, name) > rendezvousRank(self.zone, *best)) {
+            best = &name;
+        }
+    }
+    return best == &m_node ? std::nullopt : std::optional(*best);
+}
+
+void simulated_source::ask(const std::string &reader, const snapshot_query &query, std::function<void(const std::optional<snapshot_reply> &)> onReply)
+{
+    auto &self = m_simulation.m_nodes.at(m_node);
+    const time_point askedAt = self.loop->now();
+    const auto isPending = std::make_shared<bool>(true);
+    const auto finish = [isPending, onReply](const std::optional<snapshot_reply> &reply) {
+        if (std::exchange(*isPending, false)) {
+            onReply(reply);
+        }
+    };
+    self.loop->after(callTimeout, [finish] {
+        finish(std::nullopt);
+    });
+    const follow_form form = m_simulation.m_form;
+    snapshot_query sent = query;
+    if (form == follow_form::UnchangedIsFresh) {
+        sent.maxAgeUs = duration::max().count();
+    }
+    m_simulation.send(m_node, reader, [this, reader, sent, finish, askedAt, form] {
+        const auto &answering = m_simulation.m_nodes.at(reader);
+        if (form == follow_form::UnchangedIsFresh && !answering.follower->hasListed()) {
+            return;
+        }
+        answering.follower->serve(sent, [this, reader, finish, askedAt, form](std::optional<snapshot_reply> reply) {
+            m_simulation.send(reader, m_node, [this, finish, askedAt, form, reply]() mutable {
+                if (reply && form == follow_form::UnchangedIsFresh) {
+                    reply->ageUs = 0;
+                }
+                if (reply && form == follow_form::AgeFromReceipt) {
+                    // The mirror subtracts the age from the moment of the question; this form subtracts it from the moment of arrival.
+                    reply->ageUs -= (m_simulation.m_nodes.at(m_node).loop->now() - askedAt).count();
+                }
+                finish(reply);
+            });
+        });
+    });
+}
+
+void simulated_source::recordReaderFailure(const std::string &reader)
+{
+    m_pausedUntil[reader] = m_simulation.m_nodes.at(m_node).loop->now() + readerPause;
+}
+
+void simulated_source::recordReaderSuccess(const std::string &reader)
+{
+    m_pausedUntil.erase(reader);
+}
+
+snapshot_simulation::snapshot_simulation(std::uint64_t seed, follow_form form)
+    : m_random(seed)
+    , m_form(form)
+    , m_store(m_world, random_source(seed * 31 + 7), {})
+{
+}
+
+void snapshot_simulation::run(duration length)
+{
+    m_end = m_world.now() + length;
+    for (const char *zone : { "a", "b", "c" }) {
+        for (std::size_t i = 0; i < m_nodesPerZone; ++i) {
+            const std::string name = std::string(zone) + std::to_string(i);
+            node &each = m_nodes[name];
+            each.name = name;
+            each.zone = zone;
+            each.client = m_store.client(name);
+            each.loop = std::make_unique<node_loop>(m_world, *this, name);
+            each.source = std::make_unique<simulated_source>(*this, name);
+        }
+    }
+    for (std::uint64_t key = 0; key < keyCount; ++key) {
+        m_store.put(prefix + std::to_string(key), "ready");
+    }
+    for (auto &[name, each] : m_nodes) {
+        startNode(each);
+        scheduleDecision(name);
+    }
+    scheduleChange();
+    if (m_hasFaults) {
+        scheduleFault();
+    }
+    m_world.runUntil(m_end);
+    for (auto &[name, each] : m_nodes) {
+        each.follower->stop();
+    }
+}
+
+/** Starts the node's process, which knows nothing. */
+void snapshot_simulation::startNode(node &each)
+{
+    if (each.follower) {
+        each.follower->stop();
+    }
+    each.deferred.clear();
+    each.known.clear();
+    each.newest = 0;
+    snapshot_mirror_options options;
+    options.prefix = prefix;
+    options.allowance = fromSeconds(toSeconds(bound) * 0.6);
+    options.replyAge = fromSeconds(toSeconds(bound) * 0.45);
+    options.prefetchAge = fromSeconds(toSeconds(bound) * 0.3);
+    if (m_form == follow_form::AgeFromReceipt) {
+        options.readerPatience = callTimeout; // This form waited for its reader.
+    }
+    snapshot_mirror_handlers handlers;
+    handlers.onEvent = [this, &each](const store_watch_event &event, bool) {
+        if (event.type == store_watch_event::kind::Delete) {
+            each.known.erase(event.item.key);
+            return;
+        }
+        store_revision &revision = each.known[event.item.key];
+        if (event.item.modRevision < revision) {
+            m_regressions.push_back(each.name);
+        }
+        revision = event.item.modRevision;
+    };
+    each.follower = std::make_shared<mirror>(*each.source, *each.loop, options, std::move(handlers));
+    each.follower->start();
+}
+
+void snapshot_simulation::runOrDefer(const std::string &name, std::function<void()> action)
+{
+    node &each = m_nodes.at(name);
+    if (each.isRunning) {
+        action();
+    } else {
+        each.deferred.push_back(std::move(action));
+    }
+}
+
+/** Sends a message: late, overtaken, doubled, or held up by a cut until it heals. */
+void snapshot_simulation::send(const std::string &from, const std::string &to, std::function<void()> arrive)
+{
+    if (m_cuts.contains({ from, to })) {
+        if (m_random.chance(0.5)) {
+            m_heldUp.emplace_back(from, to, std::move(arrive));
+        }
+        return;
+    }
+    const bool isDelayed = m_hasFaults && m_random.chance(0.03);
+    const bool isDoubled = m_hasFaults && m_random.chance(0.03);
+    const duration delay = randomSpan(0.001, isDelayed ? longestDelaySeconds : 0.003);
+    for (int copy = 0; copy < (isDoubled ? 2 : 1); ++copy) {
+        m_world.after(delay + copy * 30ms, [this, to, arrive] {
+            runOrDefer(to, arrive);
+        });
+    }
+}
+
+void snapshot_simulation::scheduleDecision(const std::string &name)
+{
+    m_world.after(fromSeconds(m_random.exponential(toSeconds(m_decisionInterval))), [this, name] {
+        runOrDefer(name, [this, name] {
+            decide(name, m_world.now());
+        });
+        scheduleDecision(name);
+    });
+}
+
+void snapshot_simulation::decide(const std::string &name, time_point dueAt)
+{
+    node &each = m_nodes.at(name);
+    if (!each.follower->hasListed()) {
+        return; // Such a node refuses.
+    }
+    const bool mayDecide = each.follower->ensureFresh([this, name, dueAt] {
+        decide(name, dueAt);
+    });
+    if (mayDecide) {
+        check(each);
+        if (each.frozenUntil < dueAt) {
+            m_longestWait = std::max(m_longestWait, m_world.now() - dueAt);
+        }
+    }
+}
+
+void snapshot_simulation::check(const node &each)
+{
+    ++m_decisions;
+    const time_point now = m_world.now();
+    if (now < each.disturbedUntil + contactTime) {
+        return;
+    }
+    ++m_checked;
+    for (const auto &[key, last] : m_lastChanges) {
+        const auto known = each.known.find(key);
+        const store_revision revision = known == each.known.end() ? 0 : known->second;
+        if (revision >= last.revision || now - last.at <= bound) {
+            continue;
+        }
+        m_late.push_back({ each.name, now, now - last.at, m_lastFault });
+        return;
+    }
+}
+
+/** Changes one key, as a server that leaves or starts. A key changes again only when all nodes must know its last change. */
+void snapshot_simulation::scheduleChange()
+{
+    m_world.after(fromSeconds(m_random.exponential(0.25)), [this] {
+        const std::string key = prefix + std::to_string(m_random.below(keyCount));
+        change &last = m_lastChanges[key];
+        if (last.revision == 0 || m_world.now() - last.at > 2 * bound) {
+            m_store.put(key, "state " + std::to_string(m_random.below(100)));
+            last = { m_world.now(), key, m_store.revision() };
+        }
+        scheduleChange();
+    });
+}
+
+void snapshot_simulation::scheduleFault()
+{
+    m_world.after(randomSpan(0.5, 6), [this] {
+        injectFault();
+        scheduleFault();
+    });
+}
+
+void snapshot_simulation::injectFault()
+{
+    node &target = randomNode();
+    const duration length = randomSpan(0.3, 8);
+    const time_point end = m_world.now() + length;
+    switch (static_cast<simulated_fault>(m_random.below(7))) {
+    case simulated_fault::Freeze:
+        m_lastFault = "freeze of " + target.name;
+        freeze(target, length, false);
+        break;
+    case simulated_fault::Suspend:
+        m_lastFault = "suspension of " + target.name;
+        freeze(target, length, true);
+        break;
+    case simulated_fault::CutFromStore:
+        m_lastFault = "cut of " + target.name + " from the store";
+        excuse(target, end);
+        m_store.setCut(target.name, true);
+        m_world.at(end, [this, name = target.name] {
+            m_store.setCut(name, false);
+        });
+        break;
+    case simulated_fault::CutFromPeers:
+        m_lastFault = "cut of " + target.name + " from its peers";
+        for (const auto &[name, other] : m_nodes) {
+            m_cuts.emplace(name, target.name);
+            m_cuts.emplace(target.name, name);
+        }
+        m_world.at(end, [this, name = target.name] {
+            std::erase_if(m_cuts, [&](const auto &cut) {
+                return cut.first == name || cut.second == name;
+            });
+            for (auto &[from, to, arrive] : std::exchange(m_heldUp, {})) {
+                send(from, to, std::move(arrive));
+            }
+        });
+        break;
+    case simulated_fault::StoreSlow:
+        m_lastFault = "slow store";
+        excuseAll(end);
+        m_store.setSlow(true);
+        m_world.at(end, [this] {
+            m_store.setSlow(false);
+        });
+        break;
+    case simulated_fault::StoreDown:
+        m_lastFault = "store down";
+        excuseAll(end);
+        m_store.setDown(true);
+        m_world.at(end, [this] {
+            m_store.setDown(false);
+        });
+        break;
+    case simulated_fault::KillAll:
+        m_lastFault = "kill of all nodes";
+        excuseAll(m_world.now());
+        for (auto &[name, each] : m_nodes) {
+            startNode(each);
+        }
+        break;
+    }
+}
+
+void snapshot_simulation::freeze(node &each, duration length, bool isSuspended)
+{
+    if (!each.isRunning) {
+        return;
+    }
+    each.isRunning = false;
+    each.frozenUntil = m_world.now() + length;
+    excuse(each, m_world.now() + length);
+    m_world.after(length, [this, &each, length, isSuspended] {
+        each.isRunning = true;
+        if (isSuspended && m_form == follow_form::AgeWithoutSuspension) {
+            each.loop->loseTime(length);
+        }
+        for (const auto &action : std::exchange(each.deferred, {})) {
+            action();
+        }
+    });
+}
+
+void snapshot_simulation::excuse(node &each, time_point until)
+{
+    each.disturbedUntil = std::max(each.disturbedUntil, until);
+}
+
+void snapshot_simulation::excuseAll(time_point until)
+{
+    for (auto &[name, each] : m_nodes) {
+        excuse(each, until);
+    }
+}
+
+snapshot_simulation::node &snapshot_simulation::randomNode()
+{
+    return std::next(m_nodes.begin(), static_cast<std::ptrdiff_t>(m_random.below(m_nodes.size())))->second;
+}
+
+duration snapshot_simulation::randomSpan(double fromSecond, double toSecond)
+{
+    return fromSeconds(m_random.uniform(fromSecond, toSecond));
+}
+
+} // namespace reedtrail::testing
