--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -57,7 +57,6 @@
 {
     const http_request &request = exchange->request();
     if (request.path() == "/metrics") {
-        m_context.metrics.gauge("reedtrail_store_calls", "Calls to the store so far").set(static_cast<double>(m_context.storeCallCount()));
         exchange->respond(textResponse(200, m_context.metrics.page()));
     } else if (request.path() == "/dump") {
         exchange->respond(jsonResponse(200, m_process->dump(request.query("service").value_or("")).dump(2) + "\n"));
--- a/edge/detour_transport.h
+++ b/edge/detour_transport.h
@@ -55,10 +55,10 @@
     bool hasRecentStoreContact() const;
     /** Returns how long a request may wait at a hub before it is answered with "unchanged". */
     duration hubHoldTime() const;
-    /** Returns the number of calls that this node has sent to the store itself. */
-    std::uint64_t directCallCount() const
+    /** Sets the action that is told of each call that this node sends to the store itself. */
+    void onDirectCall(std::function<void(const platform::call_description &)> action)
     {
-        return m_direct.calls();
+        m_direct.onCall(std::move(action));
     }
 
     /** Sends a call for a peer, on the direct path only, so that calls never pass through two peers. */
--- a/edge/edge_context.h
+++ b/edge/edge_context.h
@@ -31,7 +31,6 @@
     std::shared_ptr<edge_lease> lease;
     metric_registry &metrics;
     std::uint64_t randomSeed = 0; ///< Seed of this process's random choices.
-    std::function<std::uint64_t()> storeCallCount; ///< Returns the number of calls that this node has made to the store.
     std::function<bool()> isIsolated; ///< Tells whether this node reaches neither the store nor other zones.
     bool isDraining = false;
     time_point drainStartedAt; ///< Time of the stop signal.
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -14,12 +14,14 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <map>
 #include <unistd.h>
 
 namespace reedtrail {
 namespace {
 
 constexpr duration logFlushInterval = std::chrono::milliseconds(250); // Longest delay of a log line; one write per line would cost more than the line itself.
+constexpr duration callReportInterval = std::chrono::seconds(10); // Between log lines that sum up the calls to the store.
 constexpr duration serverIdleTimeout = std::chrono::seconds(30); // For idle connections to servers that announce no keep-alive time.
 constexpr std::size_t maxIdleServerConnections = 24; // Per server: twice the slots of the largest server, so that a burst reuses existing connections.
 
@@ -44,13 +46,18 @@
 
     int run()
     {
+        m_transport.onDirectCall([this](const platform::call_description &call) {
+            m_metrics
+                .counter("reedtrail_store_calls_total",
+                         "Calls to the store by kind and subject",
+                         "kind=\"" + std::string(call.kind) + "\",subject=\"" + call.subject + "\"")
+                .add();
+            ++m_storeCalls[std::string(call.kind) + (call.subject.empty() ? "" : " ") + call.subject];
+        });
         auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshots);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
         auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet);
         auto callers = std::make_unique<caller_service>(m_context, *fleet, *jobs, m_forwarder);
-        m_context.storeCallCount = [this] {
-            return m_transport.directCallCount();
-        };
         m_context.isIsolated = [this] {
             return m_transport.path().isIsolated(m_loop.now());
         };
@@ -94,8 +101,10 @@
         logLine(log_level::Info, "started", { { "program", "reedtrail-edge" }, { "version", REEDTRAIL_VERSION }, { "incarnation", m_context.incarnation } });
         awaitSignal();
         scheduleLogFlush();
+        scheduleCallReport();
         m_io.run();
         m_services.stop();
+        reportStoreCalls();
         logLine(log_level::Info, "stopped", {});
         flushLog();
         return 0;
@@ -185,6 +194,27 @@
         });
     }
 
+    void scheduleCallReport()
+    {
+        m_loop.after(callReportInterval, [this] {
+            reportStoreCalls();
+            scheduleCallReport();
+        });
+    }
+
+    /** Logs the calls to the store since the last report. */
+    void reportStoreCalls()
+    {
+        if (m_storeCalls.empty()) {
+            return;
+        }
+        std::string calls;
+        for (const auto &[what, count] : std::exchange(m_storeCalls, {})) {
+            calls += (calls.empty() ? "" : ", ") + what + ": " + std::to_string(count);
+        }
+        logLine(log_level::Info, "store-calls", { { "calls", calls } });
+    }
+
     boost::asio::io_context m_io{ 1 };
     asio_loop m_loop;
     http_client m_storeClient;
@@ -198,6 +228,7 @@
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
+    std::map<std::string, std::uint64_t> m_storeCalls; ///< Since the last report, by kind and subject.
     boost::asio::signal_set m_signals;
 };
 
