Only a few nodes of each zone compete for the duty of ordering loads

Change: the first three nodes of each zone by processor time compete (fleet/duty_candidacy; the ranking is shared with the hosts of jobs). The others look at the duty each four seconds through their zone's reader and compete once it has been free for six seconds, which only the loss of all candidates explains. Connections opened to servers are counted.

Ruled out: leaving the candidacy to the hosts of jobs alone, which are one in a zone of a small deployment.

--- a/batch/job_hosts.cpp
+++ b/batch/job_hosts.cpp
@@ -1,6 +1,6 @@
 #include "batch/job_hosts.h"
 
-#include "base/hash.h"
+#include "fleet/node_ranking.h"
 
 #include <algorithm>
 
@@ -14,17 +14,8 @@
 void job_host_selector::setNodes(std::map<std::string, job_host> nodes)
 {
     m_nodes = std::map<std::string, job_host, std::less<>>(nodes.begin(), nodes.end());
-    std::map<std::string_view, std::vector<std::string_view>> zones;
-    for (const auto &[name, node] : m_nodes) {
-        zones[node.zone].push_back(name);
-    }
     m_hosts.clear();
-    for (auto &[zone, names] : zones) {
-        std::ranges::sort(names, [this, zone = zone](std::string_view left, std::string_view right) {
-            const double leftShare = m_nodes.find(left)->second.processorShare;
-            const double rightShare = m_nodes.find(right)->second.processorShare;
-            return leftShare != rightShare ? leftShare > rightShare : rendezvousRank(zone, left) > rendezvousRank(zone, right);
-        });
+    for (const auto &[zone, names] : rankNodesByZone(m_nodes)) {
         const std::size_t hostCount = (names.size() + m_options.nodesPerHost - 1) / m_options.nodesPerHost;
         m_hosts.insert(m_hosts.end(), names.begin(), names.begin() + static_cast<std::ptrdiff_t>(hostCount));
     }
--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -1,8 +1,6 @@
 #include "edge/fleet_cache.h"
 
-#include "base/cbor_codec.h"
 #include "kernel/log.h"
-#include "net/http_status.h"
 #include "platform/fleet_wire.h"
 
 namespace reedtrail {
@@ -23,9 +21,10 @@
 
 } // namespace
 
-fleet_cache::fleet_cache(edge_context &context, peer_snapshot_source &source)
+fleet_cache::fleet_cache(edge_context &context, peer_snapshot_source &source, snapshot_server &snapshots)
     : m_context(context)
     , m_source(source)
+    , m_snapshots(snapshots)
     , m_backends(optionsFor(context.settings), context.randomSeed)
 {
     m_backends.setConnectionQuery([this](const endpoint &address) {
@@ -70,7 +69,7 @@
     return {};
 }
 
-std::shared_ptr<fleet_cache::mirror> fleet_cache::makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers)
+std::shared_ptr<edge_snapshot_mirror> fleet_cache::makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers)
 {
     snapshot_mirror_options options;
     options.prefix = prefix;
@@ -78,7 +77,9 @@
     options.allowance = fromSeconds(toSeconds(bound) * allowanceShare);
     options.replyAge = fromSeconds(toSeconds(bound) * replyAgeShare);
     options.prefetchAge = fromSeconds(toSeconds(bound) * prefetchAgeShare);
-    return std::make_shared<mirror>(m_source, m_context.loop, std::move(options), std::move(handlers));
+    const auto newMirror = std::make_shared<edge_snapshot_mirror>(m_source, m_context.loop, std::move(options), std::move(handlers));
+    m_snapshots.add(std::string(prefix), newMirror);
+    return newMirror;
 }
 
 void fleet_cache::beginReading()
@@ -113,37 +114,6 @@
     }
 }
 
-void fleet_cache::serveSnapshot(const std::shared_ptr<http_exchange> &exchange)
-{
-    snapshot_query query;
-    const std::optional<failure> error = failureOf([&]() -> result<void> {
-        const std::string &body = exchange->request().body;
-        BOOST_LEAF_AUTO(message, decodeEnvelope({ reinterpret_cast<const std::uint8_t *>(body.data()), body.size() }));
-        BOOST_LEAF_ASSIGN(query, decodeBody<snapshot_query>(message));
-        return {};
-    });
-    const auto found = query.prefix == platform::serversPrefix ? m_serverMirror : query.prefix == platform::configurationKey ? m_configurationMirror : nullptr;
-    if (error || !found) {
-        exchange->respond(textResponse(http_status::badRequest, "bad query\n"));
-        return;
-    }
-    if (m_context.isDraining) {
-        exchange->respond(textResponse(http_status::unavailable, ""));
-        return;
-    }
-    found->serve(query, [exchange](const std::optional<snapshot_reply> &reply) {
-        if (!reply) {
-            exchange->respond(textResponse(http_status::unavailable, ""));
-            return;
-        }
-        const std::vector<std::uint8_t> bytes = encodeMessage(*reply);
-        http_response response;
-        response.status = http_status::ok;
-        response.body.assign(bytes.begin(), bytes.end());
-        exchange->respond(std::move(response));
-    });
-}
-
 nlohmann::json fleet_cache::dump() const
 {
     nlohmann::json servers = nlohmann::json::array();
@@ -151,7 +121,7 @@
         servers.push_back({ { "id", entry->id }, { "service", entry->service }, { "zone", entry->zone }, { "running", m_backends.running(entry->id) } });
     }
     const time_point now = m_context.loop.now();
-    const auto describe = [now](const mirror &each) -> nlohmann::json {
+    const auto describe = [now](const edge_snapshot_mirror &each) -> nlohmann::json {
         const snapshot_mirror_counts &counts = each.counts();
         return { { "revision", each.revision() },         { "ageMs", each.hasListed() ? each.age(now) / std::chrono::milliseconds(1) : -1 },
                  { "storeReads", counts.storeReads },     { "peerReads", counts.peerReads },
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -7,12 +7,11 @@
 
 #include "edge/edge_context.h"
 #include "edge/peer_snapshot_source.h"
+#include "edge/snapshot_server.h"
 #include "fleet/outage_memory.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
-#include "fleet/snapshot_mirror.h"
 #include "kernel/service.h"
-#include "net/http_server.h"
 #include "routing/backend_table.h"
 
 #include <functional>
@@ -25,7 +24,8 @@
 class fleet_cache : public service
 {
 public:
-    fleet_cache(edge_context &context, peer_snapshot_source &source);
+    /** @param snapshots receives the mirrors of this cache, to answer peers from them */
+    fleet_cache(edge_context &context, peer_snapshot_source &source, snapshot_server &snapshots);
 
     result<void> start(kernel &process) override;
     void stop() override;
@@ -45,8 +45,6 @@
      * @param source kind of the response that said so, for the log
      */
     void recordLeaving(const std::string &server, std::string_view source);
-    /** Answers a peer's query for a snapshot. */
-    void serveSnapshot(const std::shared_ptr<http_exchange> &exchange);
     const route_table &routes() const
     {
         return m_routes;
@@ -66,9 +64,7 @@
     }
 
 private:
-    using mirror = snapshot_mirror<peer_snapshot_source, asio_loop>;
-
-    std::shared_ptr<mirror> makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers);
+    std::shared_ptr<edge_snapshot_mirror> makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers);
     void applyConfiguration(const store_key_value &item);
     void applyServerEvent(const store_watch_event &event, bool mayHaveLapsed);
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
@@ -77,8 +73,9 @@
 
     edge_context &m_context;
     peer_snapshot_source &m_source;
-    std::shared_ptr<mirror> m_configurationMirror;
-    std::shared_ptr<mirror> m_serverMirror;
+    snapshot_server &m_snapshots;
+    std::shared_ptr<edge_snapshot_mirror> m_configurationMirror;
+    std::shared_ptr<edge_snapshot_mirror> m_serverMirror;
     route_table m_routes;
     server_directory m_directory;
     backend_table m_backends;
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -38,7 +38,8 @@
         , m_store(m_io, m_transport)
         , m_context{ std::move(settings), std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,   m_store,
                      m_serverClient,      std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics }
-        , m_snapshots(m_loop, m_store, m_transport.path(), m_peerClient)
+        , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient)
+        , m_snapshotServer(m_context)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
@@ -54,9 +55,9 @@
                 .add();
             ++m_storeCalls[std::string(call.kind) + (call.subject.empty() ? "" : " ") + call.subject];
         });
-        auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshots);
+        auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshotSource, m_snapshotServer);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
-        auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet);
+        auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet, m_snapshotSource, m_snapshotServer);
         auto callers = std::make_unique<caller_service>(m_context, *fleet, *jobs, m_forwarder);
         m_context.isIsolated = [this] {
             return m_transport.path().isIsolated(m_loop.now());
@@ -73,14 +74,17 @@
         peers->onForwardedCall([callers = callers.get()](std::shared_ptr<http_exchange> exchange) {
             callers->dispatchForwarded(std::move(exchange));
         });
-        peers->onSnapshotQuery([fleet = fleet.get()](const std::shared_ptr<http_exchange> &exchange) {
-            fleet->serveSnapshot(exchange);
+        peers->onSnapshotQuery([this](const std::shared_ptr<http_exchange> &exchange) {
+            m_snapshotServer.serve(exchange);
         });
         peers->onFirstPeers([fleet = fleet.get()] {
             fleet->beginReading();
         });
-        peers->onPeersChanged([this](const std::map<std::string, store_peer> &knownPeers) {
-            updateJobHosts(knownPeers);
+        peers->onPeersChanged([this, weightLoads = weightLoads.get()](std::map<std::string, store_peer> nodes) {
+            const edge_settings &settings = m_context.settings;
+            nodes[settings.node] = { settings.peers.value_or(endpoint{}), settings.zone, settings.processorShare };
+            updateJobHosts(nodes);
+            weightLoads->setNodes(nodes);
         });
         m_context.lease->setRenewalCondition([weightLoads = weightLoads.get(), jobs = jobs.get(), peers = peers.get()] {
             return weightLoads->needsLease() || jobs->needsLease() || peers->servesWatchingPeers();
@@ -127,14 +131,12 @@
     }
 
     /** Passes all known nodes, including this one, to the assignment of jobs to hosts. */
-    void updateJobHosts(const std::map<std::string, store_peer> &peers)
+    void updateJobHosts(const std::map<std::string, store_peer> &knownNodes)
     {
         std::map<std::string, job_host> nodes;
-        for (const auto &[name, peer] : peers) {
-            nodes[name] = { peer.address, peer.zone, peer.processorShare };
+        for (const auto &[name, node] : knownNodes) {
+            nodes[name] = { node.address, node.zone, node.processorShare };
         }
-        const edge_settings &settings = m_context.settings;
-        nodes[settings.node] = { *settings.peers, settings.zone, settings.processorShare };
         m_forwarder.hosts().setNodes(std::move(nodes));
     }
 
@@ -202,17 +204,20 @@
         });
     }
 
-    /** Logs the calls to the store since the last report. */
+    /** Logs the calls to the store, and the connections opened to backend servers, since the last report. */
     void reportStoreCalls()
     {
-        if (m_storeCalls.empty()) {
+        const std::uint64_t opened = m_serverClient.openedConnections();
+        const std::uint64_t newConnections = opened - std::exchange(m_reportedConnections, opened);
+        if (m_storeCalls.empty() && newConnections == 0) {
             return;
         }
+        m_metrics.counter("reedtrail_server_connections_total", "Connections opened to backend servers").add(newConnections);
         std::string calls;
         for (const auto &[what, count] : std::exchange(m_storeCalls, {})) {
             calls += (calls.empty() ? "" : ", ") + what + ": " + std::to_string(count);
         }
-        logLine(log_level::Info, "store-calls", { { "calls", calls } });
+        logLine(log_level::Info, "store-calls", { { "calls", calls }, { "server-connections", std::to_string(newConnections) } });
     }
 
     boost::asio::io_context m_io{ 1 };
@@ -224,10 +229,12 @@
     edge_store m_store;
     metric_registry m_metrics;
     edge_context m_context;
-    peer_snapshot_source m_snapshots;
+    peer_snapshot_source m_snapshotSource;
+    snapshot_server m_snapshotServer;
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
+    std::uint64_t m_reportedConnections = 0; ///< Connections to backend servers up to the last report.
     std::map<std::string, std::uint64_t> m_storeCalls; ///< Since the last report, by kind and subject.
     boost::asio::signal_set m_signals;
 };
--- a/edge/order_service.cpp
+++ b/edge/order_service.cpp
@@ -10,16 +10,32 @@
 namespace reedtrail {
 namespace {
 
+constexpr std::string_view dutyName = "orders"; // One node at a time orders the servers to load weights.
 constexpr duration passInterval = std::chrono::milliseconds(100); // Between two passes of the leader; a due load waits no longer than this.
 constexpr duration demandReportInterval = std::chrono::seconds(8); // Between reads of the jobs' demand for models; a trainer submits two jobs in it.
 constexpr duration serverCallTimeout = std::chrono::milliseconds(500); // For reports and orders; servers answer reports without a free slot.
 
 } // namespace
 
-weight_load_service::weight_load_service(edge_context &context, fleet_cache &fleet)
+weight_load_service::weight_load_service(edge_context &context, fleet_cache &fleet, peer_snapshot_source &source, snapshot_server &snapshots)
     : m_context(context)
     , m_fleet(fleet)
+    , m_random(context.randomSeed)
 {
+    snapshot_mirror_options options;
+    options.prefix = leadership_type::prefixOf(dutyName);
+    // Nothing is bounded in time here: a candidate's claim is decided in the store.
+    options.allowance = m_candidacy.options().checkInterval;
+    options.replyAge = m_candidacy.options().checkInterval;
+    options.prefetchAge = m_candidacy.options().checkInterval / 2;
+    snapshot_mirror_handlers handlers;
+    handlers.onEvent = [this](const store_watch_event &event, bool) {
+        if (event.item.key == leadership_type::prefixOf(dutyName) + "holder") {
+            m_isHeld = event.type == store_watch_event::kind::Put;
+        }
+    };
+    m_dutyMirror = std::make_shared<edge_snapshot_mirror>(source, context.loop, options, std::move(handlers));
+    snapshots.add(options.prefix, m_dutyMirror);
 }
 
 result<void> weight_load_service::start(kernel &)
@@ -27,16 +43,54 @@
     duty_holder_options options;
     options.takeoverInterval = m_context.settings.orderHandoverInterval;
     m_leadership = std::make_shared<leadership_type>(
-        m_context.store, m_context.loop, m_context.lease, "orders", m_context.settings.node, m_context.incarnation, m_context.randomSeed, options);
-    m_leadership->start([this] {
-        onLeadershipChanged();
-    });
+        m_context.store, m_context.loop, m_context.lease, std::string(dutyName), m_context.settings.node, m_context.incarnation, m_context.randomSeed, options);
     m_fleet.onChange([this] {
         onFleetChanged();
     });
+    scheduleDutyCheck();
     return {};
 }
 
+void weight_load_service::setNodes(const std::map<std::string, store_peer> &nodes)
+{
+    if (m_candidacy.setNodes(nodes, m_context.settings.node)) {
+        compete("one of the first nodes of its zone");
+    }
+}
+
+void weight_load_service::compete(const char *reason)
+{
+    logLine(log_level::Info, "duty-candidate", { { "duty", std::string(dutyName) }, { "reason", reason } });
+    m_leadership->start([this] {
+        onLeadershipChanged();
+    });
+}
+
+/** Looks at the duty from time to time while this node does not compete. */
+void weight_load_service::scheduleDutyCheck()
+{
+    const duration interval = m_candidacy.options().checkInterval;
+    m_context.loop.after(fromSeconds(toSeconds(interval) * m_random.uniform(0.8, 1.2)), [this] {
+        if (m_candidacy.isCompeting() || m_isDraining) {
+            return;
+        }
+        checkDuty();
+        scheduleDutyCheck();
+    });
+}
+
+void weight_load_service::checkDuty()
+{
+    const auto age = m_dutyMirror->age(m_context.loop.now());
+    const bool isCurrent = m_dutyMirror->ensureFresh([this] {
+        checkDuty();
+    });
+    // A state that could not be read again says nothing: without the store there is no holder to claim for.
+    if (isCurrent && age <= m_candidacy.options().checkInterval && m_candidacy.recordObservation(m_context.loop.now(), m_isHeld)) {
+        compete("the duty has no holder");
+    }
+}
+
 void weight_load_service::drain(std::function<void()> done)
 {
     m_isDraining = true;
--- a/edge/order_service.h
+++ b/edge/order_service.h
@@ -6,6 +6,7 @@
 
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
+#include "fleet/duty_candidacy.h"
 #include "fleet/duty_holder.h"
 #include "fleet/prefix_mirror.h"
 #include "kernel/service.h"
@@ -21,12 +22,15 @@
 class weight_load_service : public service
 {
 public:
-    weight_load_service(edge_context &context, fleet_cache &fleet);
+    weight_load_service(edge_context &context, fleet_cache &fleet, peer_snapshot_source &source, snapshot_server &snapshots);
 
     result<void> start(kernel &process) override;
     void drain(std::function<void()> done) override;
     nlohmann::json dump() const override;
 
+    /** Takes all known nodes, by name, with this one; a few of each zone compete for the leadership. */
+    void setNodes(const std::map<std::string, store_peer> &nodes);
+
     /** Tells whether this node is the leader, which depends on its lease. */
     bool needsLease() const
     {
@@ -38,6 +42,9 @@
     using mirror = prefix_mirror<edge_store, asio_loop>;
 
     void releaseWhenOrdersDone(std::function<void()> done);
+    void compete(const char *reason);
+    void scheduleDutyCheck();
+    void checkDuty();
     void onLeadershipChanged();
     void onNamedVersion(const store_key_value &item);
     void onRetirementRequest(const store_key_value &item);
@@ -51,6 +58,10 @@
 
     edge_context &m_context;
     fleet_cache &m_fleet;
+    duty_candidacy m_candidacy;
+    std::shared_ptr<edge_snapshot_mirror> m_dutyMirror; ///< The leadership's keys, as a node sees them that does not compete.
+    bool m_isHeld = false; ///< Whether the leadership has a holder, according to m_dutyMirror.
+    random_source m_random;
     std::shared_ptr<leadership_type> m_leadership;
     std::shared_ptr<mirror> m_versionMirror;
     std::shared_ptr<mirror> m_retirementMirror;
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_transport_service.cpp
@@ -44,6 +44,7 @@
 {
     if (!m_settings.peers) {
         m_loop.after(duration::zero(), [this] {
+            m_onPeersChanged(m_peers);
             notifyFirstPeers();
         });
         return {};
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -178,7 +178,8 @@
         for (leaving_server *each : { &first, &second }) {
             enter(each->id, each->address, "ready", 100);
         }
-        fleet = std::make_unique<fleet_cache>(*context, source);
+        snapshots = std::make_unique<snapshot_server>(*context);
+        fleet = std::make_unique<fleet_cache>(*context, source, *snapshots);
         kernel process;
         EXPECT_TRUE(fleet->start(process));
         fleet->beginReading();
@@ -233,6 +234,7 @@
     store_router router;
     peer_snapshot_source source;
     std::unique_ptr<edge_context> context;
+    std::unique_ptr<snapshot_server> snapshots;
     std::unique_ptr<fleet_cache> fleet;
     leaving_server first{ io, "i-1", firstServerPort };
     leaving_server second{ io, "i-2", firstServerPort + 1 };
--- a/fleet/duty_holder.h
+++ b/fleet/duty_holder.h
@@ -52,7 +52,7 @@
         : m_store(store)
         , m_loop(loop)
         , m_lease(std::move(lease))
-        , m_prefix("reedtrail/duty/" + duty + "/")
+        , m_prefix(prefixOf(duty))
         , m_duty(std::move(duty))
         , m_node(std::move(node))
         , m_incarnation(std::move(incarnation))
@@ -61,6 +61,12 @@
     {
     }
 
+    /** Returns the prefix of the store keys of @p duty. */
+    static std::string prefixOf(std::string_view duty)
+    {
+        return "reedtrail/duty/" + std::string(duty) + "/";
+    }
+
     /** Starts to compete. @param onChange called when this node gains or loses the duty, and when it is recorded as the machine that acts */
     void start(std::function<void()> onChange)
     {
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -70,6 +70,7 @@
     http_client_options options;
     std::optional<tls_context_source> tlsContexts;
     std::map<endpoint, std::deque<idle_connection>> idle;
+    std::uint64_t opened = 0; ///< Connections that calls have begun to open.
 };
 
 /** Returns true if a peek at an idle connection finds neither end of stream nor unexpected bytes. */
@@ -145,6 +146,9 @@
             sendRequest();
             return;
         }
+        if (const auto pool = m_pool.lock()) {
+            ++pool->opened;
+        }
         startSilenceTimer(m_options.connectTimeout, error_kind::NoServer, "no connection within the timeout");
         beast::error_code addressError;
         const tcp::endpoint address(asio::ip::make_address(m_where.ip, addressError), m_where.port);
@@ -434,6 +438,11 @@
            });
 }
 
+std::uint64_t http_client::openedConnections() const
+{
+    return m_implementation->pool->opened;
+}
+
 std::size_t http_client::idleConnections() const
 {
     std::size_t count = 0;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -98,6 +98,8 @@
     bool hasIdle(const endpoint &where) const;
     /** Returns the number of idle connections in the pool. */
     std::size_t idleConnections() const;
+    /** Returns the number of connections that calls have begun to open so far. */
+    std::uint64_t openedConnections() const;
 
 private:
     struct implementation;
