Registrations of nodes are read through the zone's reader, first through a seed

Each node lists them at its start, again when it finds the zone's reader, and after each failed poll of a hub; a restarted node writes the entry that the store still has.

Change: the registrations are a snapshot_mirror like routes and servers, refreshed each four seconds from the zone's reader. A node that knows no other asks one of the seeds of its settings, and the store if the seed is silent. A node writes its entry only if the store lacks it.

--- a/edge/edge_settings.h
+++ b/edge/edge_settings.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace reedtrail {
 
@@ -25,6 +26,7 @@
     endpoint callers; ///< Listen address for requests and batch jobs.
     endpoint readiness; ///< Listen address for readiness probes, metrics and dumps.
     std::optional<endpoint> peers; ///< Listen address for other nodes; empty if this process serves none.
+    std::vector<endpoint> seeds; ///< Peer addresses of a few nodes, to learn of the others from; they may be out of date.
     endpoint store; ///< Address of the platform's store.
     bool isFirstStart = false; ///< Whether the whole deployment starts for the first time, so that all nodes register together.
     double processorShare = 0; ///< Share of one processor core that this process may use; 0 if unknown.
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -38,7 +38,7 @@
         , m_store(m_io, m_transport)
         , m_context{ std::move(settings), std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,   m_store,
                      m_serverClient,      std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics }
-        , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient)
+        , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient, m_context.settings, std::hash<std::string>()(m_context.incarnation))
         , m_snapshotServer(m_context)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
@@ -62,7 +62,7 @@
         m_context.isIsolated = [this] {
             return m_transport.path().isIsolated(m_loop.now());
         };
-        auto peers = std::make_unique<peer_service>(m_context.settings, m_loop, m_store, m_transport, [this] {
+        auto peers = std::make_unique<peer_service>(m_context.settings, m_loop, m_store, m_transport, m_snapshotSource, m_snapshotServer, [this] {
             m_context.lease->acquire([](store_lease_id) {});
         });
         m_transport.onStoreRecovered([jobs = jobs.get()] {
@@ -74,9 +74,6 @@
         peers->onForwardedCall([callers = callers.get()](std::shared_ptr<http_exchange> exchange) {
             callers->dispatchForwarded(std::move(exchange));
         });
-        peers->onSnapshotQuery([this](const std::shared_ptr<http_exchange> &exchange) {
-            m_snapshotServer.serve(exchange);
-        });
         peers->onFirstPeers([fleet = fleet.get()] {
             fleet->beginReading();
         });
--- a/edge/peer_snapshot_source.cpp
+++ b/edge/peer_snapshot_source.cpp
@@ -4,6 +4,8 @@
 #include "edge/peer_protocol.h"
 #include "kernel/log.h"
 
+#include <algorithm>
+
 namespace reedtrail {
 namespace {
 
@@ -32,15 +34,27 @@
     m_store.range({ prefix, isPrefix, 0 }, std::move(onListing));
 }
 
-std::optional<std::string> peer_snapshot_source::reader() const
+std::optional<std::string> peer_snapshot_source::reader()
 {
+    if (!m_router.hasPeers() && !m_settings.seeds.empty()) {
+        const endpoint &seed = m_settings.seeds[m_random.below(m_settings.seeds.size())];
+        return seed == m_settings.peers ? std::nullopt : std::optional(seed.text());
+    }
     const auto reader = m_router.zoneReader(m_loop.now());
     return reader ? std::optional(reader->first) : std::nullopt;
 }
 
+std::optional<endpoint> peer_snapshot_source::addressOf(const std::string &reader) const
+{
+    const auto seed = std::ranges::find_if(m_settings.seeds, [&](const endpoint &each) {
+        return each.text() == reader;
+    });
+    return seed != m_settings.seeds.end() ? std::optional(*seed) : m_router.peerAddress(reader);
+}
+
 void peer_snapshot_source::ask(const std::string &reader, const snapshot_query &query, std::function<void(const std::optional<snapshot_reply> &)> onReply)
 {
-    const std::optional<endpoint> address = m_router.peerAddress(reader);
+    const std::optional<endpoint> address = addressOf(reader);
     if (!address) {
         m_loop.after(duration::zero(), [onReply = std::move(onReply)] {
             onReply(std::nullopt);
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_transport_service.cpp
@@ -17,6 +17,8 @@
 constexpr duration pingInterval = std::chrono::milliseconds(500); // Half of the interval between two readiness probes of the ingress.
 constexpr duration watchingPeerMemory = std::chrono::seconds(3); // Watching peers send a request every half second.
 constexpr duration registrationRetryDelay = std::chrono::seconds(1);
+constexpr duration refreshInterval = std::chrono::seconds(4); // Nodes come and go in groups, and calls to one that is gone find that out at once.
+constexpr duration registrationAge = std::chrono::seconds(3); // Greatest age of registrations that a reader passes on.
 constexpr duration firstStartDelay = std::chrono::milliseconds(1500); // All nodes of a deployment start within 0.3 s; by then most have registered.
 constexpr duration firstPeersPatience = std::chrono::milliseconds(500); // Without the peers, this node reads the store itself.
 
@@ -26,11 +28,15 @@
                            asio_loop &loop,
                            platform::key_value_store &store,
                            failover_store_transport &transport,
+                           peer_snapshot_source &source,
+                           snapshot_server &snapshots,
                            std::function<void()> maintainStoreContact)
     : m_settings(settings)
     , m_loop(loop)
     , m_store(store)
     , m_transport(transport)
+    , m_source(source)
+    , m_snapshots(snapshots)
     , m_maintainStoreContact(std::move(maintainStoreContact))
 {
 }
@@ -56,40 +62,49 @@
         handlePeerRequest(std::move(exchange));
     });
     BOOST_LEAF_CHECK(m_server->start());
-    registerNode();
-    m_loop.after(m_settings.isFirstStart ? firstStartDelay : duration::zero(), [this] {
-        startMirror();
-    });
+    startMirror();
     schedulePing();
     return {};
 }
 
-/** Follows the registrations of the other nodes. */
+/** Follows the registrations of all nodes. Nothing is bounded in time here: a node that is gone is noticed when it does not answer. */
 void peer_service::startMirror()
 {
-    prefix_mirror_handlers handlers;
-    handlers.onListing = [this](std::span<const store_key_value> items) {
-        m_peers.clear();
-        for (const store_key_value &item : items) {
-            store_watch_event event;
-            event.item = item;
-            applyPeerEvent(event);
-        }
-    };
-    handlers.onEvent = [this](const store_watch_event &event) {
+    snapshot_mirror_options options;
+    options.prefix = nodesPrefix;
+    options.allowance = registrationAge;
+    options.replyAge = registrationAge;
+    options.prefetchAge = registrationAge;
+    snapshot_mirror_handlers handlers;
+    handlers.onEvent = [this](const store_watch_event &event, bool) {
         applyPeerEvent(event);
     };
-    handlers.onCaughtUp = [this] {
+    handlers.onCaughtUp = [this](bool) {
         m_transport.path().setPeers(m_peers);
         m_onPeersChanged(m_peers);
+        registerNode();
         notifyFirstPeers();
     };
-    prefix_mirror_options mirrorOptions;
-    mirrorOptions.reportInterval = std::chrono::seconds(2); // Nodes come and go in groups, and a peer is needed only while the store is unavailable.
-    m_mirror = std::make_shared<prefix_mirror<platform::key_value_store, asio_loop>>(m_store, m_loop, std::string(nodesPrefix), mirrorOptions, handlers);
-    m_mirror->start();
-    m_loop.after(firstPeersPatience, [this] {
-        notifyFirstPeers();
+    m_mirror = std::make_shared<edge_snapshot_mirror>(m_source, m_loop, options, std::move(handlers));
+    m_snapshots.add(options.prefix, m_mirror);
+    if (m_settings.isFirstStart) {
+        registerNode();
+    }
+    m_loop.after(m_settings.isFirstStart ? firstStartDelay : duration::zero(), [this] {
+        m_mirror->start();
+        m_loop.after(firstPeersPatience, [this] {
+            notifyFirstPeers();
+        });
+        scheduleRefresh();
+    });
+}
+
+/** Reads the registrations again from time to time. */
+void peer_service::scheduleRefresh()
+{
+    m_loop.after(refreshInterval, [this] {
+        m_mirror->prefetch();
+        scheduleRefresh();
     });
 }
 
@@ -162,12 +177,21 @@
     return m_settings.peers->text() + " " + m_settings.zone + " " + std::to_string(m_settings.processorShare);
 }
 
+/** Registers this node unless the store has its registration, which it keeps when the machine fails. */
 void peer_service::registerNode()
 {
+    const std::string entry = encodeOwnEntry();
+    if (m_isRegistering || m_isDraining || m_registeredEntry == entry) {
+        return;
+    }
+    m_isRegistering = true;
     store_txn txn;
-    txn.onSuccess.push_back(store_put{ std::string(nodesPrefix) + m_settings.node, encodeOwnEntry(), 0 });
-    m_store.txn(txn, [this](const store_txn_answer &answer) {
-        if (answer.error && !m_isDraining) {
+    txn.onSuccess.push_back(store_put{ std::string(nodesPrefix) + m_settings.node, entry, 0 });
+    m_store.txn(txn, [this, entry](const store_txn_answer &answer) {
+        m_isRegistering = false;
+        if (!answer.error) {
+            m_registeredEntry = entry;
+        } else if (!m_isDraining) {
             m_loop.after(registrationRetryDelay, [this] {
                 registerNode();
             });
@@ -178,6 +202,10 @@
 void peer_service::applyPeerEvent(const store_watch_event &event)
 {
     const std::string name = event.item.key.substr(nodesPrefix.size());
+    if (name == m_settings.node) {
+        m_registeredEntry = event.type == store_watch_event::kind::Put ? event.item.value : "";
+        return;
+    }
     if (event.type == store_watch_event::kind::Delete) {
         m_peers.erase(name);
         return;
@@ -188,9 +216,7 @@
         store_peer peer;
         entryFields >> address >> peer.zone >> peer.processorShare; // Missing fields keep the values for "unknown".
         BOOST_LEAF_ASSIGN(peer.address, parseEndpoint(address));
-        if (name != m_settings.node) {
-            m_peers[name] = std::move(peer);
-        }
+        m_peers[name] = std::move(peer);
         return {};
     });
     if (error) {
@@ -213,7 +239,7 @@
         return;
     }
     if (request.path() == snapshotPath) {
-        m_onSnapshotQuery(exchange);
+        m_snapshots.serve(exchange);
         return;
     }
     if (request.path() == followPath) {
--- a/edge/peer_transport_service.h
+++ b/edge/peer_transport_service.h
@@ -8,7 +8,7 @@
 #include "edge/detour_transport.h"
 #include "edge/edge_settings.h"
 #include "edge/job_forwarder.h"
-#include "fleet/prefix_mirror.h"
+#include "edge/snapshot_server.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
 #include "platform/key_value_store.h"
@@ -32,6 +32,8 @@
                  asio_loop &loop,
                  platform::key_value_store &store,
                  failover_store_transport &transport,
+                 peer_snapshot_source &source,
+                 snapshot_server &snapshots,
                  std::function<void()> maintainStoreContact);
 
     /** Sets the predicate that tells whether this node has work that waits for the store. While it holds, the store is probed during an outage. */
@@ -50,11 +52,6 @@
         m_onForwardedCall = std::move(action);
     }
 
-    /** Sets the handler of peers' queries for snapshots of store prefixes. */
-    void onSnapshotQuery(std::function<void(const std::shared_ptr<http_exchange> &)> action)
-    {
-        m_onSnapshotQuery = std::move(action);
-    }
     /** Sets the action that runs once, when the peers have been read for the first time or the store has not answered for a while. */
     void onFirstPeers(std::function<void()> action)
     {
@@ -71,6 +68,7 @@
 private:
     std::string encodeOwnEntry() const;
     void startMirror();
+    void scheduleRefresh();
     void notifyFirstPeers();
     void pingPeers();
     void schedulePing();
@@ -85,7 +83,11 @@
     platform::key_value_store &m_store;
     failover_store_transport &m_transport;
     std::unique_ptr<http_server> m_server;
-    std::shared_ptr<prefix_mirror<platform::key_value_store, asio_loop>> m_mirror;
+    peer_snapshot_source &m_source;
+    snapshot_server &m_snapshots;
+    std::shared_ptr<edge_snapshot_mirror> m_mirror; ///< The registrations of all nodes.
+    std::string m_registeredEntry; ///< This node's own registration in the store; empty if there is none.
+    bool m_isRegistering = false;
     std::map<std::string, store_peer> m_peers;
     std::function<void()> m_maintainStoreContact;
     std::function<bool()> m_hasUrgentStoreWork = [] {
@@ -93,7 +95,6 @@
     };
     std::function<void(const std::map<std::string, store_peer> &)> m_onPeersChanged = [](const auto &) {};
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwardedCall = &job_forwarder::decline;
-    std::function<void(const std::shared_ptr<http_exchange> &)> m_onSnapshotQuery;
     std::function<void()> m_onFirstPeers;
     time_point m_lastWatchRequestAt;
     bool m_isDraining = false;
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -160,7 +160,7 @@
         , store(io, transport)
         , client(io, {})
         , router("node-1", "zone-1", 3)
-        , source(loop, store, router, client)
+        , source(loop, store, router, client, settings, 1)
     {
         settings.node = "node-1";
         settings.zone = "zone-1";
--- a/fleet/store_path.h
+++ b/fleet/store_path.h
@@ -75,6 +75,11 @@
     void recordReaderFailure(time_point now, const std::string &peer);
     /** Records that the zone's reader has answered. */
     void recordReaderSuccess(const std::string &peer);
+    /** Tells whether any other node is known. */
+    bool hasPeers() const
+    {
+        return !m_peers.empty();
+    }
     /** Returns the address of a known peer, or nothing if no peer has this name. */
     std::optional<endpoint> peerAddress(const std::string &peer) const;
     /** Records the result of a direct call. @param isServed whether the store served it */
