Long texts move to faster servers at the end of a burst; speeds are remembered

Cause: a step of long texts lasts as long as its longest one. A node forgets a server's speed after four seconds, and its next burst comes fifteen seconds later; a text left its server only for one 1.8 times as fast.

Change: a latency that has expired still ranks the servers for a minute if it is within a quarter of the median; one further off was a passing disturbance and counts for nothing. A text moves once another server would be 1.2 times as fast with the text on it, and only when nothing waits for a place, as before.

--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -3,8 +3,14 @@
 #include "routing/backend_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace reedtrail {
+namespace {
+
+constexpr double unknownLatencySeconds = 1e-3; // While nothing is known of any server; any positive value ranks them by load alone.
+
+} // namespace
 
 void backend_table::refresh(std::span<const server_entry *const> servers)
 {
@@ -36,7 +42,7 @@
 
 std::optional<backend_choice> backend_table::choose(time_point now, const backend_criteria &criteria)
 {
-    const double typical = std::max(1e-3, toSeconds(meanLatency(now, criteria.service)));
+    const double typical = typicalLatency(now, criteria.service);
     const bool avoidsSuspects = hasEligibleInTrustedZone(now, criteria);
     std::optional<backend_choice> best;
     double bestTime = 0;
@@ -109,11 +115,15 @@
 
 double backend_table::expectedTime(time_point now, std::string_view id, const server_state &server, const backend_criteria &criteria, double typical) const
 {
-    const double known = knownLatency(now, server);
-    const double latency = known > 0 ? known : typical;
-    const double utilization = (load(now, server) + 1) / server.slots;
-    const double waiting = std::max(0.0, utilization - 1) * m_options.queueWeight;
-    double time = latency * (1 + m_options.utilizationWeight * std::min(1.0, utilization) + waiting);
+    double latency = knownLatency(now, server);
+    if (latency == 0) {
+        const double remembered = rememberedLatency(now, server);
+        const bool isLasting = std::abs(remembered - typical) <= typical * m_options.paceSpread;
+        latency = isLasting ? remembered : typical;
+    }
+    const double newLoad = load(now, server) + 1;
+    const double waiting = std::max(0.0, newLoad / server.slots - 1) * m_options.queueWeight;
+    double time = latency * (slowdown(server, newLoad) + waiting);
     time *= id == criteria.preferred ? 1 - m_options.preferredDiscount : 1;
     time *= server.zone == m_options.ownZone ? 1 : 1 + m_options.otherZonePenalty;
     time *= !m_hasConnection || m_hasConnection(server.address) ? 1 : 1 + m_options.newConnectionPenalty;
@@ -125,6 +135,33 @@
     return now - server.latencyUpdatedAt < m_options.latencyLifetime ? server.latencySeconds : 0;
 }
 
+double backend_table::rememberedLatency(time_point now, const server_state &server) const
+{
+    return now - server.latencyUpdatedAt < m_options.paceMemory ? server.latencySeconds : 0;
+}
+
+double backend_table::typicalLatency(time_point now, std::string_view service) const
+{
+    std::vector<double> remembered;
+    for (const auto &[id, server] : m_servers) {
+        const double latency = server.service == service ? rememberedLatency(now, server) : 0;
+        if (latency > 0) {
+            remembered.push_back(latency);
+        }
+    }
+    if (remembered.empty()) {
+        return unknownLatencySeconds;
+    }
+    const auto middle = remembered.begin() + static_cast<std::ptrdiff_t>(remembered.size() / 2);
+    std::nth_element(remembered.begin(), middle, remembered.end());
+    return *middle;
+}
+
+double backend_table::slowdown(const server_state &server, double load) const
+{
+    return 1 + m_options.utilizationWeight * std::min(1.0, load / server.slots);
+}
+
 bool backend_table::isWorthMoving(time_point now, std::string_view id, const backend_criteria &criteria) const
 {
     const auto current = m_servers.find(id);
@@ -133,8 +170,9 @@
         return false;
     }
     return std::ranges::any_of(m_servers, [&](const auto &other) {
-        const double otherLatency = knownLatency(now, other.second);
-        return other.first != id && otherLatency > 0 && otherLatency * m_options.moveLatencyRatio < latency && mayTake(now, other.first, other.second, criteria)
+        const double otherLoad = load(now, other.second);
+        const double expected = knownLatency(now, other.second) * slowdown(other.second, otherLoad + 1) / slowdown(other.second, otherLoad);
+        return other.first != id && expected > 0 && expected * m_options.moveLatencyRatio < latency && mayTake(now, other.first, other.second, criteria)
             && !isSuspect(now, other.second);
     });
 }
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -7,8 +7,10 @@
  * bursts of score calls. Meanwhile some servers are slow, some load new weights and some no longer respond.
  *
  * Among the servers that may take a request, the one with the least expected time is chosen. The expected time is the server's latency scaled by its
- * utilization, with a small penalty if a connection must be opened. A server at which a request failed is not chosen during a backoff that doubles with each
- * consecutive failure. A small random factor breaks ties, so that nodes with the same information do not all choose the same server.
+ * utilization, with a small penalty if a connection must be opened. Bursts of one trainer come many seconds apart, and a burst lasts as long as its longest
+ * texts. These are placed first, so the speeds of the servers are remembered from one burst to the next. A server at which a request failed is not chosen
+ * during a backoff that doubles with each consecutive failure. A small random factor breaks ties, so that nodes with the same information do not all choose the
+ * same server.
  */
 #pragma once
 
@@ -41,7 +43,9 @@
     duration initialBackoff = std::chrono::milliseconds(400); ///< Backoff after the first failure; doubles with each consecutive one.
     duration maximumBackoff = std::chrono::seconds(3); ///< The registration of a dead server lapses after three heartbeats, so longer backoffs gain nothing.
     duration refusalBackoff = std::chrono::milliseconds(150); ///< Time before a server that refused is asked again; loading weights takes about a second.
-    double moveLatencyRatio = 1.8; ///< A stream leaves a server that is this many times slower than another; load alone makes a difference of 1.35.
+    duration paceMemory = std::chrono::seconds(60); ///< Servers differ in speed for good, so an older latency still ranks them for this long.
+    double paceSpread = 0.25; ///< Such a latency counts if it is within this share of the typical one. One further off was a passing disturbance.
+    double moveLatencyRatio = 1.2; ///< A stream leaves a server that is this many times slower than another would be with the stream on it.
     std::size_t suspicionThreshold = 2; ///< Servers of a zone that must be unresponsive within suspicionDuration, with no response from
                                         ///< the zone in between, to make it suspect. A single server may just have ended.
     duration suspicionDuration = std::chrono::milliseconds(3000); ///< Counted from the last unresponsive server. When a zone is cut off, the registrations
@@ -89,7 +93,8 @@
     /** Selects a server for a request. @return nothing if no server may take the request now */
     std::optional<backend_choice> choose(time_point now, const backend_criteria &criteria);
     /**
-     * Tells whether a stream on server @p id should continue on another server, because one that may take it now is faster by moveLatencyRatio.
+     * Tells whether a stream on server @p id should continue on another server, because one that may take it now is faster by moveLatencyRatio. Ask only when
+     * nothing waits for a place: a burst ends with its few longest texts, while most places of the faster servers are free again.
      * @param criteria as for choose(); server @p id itself is left out
      */
     bool isWorthMoving(time_point now, std::string_view id, const backend_criteria &criteria) const;
@@ -161,6 +166,12 @@
     double expectedTime(time_point now, std::string_view id, const server_state &server, const backend_criteria &criteria, double typical) const;
     /** Returns the latency in seconds; 0 if it is unknown or has expired. */
     double knownLatency(time_point now, const server_state &server) const;
+    /** Returns the latency in seconds, also if it has expired not too long ago; 0 if it is unknown. */
+    double rememberedLatency(time_point now, const server_state &server) const;
+    /** Returns the median of the remembered latencies in seconds, which is assumed for a server of the service of which nothing is known. */
+    double typicalLatency(time_point now, std::string_view service) const;
+    /** Returns the factor by which @p load requests slow a server down. */
+    double slowdown(const server_state &server, double load) const;
     server_state *find(std::string_view id);
 
     backend_table_options m_options;
--- a/routing/testing/backend_table_test.cpp
+++ b/routing/testing/backend_table_test.cpp
@@ -1,5 +1,9 @@
 #include "routing/backend_table.h"
 
+#include "base/random.h"
+
+#include <algorithm>
+#include <cstdio>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -156,6 +160,119 @@
     EXPECT_EQ(choose(makeCriteria()), "s0");
 }
 
+/** Load pattern: a node gets a burst of one trainer each fifteen seconds, and the servers differ in speed by a third. */
+TEST_F(backend_table_test, remembersLastingDifferencesOfSpeedBetweenBursts)
+{
+    for (int i = 0; i < 20; ++i) {
+        table.onLatency(now, "s0", 100ms);
+        table.onLatency(now, "s1", 90ms);
+        table.onLatency(now, "s2", 72ms);
+    }
+    now += 15s;
+    EXPECT_EQ(choose(makeCriteria()), "s2");
+    now += 60s;
+    EXPECT_EQ(choose(makeCriteria()), "s0") << "nothing is remembered for good; the server in this node's zone is preferred";
+}
+
+/**
+ * Replays the end of a burst: texts of very unequal length on servers whose speeds differ by a third, which slow down as they fill. Returns when the last text
+ * ends, in seconds.
+ */
+double lastTextEndsWith(double moveLatencyRatio, std::uint64_t seed)
+{
+    constexpr double tick = 0.05;
+    constexpr std::size_t serverCount = 14;
+    constexpr std::uint32_t slots = 6;
+    constexpr int minEventsBeforeMove = 3;
+    backend_table_options options;
+    options.moveLatencyRatio = moveLatencyRatio;
+    backend_table table(options, seed);
+    random_source random(seed);
+    std::vector<server_entry> entries(serverCount);
+    std::vector<double> pace;
+    std::vector<const server_entry *> usable;
+    for (std::size_t i = 0; i < serverCount; ++i) {
+        entries[i].id = "s" + std::to_string(i);
+        entries[i].service = "engines";
+        entries[i].slots = slots;
+        entries[i].startedAt = 1;
+        usable.push_back(&entries[i]);
+        pace.push_back(random.uniform(0.055, 0.078));
+    }
+    table.refresh(usable);
+    struct text
+    {
+        double eventsLeft;
+        std::size_t server;
+        int eventsHere = 0;
+        double partial = 0;
+    };
+    std::vector<text> running;
+    time_point now{ 10s };
+    backend_criteria criteria;
+    criteria.service = "engines";
+    const auto place = [&](double eventsLeft) {
+        const std::optional<backend_choice> choice = table.choose(now, criteria);
+        if (!choice) {
+            return false;
+        }
+        table.onRequestStarted(choice->id);
+        running.push_back({ eventsLeft, static_cast<std::size_t>(std::stoul(choice->id.substr(1))) });
+        return true;
+    };
+    for (int i = 0; i < 80; ++i) {
+        EXPECT_TRUE(place(std::min(67.0, random.lognormal(8, 1.1))));
+    }
+    double end = 0;
+    while (!running.empty()) {
+        now += fromSeconds(tick);
+        end += tick;
+        std::vector<std::uint32_t> load(serverCount);
+        for (const text &each : running) {
+            ++load[each.server];
+        }
+        for (text &each : running) {
+            const double time = pace[each.server] * (1 + 0.35 * load[each.server] / slots);
+            each.partial += tick / time;
+            for (; each.partial >= 1; each.partial -= 1) {
+                each.eventsLeft -= 1;
+                ++each.eventsHere;
+                table.onLatency(now, entries[each.server].id, fromSeconds(time));
+            }
+        }
+        std::erase_if(running, [&](const text &each) {
+            if (each.eventsLeft <= 0) {
+                table.onRequestEnded(entries[each.server].id);
+            }
+            return each.eventsLeft <= 0;
+        });
+        const auto slow = std::ranges::find_if(running, [&](const text &each) {
+            return each.eventsHere >= minEventsBeforeMove && table.isWorthMoving(now, entries[each.server].id, criteria);
+        });
+        if (slow != running.end()) {
+            const double eventsLeft = slow->eventsLeft;
+            table.onRequestEnded(entries[slow->server].id);
+            running.erase(slow);
+            EXPECT_TRUE(place(eventsLeft));
+        }
+    }
+    return end;
+}
+
+/** The trainer waits for the longest texts, so a burst in which they end on the faster servers ends earlier than one in which they stay where they began. */
+TEST(backend_table_replay_test, burstEndsEarlierWhenLongestTextsMoveToFasterServers)
+{
+    constexpr double staysInPlace = 1.8; // Only servers in trouble are left.
+    double moved = 0;
+    double stayed = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        moved += lastTextEndsWith(backend_table_options{}.moveLatencyRatio, seed);
+        stayed += lastTextEndsWith(staysInPlace, seed);
+    }
+    EXPECT_LT(moved, stayed);
+    std::printf("last text of a burst ends after %.2f s, staying in place %.2f s (mean of 50)\n", moved / 50, stayed / 50);
+}
+
 /** Load pattern: a server refuses requests while it loads new weights, and a burst of items waits for it. The burst must not flood the server with attempts. */
 TEST_F(backend_table_test, probesRefusingServerWithOneRequestAtATime)
 {
