--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -249,7 +249,7 @@
 
 void job_progress::expire(time_point now)
 {
-    if (now < m_submittedAt + m_options.itemLifetime + m_options.clockMargin) {
+    if (now < m_submittedAt + m_options.itemLifetime) {
         return;
     }
     for (std::size_t i = 0; i < m_states.size(); ++i) {
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -33,8 +33,6 @@
 struct job_progress_options
 {
     duration itemLifetime = std::chrono::seconds(60); ///< Time after submission at which an unfinished item is given up.
-    duration clockMargin = std::chrono::seconds(5); ///< Added to the lifetime. The submission time is from another node's clock, and two clocks may be stepped
-                                                    ///< by two seconds each, in opposite directions.
     int maxFailures = 3; ///< An item is given up after this many runs that the server reported as failed.
     int maxScoreFailures = 3; ///< An item is given up after this many failed attempts to score it.
     bool isSingleVersion = false; ///< All events of a text must come from one weight version.
--- a/batch/job_types.h
+++ b/batch/job_types.h
@@ -53,7 +53,7 @@
 {
     std::string host;
     std::string path; ///< Path that the job was submitted to; host and path select its route.
-    std::int64_t submittedAtMs = 0; ///< Unix time in milliseconds, by the clock of the VM that accepted the job.
+    std::int64_t submittedAtMs = 0; ///< Unix time in milliseconds, by the clock of the VM that accepted the job. Clocks jump, so no decision rests on it.
     std::string model; ///< The model of all items; empty if the items use several models.
     double expectedTokens = 0; ///< Sum of the caller's estimates over all items.
 };
--- a/edge/detour_transport.cpp
+++ b/edge/detour_transport.cpp
@@ -6,6 +6,7 @@
 #include "kernel/log.h"
 
 #include <algorithm>
+#include <random>
 
 namespace reedtrail {
 
@@ -63,7 +64,7 @@
     , m_settings(settings)
     , m_direct(client, settings.store)
     , m_path(settings.node, settings.zone, std::hash<std::string>()(settings.node))
-    , m_hub(static_cast<std::uint64_t>(unixMilliseconds()) << generationBits)
+    , m_hub((std::uint64_t{ std::random_device()() } << generationBits) + 1)
 {
 }
 
--- a/edge/job_desk.cpp
+++ b/edge/job_desk.cpp
@@ -70,7 +70,8 @@
     }
     entry = std::make_shared<job_entry>();
     entry->job = job;
-    entry->lastUsedAt = m_context.loop.now();
+    entry->knownSince = m_context.loop.now();
+    entry->lastUsedAt = entry->knownSince;
     const auto guarded = [weak = std::weak_ptr(entry)](auto action) {
         return [weak, action](auto &&...arguments) {
             if (const auto self = weak.lock()) {
@@ -428,7 +429,7 @@
         const auto self = weak.lock();
         return self && self->session->isAppending();
     };
-    entry->worker = std::make_shared<job_worker>(m_context, m_fleet, entry->job, view.metadata(), std::move(spec), std::move(recorder));
+    entry->worker = std::make_shared<job_worker>(m_context, m_fleet, entry->job, view.metadata(), std::move(spec), entry->knownSince, std::move(recorder));
     entry->worker->noteRecorded(view.results());
     const std::vector<item_draft> drafts =
         entry->session->inheritedDrafts().empty() ? std::vector<item_draft>() : decodeDrafts(entry->session->inheritedDrafts());
--- a/edge/job_desk.h
+++ b/edge/job_desk.h
@@ -76,6 +76,7 @@
         std::vector<std::function<void(load_outcome)>> loadCallbacks; ///< Calls that wait for the load in progress.
         bool isLoading = false;
         bool isWorkerStarting = false; ///< The incomplete groups of earlier jobs are being read before the worker starts.
+        time_point knownSince; ///< When this process first heard of the job.
         time_point lastUsedAt; ///< Time of the last call for this job.
     };
 
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -39,19 +39,14 @@
     return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
-time_point submissionTime(time_point now, const job_metadata &metadata)
-{
-    return now - std::chrono::milliseconds(std::max<std::int64_t>(0, unixMilliseconds() - metadata.submittedAtMs));
-}
-
 } // namespace
 
-job_worker::job_worker(edge_context &context, fleet_cache &fleet, std::string job, job_metadata metadata, job_spec spec, recorder record)
+job_worker::job_worker(edge_context &context, fleet_cache &fleet, std::string job, job_metadata metadata, job_spec spec, time_point knownSince, recorder record)
     : m_context(context)
     , m_fleet(fleet)
     , m_job(std::move(job))
     , m_metadata(std::move(metadata))
-    , m_progress(spec, optionsFor(fleet, m_metadata, spec), submissionTime(context.loop.now(), m_metadata))
+    , m_progress(spec, optionsFor(fleet, m_metadata, spec), knownSince)
     , m_recorder(std::move(record))
 {
 }
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -29,7 +29,11 @@
         std::function<bool()> isRecording; ///< Tells whether an earlier record is still being written.
     };
 
-    job_worker(edge_context &context, fleet_cache &fleet, std::string job, job_metadata metadata, job_spec spec, recorder record);
+    /**
+     * @param knownSince when this process first heard of the job. The lifetime of the items counts from it: it is not before the submission, and unlike the
+     * time of day in @p metadata it does not jump. A takeover therefore lengthens the lifetime, which no promise forbids.
+     */
+    job_worker(edge_context &context, fleet_cache &fleet, std::string job, job_metadata metadata, job_spec spec, time_point knownSince, recorder record);
     ~job_worker();
 
     /** Marks items as recorded whose results are in the store. */
--- /dev/null
+++ b/edge/testing/node_fixture.h
@@ -0,0 +1,246 @@
+/**
+ * @file
+ * A node with a store and two backend servers behind real connections, for tests of what a node sends to which server.
+ */
+#pragma once
+
+#include "edge/fleet_cache.h"
+#include "edge/job_worker.h"
+#include "edge/request_relay.h"
+#include "net/http_status.h"
+#include "platform/base64.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace reedtrail::testing {
+
+using namespace std::chrono_literals;
+
+inline constexpr std::uint16_t firstServerPort = 28811; // Below the range of outgoing connections.
+
+/** A store that answers from a map of keys, or refuses all calls. */
+struct map_transport : platform::store_transport
+{
+    explicit map_transport(asio_loop &loop)
+        : loop(loop)
+    {
+    }
+    cancel_action call(const std::string &, const std::string &target, std::string, duration, reply_handler onReply) override
+    {
+        ++calls;
+        reply answer;
+        if (!isCut) {
+            answer.isAnswered = true;
+            answer.status = http_status::ok;
+            answer.body = target.starts_with("/-/kv-range") ? listing() : itemOf("op/config").dump();
+        }
+        loop.after(1ms, [onReply = std::move(onReply), answer] {
+            onReply(answer);
+        });
+        return [] {};
+    }
+    nlohmann::json itemOf(const std::string &key) const
+    {
+        return {
+            { "key", key }, { "value", platform::encodeBase64(items.at(key).first) }, { "revision", items.at(key).second }, { "storeRevision", revision }
+        };
+    }
+    std::string listing() const
+    {
+        nlohmann::json rows = nlohmann::json::array();
+        for (const auto &[key, item] : items) {
+            if (key.starts_with("servers/")) {
+                rows.push_back(itemOf(key));
+            }
+        }
+        return nlohmann::json{ { "items", rows }, { "hasMore", false }, { "storeRevision", revision } }.dump();
+    }
+    void put(const std::string &key, const nlohmann::json &value)
+    {
+        items[key] = { value.dump(), ++revision };
+    }
+
+    asio_loop &loop;
+    std::map<std::string, std::pair<std::string, store_revision>> items;
+    store_revision revision = 1;
+    bool isCut = false;
+    int calls = 0;
+};
+
+/** A request of a caller, and its response. */
+struct recorded_exchange : http_exchange
+{
+    explicit recorded_exchange(http_request callerRequest)
+        : callerRequest(std::move(callerRequest))
+    {
+    }
+    const http_request &request() const override
+    {
+        return callerRequest;
+    }
+    void respond(http_response answer) override
+    {
+        response = std::move(answer);
+        isDone = true;
+    }
+    void startStream(http_response head) override
+    {
+        response = std::move(head);
+    }
+    void write(std::string data) override
+    {
+        response.body += data;
+    }
+    void finishStream() override
+    {
+        isDone = true;
+    }
+    void abort() override
+    {
+        isDone = true;
+    }
+    void onGone(std::function<void()>) override
+    {
+    }
+    bool isGone() const override
+    {
+        return isDone;
+    }
+
+    http_request callerRequest;
+    http_response response;
+    bool isDone = false;
+};
+
+/** A backend server, which says that it leaves once it is told to. */
+struct test_server
+{
+    test_server(boost::asio::io_context &io, std::string id, std::uint16_t port)
+        : id(std::move(id))
+        , address{ "127.0.0.1", port }
+        , server(io, { .address = address }, [this](const std::shared_ptr<http_exchange> &exchange) {
+            answer(exchange);
+        })
+    {
+        EXPECT_TRUE(server.start());
+    }
+    void answer(const std::shared_ptr<http_exchange> &exchange)
+    {
+        ++requests;
+        http_response response;
+        response.status = http_status::ok;
+        response.fields = { { "Request-Id", std::string(exchange->request().fields.get("Request-Id")) }, { "Server-Signature", "sig" } };
+        if (isLeaving) {
+            response.fields.set("Server-Leaving", "1");
+        }
+        if (!isStreaming) {
+            response.body = "ok";
+            exchange->respond(std::move(response));
+            return;
+        }
+        // The first event is on its way, and the stream goes on until the test ends it.
+        response.fields.set("Content-Type", "text/event-stream");
+        exchange->startStream(std::move(response));
+        exchange->write("id: 1\ndata: a\n\n");
+        streams.push_back(exchange);
+    }
+
+    std::string id;
+    endpoint address;
+    bool isLeaving = false;
+    bool isStreaming = false;
+    int requests = 0;
+    std::vector<std::shared_ptr<http_exchange>> streams;
+    http_server server;
+};
+
+/** A node with two servers of one service. */
+struct node_fixture
+{
+    node_fixture()
+        : transport(loop)
+        , store(io, transport)
+        , client(io, {})
+        , router("node-1", "zone-1", 3)
+        , source(loop, store, router, client, settings, 1)
+    {
+        settings.node = "node-1";
+        settings.zone = "zone-1";
+        context = std::make_unique<edge_context>(
+            edge_context{ settings, "1", loop, store, client, std::make_shared<edge_lease>(store, loop, node_lease_options{}), metrics });
+        context->isIsolated = [] {
+            return false;
+        };
+        transport.put("op/config",
+                      { { "version", 1 },
+                        { "routes",
+                          { { { "name", "r" }, { "hostname", "h" }, { "prefix", "/p/" }, { "kind", "idempotent" }, { "service", "s" }, { "maxAttempts", 3 } },
+                            { { "name", "j" }, { "hostname", "h" }, { "prefix", "/j/" }, { "kind", "rollout" }, { "service", "s" }, { "maxAttempts", 3 } } } },
+                        { "services", nlohmann::json::array({ { { "name", "s" } } }) } });
+        for (test_server *each : { &first, &second }) {
+            enter(each->id, each->address, "ready", 100);
+        }
+        snapshots = std::make_unique<snapshot_server>(*context);
+        fleet = std::make_unique<fleet_cache>(*context, source, *snapshots);
+        kernel process;
+        EXPECT_TRUE(fleet->start(process));
+        fleet->beginReading();
+        run(50ms);
+        EXPECT_TRUE(fleet->isReady());
+    }
+
+    /** Writes the registration of a server. */
+    void enter(const std::string &id, const endpoint &address, const char *state, std::int64_t startedAt)
+    {
+        transport.put("servers/" + id,
+                      { { "service", "s" }, { "address", address.text() }, { "zone", "zone-1" }, { "slots", 4 }, { "state", state }, { "born", startedAt } });
+    }
+    void run(duration time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+    /** Sends a caller's request and returns the status of its response. */
+    int request()
+    {
+        const auto exchange = std::make_shared<recorded_exchange>(http_request{ "GET", "/p/1", { { "Host", "h" }, { "Request-Id", "r" } }, "" });
+        platform::service_call call;
+        call.id = "r";
+        call.timeLeft = 2s;
+        std::make_shared<request_relay>(*context, *fleet, exchange, *fleet->routes().match("h", "/p/1"), call)->start();
+        for (int i = 0; i < 200 && !exchange->isDone; ++i) {
+            run(5ms);
+        }
+        return exchange->response.status;
+    }
+    /** Returns the server that has answered; the connection to it is preferred for the next request. */
+    test_server &used()
+    {
+        return first.requests > 0 ? first : second;
+    }
+    /** Sends @p count requests, all of which must succeed. */
+    void requestMany(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            EXPECT_EQ(request(), http_status::ok);
+        }
+    }
+
+    boost::asio::io_context io;
+    asio_loop loop{ io };
+    edge_settings settings;
+    map_transport transport;
+    edge_store store;
+    http_client client;
+    metric_registry metrics;
+    store_router router;
+    peer_snapshot_source source;
+    std::unique_ptr<edge_context> context;
+    std::unique_ptr<snapshot_server> snapshots;
+    std::unique_ptr<fleet_cache> fleet;
+    test_server first{ io, "i-1", firstServerPort };
+    test_server second{ io, "i-2", firstServerPort + 1 };
+};
+
+} // namespace reedtrail::testing
