Reads take the changes since an earlier state instead of all registrations

A listing of 3,003 registrations is seven pages and 1.6 MB; a small node takes longer than the hold time of 400 ms to read it, the read counted as failed, the next one began beside it, and each of 300 nodes went to the store itself. Replies named all keys, 60 KB each.

Change: - A read asks for the changes since an earlier state. The store may hide changes from such a read for a second before it drops its history, and still name the revision that it has reached, so the state asked from lies two seconds before the last one; what was hidden from one read is in the next, or the history is gone and everything is read. The same for replies of readers, whose states may have had such holes. - A reply holds differences and removed keys; a receiver with a state older than the reader's last whole read gets everything. - No second read begins while one is under way. A read whose end comes late is no sign of the store's present state, either way.

Found by the tests while it was built: keys that came and went between two listings stayed with receivers (random replies against the slow oracle); a read that failed after it was overdue left the mirror without reads for good, and decisions waited twice the hold time (simulation, which now drops history). The form without the overlap is a fourth double, and decides late.

--- a/edge/peer_snapshot_source.cpp
+++ b/edge/peer_snapshot_source.cpp
@@ -34,6 +34,11 @@
     m_store.range({ prefix, isPrefix, 0 }, std::move(onListing));
 }
 
+void peer_snapshot_source::changes(const std::string &prefix, store_revision after, std::function<void(const store_change_answer &)> onChanges)
+{
+    m_store.changes(prefix, after, std::move(onChanges));
+}
+
 std::optional<std::string> peer_snapshot_source::reader()
 {
     if (!m_router.hasPeers() && !m_settings.seeds.empty()) {
--- a/edge/peer_snapshot_source.h
+++ b/edge/peer_snapshot_source.h
@@ -38,6 +38,8 @@
 
     /** Reads all keys that begin with @p prefix, or the one key that equals it, from the store. */
     void list(const std::string &prefix, bool isPrefix, std::function<void(const store_range_answer &)> onListing);
+    /** Reads the changes of keys that begin with @p prefix after a revision from the store. */
+    void changes(const std::string &prefix, store_revision after, std::function<void(const store_change_answer &)> onChanges);
     /** Returns the name of the node that reads for this zone, or the address of a seed; nothing if this node reads for its zone. */
     std::optional<std::string> reader();
     /** Asks the node @p reader. @param onReply called with nothing if it does not reply or cannot answer */
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -46,7 +46,7 @@
     EXPECT_EQ(fixture.first.requests, 1);
     EXPECT_EQ(fixture.second.requests, 1);
     EXPECT_EQ(fixture.request(), http_status::unavailable);
-    fixture.transport.items.erase("servers/i-1");
+    fixture.transport.erase("servers/i-1");
     fixture.first.isLeaving = false;
     fixture.enter("i-3", fixture.first.address, "ready", 900);
     fixture.run(1300ms);
--- a/edge/testing/node_fixture.h
+++ b/edge/testing/node_fixture.h
@@ -33,7 +33,7 @@
         if (!isCut) {
             answer.isAnswered = true;
             answer.status = http_status::ok;
-            answer.body = target.starts_with("/-/kv-range") ? listing() : itemOf("op/config").dump();
+            answer.body = target.starts_with("/-/kv-range") ? listing() : target.starts_with("/-/kv-watch") ? changes() : itemOf("op/config").dump();
         }
         loop.after(1ms, [onReply = std::move(onReply), answer] {
             onReply(answer);
@@ -56,13 +56,27 @@
         }
         return nlohmann::json{ { "items", rows }, { "hasMore", false }, { "storeRevision", revision } }.dump();
     }
+    /** Returns all changes of servers' keys, also those before the revision asked from; a client skips what it knows. */
+    std::string changes() const
+    {
+        return nlohmann::json{ { "events", history }, { "storeRevision", revision } }.dump();
+    }
     void put(const std::string &key, const nlohmann::json &value)
     {
         items[key] = { value.dump(), ++revision };
+        if (key.starts_with("servers/")) {
+            history.push_back(itemOf(key));
+        }
+    }
+    void erase(const std::string &key)
+    {
+        items.erase(key);
+        history.push_back({ { "key", key }, { "revision", ++revision }, { "deleted", true } });
     }
 
     asio_loop &loop;
     std::map<std::string, std::pair<std::string, store_revision>> items;
+    nlohmann::json history = nlohmann::json::array();
     store_revision revision = 1;
     bool isCut = false;
     int calls = 0;
--- a/fleet/dated_snapshot.cpp
+++ b/fleet/dated_snapshot.cpp
@@ -1,90 +1,154 @@
-// Memory: one copy of each item, a few hundred rows of a few hundred bytes. A reply lists all keys, so that no record of removed keys must be kept and none can
-// be forgotten too early; at 600 servers the list takes about 12 KB.
+// Memory: one copy of each item, a few hundred to a few thousand rows of a few hundred bytes, and the keys removed last. A receiver whose state is older than
+// the record of removals gets the whole state.
 
 #include "fleet/dated_snapshot.h"
 
 #include <algorithm>
+#include <set>
 
 namespace reedtrail {
-namespace {
 
-store_watch_event removalOf(const std::string &key, store_revision revision)
+/** Takes an item unless the one at hand is as new. @return whether it was taken */
+bool dated_snapshot::put(const store_key_value &item, std::vector<store_watch_event> &changes)
 {
+    const auto known = m_items.find(item.key);
+    if (known != m_items.end() && known->second.modRevision >= item.modRevision) {
+        return false;
+    }
+    m_items.insert_or_assign(item.key, item);
+    changes.push_back({ store_watch_event::kind::Put, item });
+    return true;
+}
+
+/** Removes a key that was gone from the store at @p revision. A receiver may have it though this snapshot never had. */
+void dated_snapshot::remove(const std::string &key, store_revision revision, std::vector<store_watch_event> &changes)
+{
+    store_revision &removedAt = m_removals[key];
+    removedAt = std::max(removedAt, revision);
+    if (m_items.erase(key) == 0) {
+        return;
+    }
     store_watch_event event;
     event.type = store_watch_event::kind::Delete;
     event.item.key = key;
     event.item.modRevision = revision;
-    return event;
+    changes.push_back(std::move(event));
 }
 
-} // namespace
+/** Forgets which keys were removed up to @p revision; receivers with an older state get the whole one. */
+void dated_snapshot::forgetRemovals(store_revision revision)
+{
+    m_removals.clear();
+    m_removalsSince = revision;
+}
 
-std::vector<store_watch_event> dated_snapshot::replace(time_point askedAt, store_revision revision, std::span<const store_key_value> items)
+void dated_snapshot::finish(time_point askedAt, store_revision revision)
 {
-    if (revision < m_revision) {
-        return {};
+    m_revision = revision;
+    m_askedAt = std::max(m_askedAt, askedAt);
+    if (m_removals.size() > maxRemovals) {
+        forgetRemovals(revision);
     }
+}
+
+std::vector<store_watch_event> dated_snapshot::replace(time_point askedAt, const store_range_answer &listing)
+{
     std::vector<store_watch_event> changes;
-    std::map<std::string, store_key_value, std::less<>> listed;
-    for (const store_key_value &item : items) {
-        const auto known = m_items.find(item.key);
-        if (known == m_items.end() || known->second.modRevision < item.modRevision) {
-            changes.push_back({ store_watch_event::kind::Put, item });
-            listed.emplace(item.key, item);
-        } else {
-            listed.emplace(item.key, std::move(known->second));
-        }
+    if (listing.revision < m_revision) {
+        return changes;
     }
+    std::set<std::string_view> listed;
+    for (const store_key_value &item : listing.items) {
+        listed.insert(item.key);
+        put(item, changes);
+    }
+    std::vector<std::string> gone;
     for (const auto &[key, item] : m_items) {
         if (!listed.contains(key)) {
-            changes.push_back(removalOf(key, revision));
+            gone.push_back(key);
         }
     }
-    m_items = std::move(listed);
-    m_revision = revision;
-    m_askedAt = std::max(m_askedAt, askedAt);
+    for (const std::string &key : gone) {
+        remove(key, listing.revision, changes);
+    }
+    finish(askedAt, listing.revision);
+    // Keys may have come and gone since the previous state, and may have been removed between two partial reads.
+    forgetRemovals(std::max(listing.revision, listing.lastRevision));
     return changes;
 }
 
+std::vector<store_watch_event> dated_snapshot::advance(time_point askedAt, store_revision revision, std::span<const store_watch_event> changes)
+{
+    std::vector<store_watch_event> differences;
+    if (revision < m_revision) {
+        return differences;
+    }
+    // Only the last change of a key counts: an earlier one may be known already, and its key may have been removed since.
+    std::map<std::string_view, const store_watch_event *> lastChanges;
+    for (const store_watch_event &change : changes) {
+        lastChanges[change.item.key] = &change;
+    }
+    for (const auto &[key, change] : lastChanges) {
+        if (change->type == store_watch_event::kind::Put) {
+            put(change->item, differences);
+            continue;
+        }
+        const auto known = m_items.find(key);
+        if (known == m_items.end() || known->second.modRevision < change->item.modRevision) {
+            remove(change->item.key, change->item.modRevision, differences);
+        }
+    }
+    finish(askedAt, revision);
+    return differences;
+}
+
 snapshot_reply dated_snapshot::replySince(time_point now, store_revision since) const
 {
     snapshot_reply reply;
     reply.revision = m_revision;
     reply.ageUs = (now - m_askedAt).count();
+    reply.isComplete = since < m_removalsSince;
     for (const auto &[key, item] : m_items) {
-        reply.keys.push_back(key);
-        if (item.modRevision > since) {
+        if (reply.isComplete || item.modRevision > since) {
             reply.items.push_back({ key, item.value, item.modRevision });
         }
     }
+    if (!reply.isComplete) {
+        for (const auto &[key, removedAt] : m_removals) {
+            if (removedAt > since && !m_items.contains(key)) {
+                reply.removed.push_back(key);
+            }
+        }
+    }
     return reply;
 }
 
-std::optional<std::vector<store_watch_event>> dated_snapshot::apply(time_point askedAt, const snapshot_reply &reply)
+std::vector<store_watch_event> dated_snapshot::apply(time_point askedAt, const snapshot_reply &reply)
 {
     if (reply.revision < m_revision) {
-        return std::vector<store_watch_event>{};
+        return {};
     }
-    std::map<std::string_view, const snapshot_item *> sent;
+    store_range_answer state;
+    state.revision = reply.revision;
     for (const snapshot_item &item : reply.items) {
-        sent.emplace(item.key, &item);
+        store_key_value row;
+        row.key = item.key;
+        row.value = item.value;
+        row.modRevision = item.revision;
+        state.items.push_back(std::move(row));
     }
-    std::vector<store_key_value> items;
-    for (const std::string &key : reply.keys) {
-        const auto known = m_items.find(key);
-        if (const auto found = sent.find(key); found != sent.end()) {
-            store_key_value item;
-            item.key = key;
-            item.value = found->second->value;
-            item.modRevision = found->second->revision;
-            items.push_back(std::move(item));
-        } else if (known != m_items.end()) {
-            items.push_back(known->second);
-        } else {
-            return std::nullopt;
-        }
+    if (reply.isComplete) {
+        return replace(askedAt, state);
     }
-    return replace(askedAt, reply.revision, items);
+    std::vector<store_watch_event> changes;
+    for (const store_key_value &item : state.items) {
+        put(item, changes);
+    }
+    for (const std::string &key : reply.removed) {
+        remove(key, reply.revision, changes);
+    }
+    finish(askedAt, reply.revision);
+    return changes;
 }
 
 } // namespace reedtrail
--- a/fleet/dated_snapshot.h
+++ b/fleet/dated_snapshot.h
@@ -6,7 +6,7 @@
  * every change that the store acknowledged before it. A node that passes a snapshot on sends its age, and the receiver subtracts that age from the moment at
  * which it asked. Clocks of two nodes are never compared, and time spent on the way only makes the snapshot look older than it is.
  *
- *     const std::vector<store_watch_event> changes = snapshot.replace(askedAt, answer.revision, answer.items);
+ *     const std::vector<store_watch_event> changes = snapshot.replace(askedAt, listing);
  *     snapshot_reply reply = snapshot.replySince(now, query.since);      // on the node that is asked
  *     snapshot.apply(askedAt - reply.age(), reply);                      // on the node that asked
  */
@@ -18,7 +18,6 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -45,16 +44,17 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(snapshot_item, key, value, revision)
 };
 
-/** A peer's snapshot, without the items that the receiver has already. */
+/** A peer's snapshot, as the differences from that of the receiver if the peer knows them. */
 struct snapshot_reply
 {
     static constexpr std::string_view messageName = "snapshot-reply";
     store_revision revision = 0;
     std::int64_t ageUs = 0; ///< Time since the store was asked for the snapshot, in microseconds, when the reply was sent.
     std::int64_t lapseGraceUs = 0; ///< From the moment at which the store was asked: time in which keys may come back that lapsed in an outage.
-    std::vector<std::string> keys; ///< All keys of the snapshot.
-    std::vector<snapshot_item> items; ///< The items that changed after the revision of the query.
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(snapshot_reply, revision, ageUs, lapseGraceUs, keys, items)
+    bool isComplete = false; ///< Whether the reply holds all items, and not only the differences from the revision of the query.
+    std::vector<snapshot_item> items; ///< The items that changed after the revision of the query, or all.
+    std::vector<std::string> removed; ///< Keys that were removed after that revision.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(snapshot_reply, revision, ageUs, lapseGraceUs, isComplete, items, removed)
 
     duration age() const
     {
@@ -90,20 +90,37 @@
      * @param askedAt when the listing was requested
      * @return the differences from the previous state: changed items, then removed keys
      */
-    std::vector<store_watch_event> replace(time_point askedAt, store_revision revision, std::span<const store_key_value> items);
+    std::vector<store_watch_event> replace(time_point askedAt, const store_range_answer &listing);
 
-    /** Returns the state for a receiver that has the snapshot of revision @p since. */
+    /**
+     * Applies changes that the store reports, in their order; those that are known already are skipped.
+     * @param askedAt when the store was asked
+     * @param revision up to which all changes are contained; an older one than that of this state is ignored
+     * @return the differences from the previous state
+     */
+    std::vector<store_watch_event> advance(time_point askedAt, store_revision revision, std::span<const store_watch_event> changes);
+
+    /** Returns the state for a receiver that has the snapshot of revision @p since: differences if this snapshot reaches back that far. */
     snapshot_reply replySince(time_point now, store_revision since) const;
 
     /**
-     * Replaces the state by that of a peer's reply. A reply of an older revision is ignored.
+     * Applies a peer's reply. A reply of an older revision is ignored.
      * @param askedAt the moment at which the store was asked, on this node's clock
-     * @return the differences from the previous state, or nothing if the reply leaves out an item that this snapshot does not have
+     * @return the differences from the previous state
      */
-    std::optional<std::vector<store_watch_event>> apply(time_point askedAt, const snapshot_reply &reply);
+    std::vector<store_watch_event> apply(time_point askedAt, const snapshot_reply &reply);
 
 private:
+    static constexpr std::size_t maxRemovals = 2000;
+
+    bool put(const store_key_value &item, std::vector<store_watch_event> &changes);
+    void remove(const std::string &key, store_revision revision, std::vector<store_watch_event> &changes);
+    void forgetRemovals(store_revision revision);
+    void finish(time_point askedAt, store_revision revision);
+
     std::map<std::string, store_key_value, std::less<>> m_items;
+    std::map<std::string, store_revision, std::less<>> m_removals; ///< Keys that were removed, with a revision at which they were gone.
+    store_revision m_removalsSince = 0; ///< All keys that were removed after this revision are in m_removals.
     store_revision m_revision = 0;
     time_point m_askedAt;
 };
--- a/fleet/snapshot_mirror.h
+++ b/fleet/snapshot_mirror.h
@@ -7,6 +7,10 @@
  * first asks the reader of its zone, and the store itself if the reader is silent, cannot answer, or knows nothing newer. One read serves all decisions that
  * wait, and the reader's one read of the store serves its whole zone. A reader that is frozen, cut off or gone therefore costs a call, never a bound.
  *
+ * A read asks for the changes since an earlier state rather than for all keys. A store may hide changes from such a read for a while just before it drops its
+ * history, and still name the revision that it has reached. So the state asked from lies an overlap before the last one: what was hidden from one read is
+ * contained in the next, or the history is gone and all keys are read. The same holds for replies of readers, whose states may have had such holes.
+ *
  * What waits is bounded: after holdTime, or once the store has failed, decisions go ahead on the state at hand, because a store outage must not stop the nodes
  * from serving. They do not wait at all while a read that failed was begun less than failureMemory ago. That time counts from the begin of the read: its end
  * may come seconds after the store has recovered.
@@ -21,6 +25,7 @@
 #include "fleet/event_loop.h"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,9 +42,11 @@
                                    const snapshot_query &query,
                                    bool isPrefix,
                                    std::function<void(const store_range_answer &)> onListing,
+                                   std::function<void(const store_change_answer &)> onChanges,
                                    std::function<void(const std::optional<snapshot_reply> &)> onReply)
 {
     source.list(name, isPrefix, onListing);
+    source.changes(name, store_revision{}, onChanges);
     {
         source.reader()
         } -> std::same_as<std::optional<std::string>>;
@@ -60,6 +67,8 @@
     duration holdTime = std::chrono::milliseconds(400); ///< Longest wait of a decision.
     duration failureMemory = std::chrono::milliseconds(1400); ///< Decisions do not wait for this long after the begin of a read that failed.
     duration retryDelay = std::chrono::milliseconds(250); ///< Between two reads after a failure.
+    duration overlap = std::chrono::seconds(2); ///< Twice as long as a store is known to hide changes.
+    duration maxBaseAge = std::chrono::seconds(12); ///< All keys are read if the state asked from is older; the store keeps 20 s of history.
 };
 
 /** Callbacks of a snapshot_mirror. */
@@ -241,13 +250,16 @@
             }
         });
         m_loop.after(m_options.readerPatience, passOver);
-        const snapshot_query query{ m_options.prefix, m_snapshot.revision(), m_options.replyAge.count() };
+        const std::optional<base_state> from = base();
+        const snapshot_query query{ m_options.prefix, from ? from->revision : 0, m_options.replyAge.count() };
         m_source.ask(reader, query, guarded([reader, askedAt, isPending, passOver](snapshot_mirror &self, const std::optional<snapshot_reply> &reply) {
                          // The age counts from the question, so that time on the way, in a queue or in a frozen reader makes the state older.
-                         const bool isUsable = reply && reply->age() <= self.m_options.replyAge && self.applyReply(askedAt - reply->age(), *reply);
-                         if (!isUsable) {
+                         if (!reply || reply->age() > self.m_options.replyAge) {
                              passOver();
-                         } else if (std::exchange(*isPending, false)) {
+                             return;
+                         }
+                         self.applyReply(askedAt - reply->age(), *reply);
+                         if (std::exchange(*isPending, false)) {
                              self.m_isAskingReader = false;
                              self.m_source.recordReaderSuccess(reader);
                              self.endRead(true);
@@ -255,14 +267,43 @@
                      }));
     }
 
-    bool applyReply(time_point askedAt, const snapshot_reply &reply)
+    void applyReply(time_point askedAt, const snapshot_reply &reply)
+    {
+        const std::vector<store_watch_event> changes = m_snapshot.apply(askedAt, reply);
+        recordBase(false);
+        m_lapseGrace = duration(reply.lapseGraceUs);
+        report(changes);
+    }
+
+    /** A state that was read, for later reads to ask from. */
+    struct base_state
+    {
+        time_point askedAt;
+        store_revision revision = 0;
+    };
+
+    /** Returns the state from which changes are asked for; nothing if all keys must be read. */
+    std::optional<base_state> base() const
     {
-        const auto changes = m_snapshot.apply(askedAt, reply);
-        if (changes) {
-            m_lapseGrace = duration(reply.lapseGraceUs);
-            report(*changes);
+        if (m_bases.empty()) {
+            return std::nullopt;
+        }
+        const bool isOldEnough = m_isBaseComplete || m_bases.front().askedAt <= m_snapshot.askedAt() - m_options.overlap;
+        return isOldEnough ? std::optional(m_bases.front()) : std::nullopt;
+    }
+
+    /** Records the state at hand. @param isListing whether all keys were read from the store, so that nothing can be missing in it */
+    void recordBase(bool isListing)
+    {
+        if (isListing) {
+            m_bases.clear();
+        }
+        m_isBaseComplete = isListing || (m_isBaseComplete && !m_bases.empty());
+        m_bases.push_back({ m_snapshot.askedAt(), m_snapshot.revision() });
+        while (m_bases.size() > 1 && m_bases[1].askedAt <= m_snapshot.askedAt() - m_options.overlap) {
+            m_bases.pop_front();
+            m_isBaseComplete = false;
         }
-        return changes.has_value();
     }
 
     /** Reads the store, once for this node's decisions and for the peers that ask. */
@@ -272,45 +313,74 @@
             return;
         }
         m_isListing = true;
-        ++m_counts.storeReads;
         const time_point askedAt = m_loop.now();
-        const auto isOverdue = std::make_shared<bool>(false);
-        m_loop.after(m_options.holdTime, guarded([askedAt, isOverdue, number = ++m_listNumber](snapshot_mirror &self) {
+        m_loop.after(m_options.holdTime, guarded([askedAt, number = ++m_listNumber](snapshot_mirror &self) {
                          if (self.m_isListing && self.m_listNumber == number) {
-                             *isOverdue = true;
-                             self.handleListFailure(askedAt);
+                             self.handleReadFailure(askedAt);
                          }
                      }));
-        m_source.list(m_options.prefix, m_options.isPrefix, guarded([askedAt, isOverdue](snapshot_mirror &self, const store_range_answer &answer) {
-                          if (!answer.error) {
-                              self.applyListing(askedAt, answer);
-                          }
-                          if (!*isOverdue) {
-                              answer.error ? self.handleListFailure(askedAt) : self.handleListSuccess();
+        const std::optional<base_state> from = m_options.isPrefix ? base() : std::nullopt;
+        const bool hasHistory = from && askedAt - from->askedAt <= m_options.maxBaseAge;
+        hasHistory ? readChanges(from->revision, askedAt) : readAll(askedAt);
+    }
+
+    void readAll(time_point askedAt)
+    {
+        ++m_counts.storeReads;
+        m_source.list(m_options.prefix, m_options.isPrefix, guarded([askedAt](snapshot_mirror &self, const store_range_answer &answer) {
+                          if (answer.error) {
+                              self.handleReadEnd(askedAt, false);
+                              return;
                           }
+                          const std::vector<store_watch_event> changes = self.m_snapshot.replace(askedAt, answer);
+                          self.recordBase(true);
+                          self.takeState(askedAt, changes);
+                          self.handleReadEnd(askedAt, true);
                       }));
     }
 
-    void applyListing(time_point askedAt, const store_range_answer &answer)
+    void readChanges(store_revision since, time_point askedAt)
+    {
+        ++m_counts.storeReads;
+        m_source.changes(m_options.prefix, since, guarded([askedAt](snapshot_mirror &self, const store_change_answer &answer) {
+                             if (answer.error && answer.error->kind == error_kind::Stale) {
+                                 self.readAll(self.m_loop.now());
+                                 return;
+                             }
+                             if (answer.error) {
+                                 self.handleReadEnd(askedAt, false);
+                                 return;
+                             }
+                             const std::vector<store_watch_event> changes = self.m_snapshot.advance(askedAt, answer.revision, answer.events);
+                             self.recordBase(false);
+                             self.takeState(askedAt, changes);
+                             self.handleReadEnd(askedAt, true);
+                         }));
+    }
+
+    void takeState(time_point askedAt, const std::vector<store_watch_event> &changes)
     {
         setConnected(true);
-        const std::vector<store_watch_event> changes = m_snapshot.replace(askedAt, answer.revision, answer.items);
         m_lapseGrace = m_handlers.lapseGrace ? m_handlers.lapseGrace(askedAt) : duration::zero();
         report(changes);
         answerAskers();
     }
 
-    void handleListSuccess()
+    /** Handles the end of a read of the store. The success of an overdue one still counts. */
+    void handleReadEnd(time_point askedAt, bool isSuccess)
     {
         m_isListing = false;
-        rejectAskers();
-        endRead(true);
+        if (isSuccess) {
+            rejectAskers();
+            endRead(true);
+        } else {
+            handleReadFailure(askedAt);
+        }
     }
 
-    /** Handles a read of the store, begun at @p askedAt, that has failed or is overdue. An overdue read may still succeed later. */
-    void handleListFailure(time_point askedAt)
+    /** Handles a read of the store, begun at @p askedAt, that has failed or is overdue. No other one begins while it is under way. */
+    void handleReadFailure(time_point askedAt)
     {
-        m_isListing = false;
         recordFailure(askedAt);
         setConnected(false);
         rejectAskers();
@@ -327,14 +397,19 @@
     void endRead(bool isSuccess)
     {
         m_isReading = false;
-        if (isSuccess) {
-            m_failedAt.reset();
+        if (isSuccess && age(m_loop.now()) <= m_options.allowance) {
+            m_failedAt.reset(); // A state that arrives too late is no sign of a store that is well.
         } else if (!m_snapshot.isPresent()) {
             m_loop.after(m_options.retryDelay, guarded([](snapshot_mirror &self) {
                              self.refresh();
                          }));
         }
-        releaseWaiting();
+        const time_point now = m_loop.now();
+        if (age(now) <= m_options.allowance || hasFailedRecently(now)) {
+            releaseWaiting();
+        } else if (!m_waiting.empty()) {
+            refresh(); // The read had begun long before these decisions, so its end says nothing of the store as it is now.
+        }
     }
 
     void releaseWaiting()
@@ -397,6 +472,8 @@
     std::vector<asker> m_askers; ///< Peers that wait for the read of the store.
     std::optional<time_point> m_failedAt; ///< When the last read that failed began; empty after a success.
     duration m_lapseGrace{}; ///< Of the state at hand, from the moment at which the store was asked for it.
+    std::deque<base_state> m_bases; ///< States from the one to ask from to the last one, oldest first.
+    bool m_isBaseComplete = false; ///< Whether the first of them was read as a whole from the store.
     std::uint64_t m_listNumber = 0; ///< Counts the reads of the store.
     std::uint64_t m_batch = 0; ///< Counts the times at which waiting decisions were released.
     bool m_isReading = false; ///< A read for this node's decisions is under way, from a peer or the store.
--- a/fleet/store_types.h
+++ b/fleet/store_types.h
@@ -146,6 +146,7 @@
     std::optional<failure> error; ///< StoreUnavailable is the only one.
     store_revision revision = 0; ///< Revision of the store at the read.
     std::vector<store_key_value> items; ///< Ordered by key.
+    store_revision lastRevision = 0; ///< Revision at the last of several partial reads, as a prefix with many keys needs; 0 for a single read.
 };
 
 /** Answer to a transaction. */
@@ -173,6 +174,14 @@
     store_key_value item; ///< For Delete only key and modRevision are set.
 };
 
+/** Answer to a read of the changes after a revision. */
+struct store_change_answer
+{
+    std::optional<failure> error; ///< StoreUnavailable, or Stale if the store has dropped the history after that revision.
+    store_revision revision = 0; ///< All changes up to this one are contained.
+    std::vector<store_watch_event> events; ///< In their order.
+};
+
 /** A report of a watch. It has no events if it only shows that the watch is alive. */
 struct store_watch_report
 {
--- a/fleet/testing/dated_snapshot_test.cpp
+++ b/fleet/testing/dated_snapshot_test.cpp
@@ -47,48 +47,115 @@
                          { "created again", 20, { itemOf("a", 19), itemOf("b", 14), itemOf("c", 13) }, "+a@19" } };
     dated_snapshot snapshot;
     for (const row &each : rows) {
-        EXPECT_EQ(textOf(snapshot.replace(time_point(1s), each.revision, each.items)), each.changes) << each.what;
+        EXPECT_EQ(textOf(snapshot.replace(time_point(1s), { std::nullopt, each.revision, each.items })), each.changes) << each.what;
     }
 }
 
 TEST(dated_snapshot_test, momentNeverGoesBack)
 {
     dated_snapshot snapshot;
-    snapshot.replace(time_point(5s), 10, {});
-    snapshot.replace(time_point(3s), 10, {});
+    snapshot.replace(time_point(5s), { std::nullopt, 10, {} });
+    snapshot.replace(time_point(3s), { std::nullopt, 10, {} });
     EXPECT_EQ(snapshot.askedAt(), time_point(5s));
-    snapshot.replace(time_point(9s), 8, {});
+    snapshot.replace(time_point(9s), { std::nullopt, 8, {} });
     EXPECT_EQ(snapshot.askedAt(), time_point(5s)) << "a state that is older than the one at hand does not make it newer";
 }
 
 TEST(dated_snapshot_test, replyCarriesAgeOverHops)
 {
     dated_snapshot first;
-    first.replace(time_point(100s), 10, std::vector{ itemOf("a", 3) });
+    first.replace(time_point(100s), { std::nullopt, 10, { itemOf("a", 3) } });
     const snapshot_reply reply = first.replySince(time_point(100s) + 400ms, 0);
     EXPECT_EQ(reply.age(), 400ms);
     dated_snapshot second;
     const time_point askedSecond{ 7s }; // The clocks of two nodes have nothing in common.
-    ASSERT_TRUE(second.apply(askedSecond - reply.age(), reply));
+    second.apply(askedSecond - reply.age(), reply);
     EXPECT_EQ(second.replySince(time_point(7s) + 100ms, 0).age(), 500ms);
 }
 
-TEST(dated_snapshot_test, replyWithUnknownItemIsRejected)
+TEST(dated_snapshot_test, replyHoldsDifferencesOrWholeState)
 {
     dated_snapshot reader;
-    reader.replace(time_point(1s), 10, std::vector{ itemOf("a", 3), itemOf("b", 9) });
+    reader.replace(time_point(1s), { std::nullopt, 10, { itemOf("a", 3), itemOf("b", 9) } });
+    store_watch_event removal;
+    removal.type = store_watch_event::kind::Delete;
+    removal.item = itemOf("a", 16);
+    store_watch_event shortLived = removal;
+    shortLived.item = itemOf("x", 18); // It was created after the reader's first state, which a receiver may have seen.
+    reader.advance(time_point(2s),
+                   20,
+                   std::vector{ store_watch_event{ store_watch_event::kind::Put, itemOf("b", 15) },
+                                removal,
+                                store_watch_event{ store_watch_event::kind::Put, itemOf("c", 17) },
+                                shortLived });
+    struct row
+    {
+        const char *what;
+        store_revision since;
+        bool isComplete;
+        std::size_t items;
+        std::size_t removed;
+    };
+    const row rows[] = { { "a receiver without a state", 0, true, 2, 0 },
+                         { "a state from before the reader's listing", 9, true, 2, 0 },
+                         { "the state of the reader's listing", 10, false, 2, 2 },
+                         { "a state between", 16, false, 1, 1 },
+                         { "the present state", 20, false, 0, 0 } };
+    for (const row &each : rows) {
+        const snapshot_reply reply = reader.replySince(time_point(2s), each.since);
+        EXPECT_EQ(reply.isComplete, each.isComplete) << each.what;
+        EXPECT_EQ(reply.items.size(), each.items) << each.what;
+        EXPECT_EQ(reply.removed.size(), each.removed) << each.what;
+    }
+}
+
+TEST(dated_snapshot_test, overlappingChangesAreTakenOnce)
+{
+    const auto removalAt = [](const std::string &key, store_revision revision) {
+        store_watch_event event;
+        event.type = store_watch_event::kind::Delete;
+        event.item = itemOf(key, revision);
+        return event;
+    };
+    const auto putAt = [](const std::string &key, store_revision revision) {
+        return store_watch_event{ store_watch_event::kind::Put, itemOf(key, revision) };
+    };
+    struct row
+    {
+        const char *what;
+        store_revision revision;
+        std::vector<store_watch_event> events;
+        const char *differences;
+    };
+    const row rows[] = { { "new changes", 14, { putAt("a", 11), removalAt("b", 12) }, "+a@11 -b" },
+                         { "the same again, and one that was hidden", 16, { putAt("a", 11), removalAt("b", 12), putAt("c", 13) }, "+c@13" },
+                         { "a key that came and went", 20, { putAt("d", 17), removalAt("d", 18) }, "" },
+                         { "removed and created again", 25, { removalAt("a", 21), putAt("a", 22) }, "+a@22" },
+                         { "an old removal again", 27, { removalAt("a", 21) }, "" },
+                         { "an answer that was overtaken", 26, { removalAt("a", 26) }, "" } };
+    dated_snapshot snapshot;
+    snapshot.replace(time_point(1s), { std::nullopt, 10, { itemOf("a", 3), itemOf("b", 9) } });
+    for (const row &each : rows) {
+        EXPECT_EQ(textOf(snapshot.advance(time_point(1s), each.revision, each.events)), each.differences) << each.what;
+    }
+}
+
+/** A key that is removed between two partial reads of a listing is missing, though the listing bears the first read's revision. */
+TEST(dated_snapshot_test, removalBetweenPartialReadsReachesReceivers)
+{
+    dated_snapshot reader;
+    reader.replace(time_point(1s), { std::nullopt, 10, { itemOf("a", 3), itemOf("z", 4) } });
     dated_snapshot node;
-    EXPECT_FALSE(node.apply(time_point(1s), reader.replySince(time_point(1s), 5))) << "item a is left out, and the node does not have it";
-    EXPECT_FALSE(node.isPresent());
-    ASSERT_TRUE(node.apply(time_point(1s), reader.replySince(time_point(1s), 0)));
-    EXPECT_EQ(node.size(), 2U);
+    node.replace(time_point(2s), { std::nullopt, 20, { itemOf("a", 3), itemOf("z", 4) } });
+    reader.replace(time_point(2s), { std::nullopt, 20, { itemOf("a", 3) }, 22 });
+    node.apply(time_point(3s), reader.replySince(time_point(3s), node.revision()));
+    EXPECT_EQ(node.size(), 1U);
 }
 
 TEST(dated_snapshot_test, messagesKeepBytesThatAreNoText)
 {
     snapshot_reply reply;
     reply.revision = 7;
-    reply.keys = { "a" };
     reply.items = { { "a", std::string("\xff\x00\xfe", 3), 7 } };
     const auto bytes = encodeMessage(reply);
     snapshot_reply received;
@@ -136,14 +203,10 @@
             remember();
             dated_snapshot &reader = readers[random.below(2)];
             if (random.chance(0.3)) {
-                reader.replace(time_point(duration(step)), revision, listing());
+                reader.replace(time_point(duration(step)), { std::nullopt, revision, listing() });
             }
             if (random.chance(0.4) && reader.isPresent()) {
-                const auto changes = node.apply(time_point(duration(step)), reader.replySince(time_point(duration(step)), node.revision()));
-                if (!changes) {
-                    continue;
-                }
-                for (const store_watch_event &event : *changes) {
+                for (const store_watch_event &event : node.apply(time_point(duration(step)), reader.replySince(time_point(duration(step)), node.revision()))) {
                     if (event.type == store_watch_event::kind::Delete) {
                         EXPECT_EQ(followed.erase(event.item.key), 1U) << "seed " << seed;
                     } else {
--- a/fleet/testing/snapshot_mirror_test.cpp
+++ b/fleet/testing/snapshot_mirror_test.cpp
@@ -21,6 +21,7 @@
 {
     std::optional<std::string> zoneReader;
     std::vector<std::function<void(const store_range_answer &)>> listings;
+    std::vector<std::pair<store_revision, std::function<void(const store_change_answer &)>>> changeReads;
     std::vector<std::pair<snapshot_query, std::function<void(const std::optional<snapshot_reply> &)>>> questions;
     int readerFailures = 0;
 
@@ -28,6 +29,10 @@
     {
         listings.push_back(std::move(onListing));
     }
+    void changes(const std::string &, store_revision after, std::function<void(const store_change_answer &)> onChanges)
+    {
+        changeReads.emplace_back(after, std::move(onChanges));
+    }
     std::optional<std::string> reader() const
     {
         return zoneReader;
@@ -59,20 +64,33 @@
         handlers.onConnectionChange = [](bool) {};
         mirror = std::make_shared<snapshot_mirror<scripted_source, virtual_time>>(source, world, options, std::move(handlers));
         mirror->start();
-        answerListing(10);
+        answerRead(10);
+    }
+    /** Answers the oldest read of the store that waits, of all keys or of changes. */
+    void answerRead(store_revision revision)
+    {
+        if (!source.listings.empty()) {
+            const auto onListing = source.listings.front();
+            source.listings.erase(source.listings.begin());
+            onListing({ std::nullopt, revision, {} });
+            return;
+        }
+        ASSERT_FALSE(source.changeReads.empty());
+        const auto onChanges = source.changeReads.front().second;
+        source.changeReads.erase(source.changeReads.begin());
+        onChanges({ std::nullopt, revision, {} });
     }
-    void answerListing(store_revision revision)
+    void failRead(error_kind kind = error_kind::StoreUnavailable)
     {
-        ASSERT_FALSE(source.listings.empty());
-        const auto onListing = source.listings.front();
-        source.listings.erase(source.listings.begin());
-        onListing({ std::nullopt, revision, {} });
+        ASSERT_FALSE(source.changeReads.empty());
+        const auto onChanges = source.changeReads.front().second;
+        source.changeReads.erase(source.changeReads.begin());
+        onChanges({ failure{ kind, "down" }, 0, {} });
     }
-    void failListing()
+    /** Returns the number of reads of the store that wait. */
+    std::size_t openReads() const
     {
-        const auto onListing = source.listings.front();
-        source.listings.erase(source.listings.begin());
-        onListing({ failure{ error_kind::StoreUnavailable, "down" }, 0, {} });
+        return source.listings.size() + source.changeReads.size();
     }
     /** Makes a decision that counts itself once it is made. */
     void decide()
@@ -107,8 +125,8 @@
         fixture.decide();
     }
     EXPECT_EQ(fixture.made, 0);
-    ASSERT_EQ(fixture.source.listings.size(), 1U);
-    fixture.answerListing(20);
+    ASSERT_EQ(fixture.openReads(), 1U);
+    fixture.answerRead(20);
     EXPECT_EQ(fixture.made, 8);
 }
 
@@ -120,8 +138,8 @@
         const int before = fixture.made;
         fixture.decide();
         EXPECT_EQ(fixture.made, before + 1) << "at " << toSeconds(at.time_since_epoch());
-        if (!fixture.source.listings.empty()) {
-            fixture.answerListing(10);
+        if (fixture.openReads() > 0) {
+            fixture.answerRead(10);
         }
     }
     EXPECT_LE(fixture.mirror->counts().storeReads, 10s / fixture.options.prefetchAge + 1U);
@@ -135,10 +153,10 @@
     fixture.world.runUntil(time_point(5s));
     fixture.decide();
     ASSERT_EQ(fixture.source.questions.size(), 1U);
-    EXPECT_TRUE(fixture.source.listings.empty());
+    EXPECT_EQ(fixture.openReads(), 0U);
     fixture.world.runUntil(time_point(5s) + fixture.options.readerPatience);
     EXPECT_EQ(fixture.source.readerFailures, 1);
-    fixture.answerListing(20);
+    fixture.answerRead(20);
     EXPECT_EQ(fixture.made, 1);
     fixture.source.questions.front().second(std::nullopt);
     EXPECT_EQ(fixture.source.readerFailures, 1) << "the end of the question that was passed over says nothing new";
@@ -170,8 +188,8 @@
     reply.ageUs = (fixture.options.replyAge + 1us).count();
     fixture.source.questions.front().second(reply);
     EXPECT_EQ(fixture.made, 0);
-    ASSERT_EQ(fixture.source.listings.size(), 1U);
-    fixture.answerListing(21);
+    ASSERT_EQ(fixture.openReads(), 1U);
+    fixture.answerRead(21);
     EXPECT_EQ(fixture.made, 1);
 }
 
@@ -189,7 +207,7 @@
         fixture.decide();
         EXPECT_EQ(fixture.made, 0) << each.what;
         if (each.answersError) {
-            fixture.failListing();
+            fixture.failRead();
         } else {
             fixture.world.runUntil(time_point(5s) + fixture.options.holdTime);
         }
@@ -219,20 +237,70 @@
     fixture.world.runUntil(time_point(500ms));
     ask(800ms);
     EXPECT_EQ(replies, std::vector<bool>{ true });
-    EXPECT_TRUE(fixture.source.listings.empty());
+    EXPECT_EQ(fixture.openReads(), 0U);
     fixture.world.runUntil(time_point(5s));
     ask(800ms);
     ask(800ms);
     EXPECT_EQ(replies.size(), 1U);
-    ASSERT_EQ(fixture.source.listings.size(), 1U) << "one read for both";
-    fixture.answerListing(11);
+    ASSERT_EQ(fixture.openReads(), 1U) << "one read for both";
+    fixture.answerRead(11);
     EXPECT_EQ(replies, (std::vector<bool>{ true, true, true }));
     fixture.world.runUntil(time_point(10s));
     ask(800ms);
-    fixture.failListing();
+    fixture.failRead();
     ask(800ms);
     EXPECT_EQ(replies, (std::vector<bool>{ true, true, true, false, false })) << "a peer is told at once, and asks the store itself";
-    EXPECT_TRUE(fixture.source.listings.empty()) << "a read has just failed";
+    EXPECT_EQ(fixture.openReads(), 0U) << "a read has just failed";
+}
+
+/** A read asks from a state before the last one, so that it contains what the store hid from the last read. */
+TEST(snapshot_mirror_test, readsOverlap)
+{
+    mirror_fixture fixture;
+    const auto readAt = [&](duration at, store_revision revision) {
+        fixture.world.runUntil(time_point(at));
+        fixture.mirror->prefetch();
+        EXPECT_EQ(fixture.source.changeReads.size(), 1U);
+        const store_revision from = fixture.source.changeReads.empty() ? 0 : fixture.source.changeReads.front().first;
+        fixture.answerRead(revision);
+        return from;
+    };
+    EXPECT_EQ(readAt(1s, 20), 10U) << "from the listing at 0 s, which is whole";
+    EXPECT_EQ(readAt(2s, 30), 10U);
+    EXPECT_EQ(readAt(3s, 40), 10U) << "the state of 1 s is less than two seconds older than that of 2 s";
+    EXPECT_EQ(readAt(4s, 50), 20U);
+    EXPECT_EQ(readAt(9s, 60), 30U);
+    fixture.world.runUntil(time_point(25s));
+    fixture.mirror->prefetch();
+    EXPECT_EQ(fixture.source.changeReads.size(), 0U) << "the store has dropped that history by now";
+    EXPECT_EQ(fixture.source.listings.size(), 1U);
+}
+
+TEST(snapshot_mirror_test, droppedHistoryIsFollowedByListing)
+{
+    mirror_fixture fixture;
+    fixture.world.runUntil(time_point(5s));
+    fixture.decide();
+    fixture.failRead(error_kind::Stale);
+    EXPECT_EQ(fixture.made, 0);
+    ASSERT_EQ(fixture.source.listings.size(), 1U);
+    fixture.answerRead(30);
+    EXPECT_EQ(fixture.made, 1);
+}
+
+/** The store answers slowly, as with a long listing. No second read begins, which would slow it down further. */
+TEST(snapshot_mirror_test, overdueReadIsNotRepeated)
+{
+    mirror_fixture fixture;
+    fixture.world.runUntil(time_point(5s));
+    for (int i = 0; i < 50; ++i) {
+        fixture.decide();
+        fixture.world.runUntil(fixture.world.now() + 100ms);
+    }
+    EXPECT_EQ(fixture.openReads(), 1U);
+    EXPECT_EQ(fixture.made, 50) << "decisions go ahead after the hold time";
+    fixture.answerRead(20);
+    EXPECT_EQ(fixture.mirror->revision(), 20U) << "a late answer counts";
 }
 
 /** Two nodes that each take the other for the reader must not wait for each other. */
@@ -247,8 +315,8 @@
     fixture.mirror->serve({ "", 0, duration(800ms).count() }, [&](const std::optional<snapshot_reply> &reply) {
         received = reply;
     });
-    ASSERT_EQ(fixture.source.listings.size(), 1U);
-    fixture.answerListing(20);
+    ASSERT_EQ(fixture.openReads(), 1U);
+    fixture.answerRead(20);
     EXPECT_TRUE(received);
     EXPECT_EQ(fixture.made, 1) << "the same read serves this node's own decision";
 }
@@ -287,6 +355,7 @@
     };
     const row rows[] = { { follow_form::UnchangedIsFresh, "a reader's reply counts as the present state" },
                          { follow_form::AgeFromReceipt, "the age counts from the reply's arrival" },
+                         { follow_form::NoOverlap, "changes are read from the last state" },
                          { follow_form::AgeWithoutSuspension, "the reader's clock stands still during a suspension" } };
     for (const row &each : rows) {
         std::map<std::string, int> faults;
--- a/fleet/testing/snapshot_simulation.cpp
+++ b/fleet/testing/snapshot_simulation.cpp
@@ -15,6 +15,7 @@
 constexpr double longestDelaySeconds = 1.5; // Of a message that is delayed.
 constexpr duration readerPause = 3s;
 constexpr std::uint64_t keyCount = 12;
+constexpr duration hidingTime = 1s; // Before the store drops its history, reads of changes do not show the newest ones.
 
 } // namespace
 
@@ -34,6 +35,17 @@
     });
 }
 
+void simulated_source::changes(const std::string &listedPrefix, store_revision after, std::function<void(const store_change_answer &)> onChanges)
+{
+    // The answer is formed when the store answers, from the history up to the revision that it names.
+    m_simulation.m_nodes.at(m_node).client->range({ listedPrefix, true, 0 }, [this, after, onChanges](const store_range_answer &answer) {
+        const store_change_answer changes = answer.error ? store_change_answer{ answer.error, 0, {} } : m_simulation.changesSince(after, answer.revision);
+        m_simulation.runOrDefer(m_node, [onChanges, changes] {
+            onChanges(changes);
+        });
+    });
+}
+
 std::optional<std::string> simulated_source::reader() const
 {
     const auto &self = m_simulation.m_nodes.at(m_node);
@@ -119,6 +131,7 @@
     }
     for (std::uint64_t key = 0; key < keyCount; ++key) {
         m_store.put(prefix + std::to_string(key), "ready");
+        m_history.push_back({ store_watch_event::kind::Put, m_store.peek(prefix + std::to_string(key)).value() });
     }
     for (auto &[name, each] : m_nodes) {
         startNode(each);
@@ -151,6 +164,9 @@
     if (m_form == follow_form::AgeFromReceipt) {
         options.readerPatience = callTimeout; // This form waited for its reader.
     }
+    if (m_form == follow_form::NoOverlap) {
+        options.overlap = duration::zero();
+    }
     snapshot_mirror_handlers handlers;
     handlers.onEvent = [this, &each](const store_watch_event &event, bool) {
         if (event.type == store_watch_event::kind::Delete) {
@@ -196,6 +212,23 @@
     }
 }
 
+store_change_answer snapshot_simulation::changesSince(store_revision after, store_revision reached) const
+{
+    store_change_answer answer;
+    if (after < m_droppedBefore) {
+        answer.error = failure{ error_kind::Stale, "history dropped" };
+        return answer;
+    }
+    answer.revision = reached;
+    for (const store_watch_event &event : m_history) {
+        const bool isHidden = m_hiddenAfter > 0 && event.item.modRevision > m_hiddenAfter;
+        if (event.item.modRevision > after && event.item.modRevision <= reached && !isHidden) {
+            answer.events.push_back(event);
+        }
+    }
+    return answer;
+}
+
 void snapshot_simulation::scheduleDecision(const std::string &name)
 {
     m_world.after(fromSeconds(m_random.exponential(toSeconds(m_decisionInterval))), [this, name] {
@@ -251,6 +284,7 @@
         if (last.revision == 0 || m_world.now() - last.at > 2 * bound) {
             m_store.put(key, "state " + std::to_string(m_random.below(100)));
             last = { m_world.now(), key, m_store.revision() };
+            m_history.push_back({ store_watch_event::kind::Put, m_store.peek(key).value() });
         }
         scheduleChange();
     });
@@ -269,7 +303,7 @@
     node &target = randomNode();
     const duration length = randomSpan(0.3, 8);
     const time_point end = m_world.now() + length;
-    switch (static_cast<simulated_fault>(m_random.below(7))) {
+    switch (static_cast<simulated_fault>(m_random.below(8))) {
     case simulated_fault::Freeze:
         m_lastFault = "freeze of " + target.name;
         freeze(target, length, false);
@@ -317,6 +351,15 @@
             m_store.setDown(false);
         });
         break;
+    case simulated_fault::HistoryDropped:
+        m_lastFault = "dropped history";
+        excuseAll(m_world.now() + hidingTime);
+        m_hiddenAfter = m_store.revision();
+        m_world.after(hidingTime, [this] {
+            m_hiddenAfter = 0;
+            m_droppedBefore = m_store.revision();
+        });
+        break;
     case simulated_fault::KillAll:
         m_lastFault = "kill of all nodes";
         excuseAll(m_world.now());
--- a/fleet/testing/snapshot_simulation.h
+++ b/fleet/testing/snapshot_simulation.h
@@ -27,10 +27,11 @@
     UnchangedIsFresh, ///< A reader's reply counts as the present state, however old the reader's own is.
     AgeFromReceipt, ///< A reply's age counts from its arrival, so the time on the way is lost.
     AgeWithoutSuspension, ///< The reader's clock stands still while its machine is suspended.
+    NoOverlap, ///< Changes are read from the last state, so that what the store hid from that read stays unknown.
 };
 
 /** Faults of a simulation, for the list of what happened. */
-enum class simulated_fault : std::uint8_t { Freeze, Suspend, CutFromStore, CutFromPeers, StoreSlow, StoreDown, KillAll };
+enum class simulated_fault : std::uint8_t { Freeze, Suspend, CutFromStore, CutFromPeers, StoreSlow, StoreDown, KillAll, HistoryDropped };
 
 /** A decision that rested on too old a state. */
 struct late_decision
@@ -81,6 +82,7 @@
     {
     }
     void list(const std::string &prefix, bool isPrefix, std::function<void(const store_range_answer &)> onListing);
+    void changes(const std::string &prefix, store_revision after, std::function<void(const store_change_answer &)> onChanges);
     std::optional<std::string> reader() const;
     void ask(const std::string &reader, const snapshot_query &query, std::function<void(const std::optional<snapshot_reply> &)> onReply);
     void recordReaderFailure(const std::string &reader);
@@ -184,6 +186,7 @@
     void scheduleChange();
     void scheduleFault();
     void injectFault();
+    store_change_answer changesSince(store_revision after, store_revision reached) const;
     void freeze(node &each, duration length, bool isSuspended);
     void excuse(node &each, time_point until);
     void excuseAll(time_point until);
@@ -198,7 +201,9 @@
     std::set<std::pair<std::string, std::string>> m_cuts;
     std::vector<std::tuple<std::string, std::string, std::function<void()>>> m_heldUp; ///< Messages on cut links, delivered when the cut heals.
     std::map<std::string, change> m_lastChanges; ///< By key.
-    std::vector<change> m_changes;
+    std::vector<store_watch_event> m_history; ///< All changes, oldest first.
+    store_revision m_droppedBefore = 0; ///< The store has dropped its history before this revision.
+    store_revision m_hiddenAfter = 0; ///< Reads of changes show none after this revision while the store is about to drop its history; 0 otherwise.
     std::string m_lastFault = "none";
     std::vector<late_decision> m_late;
     std::vector<std::string> m_regressions;
