--- a/edge/testing/job_worker_test.cpp
+++ b/edge/testing/job_worker_test.cpp
@@ -2,6 +2,8 @@
 
 #include "edge/testing/node_fixture.h"
 
+#include <algorithm>
+
 namespace reedtrail {
 namespace {
 
@@ -53,5 +55,146 @@
     }
 }
 
+/** One part of a server's answer to an item. */
+struct stream_part
+{
+    duration pause{}; ///< Before the part is sent.
+    std::string bytes;
+};
+
+/** What a server does with one request for an item. */
+struct served_run
+{
+    std::uint16_t status = http_status::ok;
+    bool isNotExecuted = false; ///< The server says that it did not run the request.
+    std::string version; ///< Weight version that the head of the answer names.
+    std::vector<stream_part> parts;
+    bool isCut = false; ///< The connection ends after the last part, without the end of the stream.
+};
+
+/** Plays the runs of a script one after the other, the last one again and again, and keeps the headers asked with. */
+class scripted_engine
+{
+public:
+    scripted_engine(asio_loop &loop, std::vector<served_run> runs)
+        : m_loop(loop)
+        , m_runs(std::move(runs))
+    {
+    }
+    void serve(const std::shared_ptr<http_exchange> &exchange)
+    {
+        const served_run &run = m_runs[std::min(resumedAfter.size(), m_runs.size() - 1)];
+        resumedAfter.emplace_back(exchange->request().fields.get("Last-Event-Id"));
+        http_response head;
+        head.status = run.status;
+        head.fields = { { "Request-Id", std::string(exchange->request().fields.get("Request-Id")) }, { "Server-Signature", "sig" } };
+        if (run.isNotExecuted) {
+            head.fields.set("Not-Executed", "1");
+            exchange->respond(std::move(head));
+            return;
+        }
+        head.fields.set("Weight-Versions", run.version);
+        exchange->startStream(std::move(head));
+        sendFrom(exchange, run, 0);
+    }
+
+    std::vector<std::string> resumedAfter; ///< Event after which each run was asked to go on; empty for a run from the start.
+
+private:
+    void sendFrom(const std::shared_ptr<http_exchange> &exchange, const served_run &run, std::size_t part)
+    {
+        if (part == run.parts.size()) {
+            run.isCut ? exchange->abort() : exchange->finishStream();
+            return;
+        }
+        m_loop.after(run.parts[part].pause, [this, exchange, &run, part] {
+            exchange->write(run.parts[part].bytes);
+            sendFrom(exchange, run, part + 1);
+        });
+    }
+
+    asio_loop &m_loop;
+    std::vector<served_run> m_runs;
+};
+
+/** Behaviours of model servers that a text must survive: whole, in order, and with the versions that made it. */
+TEST(job_worker_test, textSurvivesBehavioursOfModelServers)
+{
+    struct row
+    {
+        const char *what;
+        std::vector<served_run> runs;
+        std::string text;
+        std::vector<std::uint64_t> versions;
+        std::vector<std::string> resumedAfter;
+    };
+    const served_run whole{ .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" }, { 5ms, "id: 2\ndata: b\n\n" } } };
+    const served_run full{ .status = http_status::unavailable, .isNotExecuted = true };
+    const row rows[] = {
+        { "a request that is larger than the memory left is rejected as if the server were full", { full, full, whole }, "a\nb", { 6 }, { "", "", "" } },
+        { "a preempted request pauses in the middle of its stream",
+          { { .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" }, { 700ms, "id: 2\ndata: b\n\n" } } } },
+          "a\nb",
+          { 6 },
+          { "" } },
+        { "an event holds several tokens",
+          { { .version = "6", .parts = { { 0ms, "id: 1\ndata: a few tokens\n\nid: 2\ndata: and more\n\n" } } } },
+          "a few tokens\nand more",
+          { 6 },
+          { "" } },
+        { "the version changes within the stream",
+          { { .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" }, { 5ms, "weight-versions: 7\nid: 2\ndata: b\n\n" } } } },
+          "a\nb",
+          { 6, 7 },
+          { "" } },
+        { "the stream is cut in the middle of an event",
+          { { .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\nid: 2\nda" } }, .isCut = true },
+            { .version = "7", .parts = { { 0ms, "id: 2\ndata: b\n\n" } } } },
+          "a\nb",
+          { 6, 7 },
+          { "", "1" } },
+        { "a piece of the stream arrives byte by byte",
+          { { .version = "6", .parts = { { 0ms, "id: 1\nd" }, { 5ms, "ata: a" }, { 5ms, "\n" }, { 5ms, "\nid: 2\ndata: b\n\n" } } } },
+          "a\nb",
+          { 6 },
+          { "" } },
+    };
+    for (const row &each : rows) {
+        SCOPED_TRACE(each.what);
+        node_fixture fixture;
+        scripted_engine engine(fixture.loop, each.runs);
+        fixture.first.script = fixture.second.script = [&engine](const std::shared_ptr<http_exchange> &exchange) {
+            engine.serve(exchange);
+        };
+        job_metadata metadata;
+        metadata.host = "h";
+        metadata.path = "/j/1";
+        std::vector<item_result> results;
+        const auto worker = std::make_shared<job_worker>(*fixture.context,
+                                                         *fixture.fleet,
+                                                         "job",
+                                                         metadata,
+                                                         singleItemJob(),
+                                                         fixture.loop.now(),
+                                                         job_worker::recorder{ [&](std::vector<item_result> recorded, const std::string &) {
+                                                                                  results.insert(results.end(), recorded.begin(), recorded.end());
+                                                                              },
+                                                                               [](const std::string &) {},
+                                                                               [] {
+                                                                                   return false;
+                                                                               } });
+        for (int i = 0; i < 40 && results.empty(); ++i) {
+            worker->advance();
+            fixture.run(50ms);
+        }
+        worker->stop();
+        ASSERT_EQ(results.size(), 1U);
+        EXPECT_TRUE(results.front().isCompleted);
+        EXPECT_EQ(results.front().output, each.text);
+        EXPECT_EQ(results.front().versions, each.versions);
+        EXPECT_EQ(engine.resumedAfter, each.resumedAfter);
+    }
+}
+
 } // namespace
 } // namespace reedtrail
--- a/edge/testing/node_fixture.h
+++ b/edge/testing/node_fixture.h
@@ -142,6 +142,10 @@
     void answer(const std::shared_ptr<http_exchange> &exchange)
     {
         ++requests;
+        if (script) {
+            script(exchange);
+            return;
+        }
         http_response response;
         response.status = http_status::ok;
         response.fields = { { "Request-Id", std::string(exchange->request().fields.get("Request-Id")) }, { "Server-Signature", "sig" } };
@@ -162,6 +166,7 @@
 
     std::string id;
     endpoint address;
+    std::function<void(const std::shared_ptr<http_exchange> &)> script; ///< Answers in place of the usual way, if set.
     bool isLeaving = false;
     bool isStreaming = false;
     int requests = 0;
