batch/job_hosts is named job_host_selector after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/batch/testing/job_hosts_test.cpp
+++ b/batch/testing/job_host_selector_test.cpp
@@ -1,4 +1,4 @@
-#include "batch/job_hosts.h"
+#include "batch/job_host_selector.h"
 
 #include <gtest/gtest.h>
 #include <set>
--- a/edge/job_forwarder.h
+++ b/edge/job_forwarder.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "batch/job_hosts.h"
+#include "batch/job_host_selector.h"
 #include "edge/asio_loop.h"
 #include "kernel/metrics.h"
 #include "net/http_client.h"
