edge/job_desk is named batch_job_service after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/edge/job_desk.cpp
+++ b/edge/batch_job_service.cpp
@@ -1,4 +1,4 @@
-#include "edge/job_desk.h"
+#include "edge/batch_job_service.h"
 
 #include "kernel/log.h"
 #include "net/http_status.h"
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -6,7 +6,7 @@
 
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
-#include "edge/job_desk.h"
+#include "edge/batch_job_service.h"
 #include "edge/job_forwarder.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -3,7 +3,7 @@
 #include "edge/caller_service.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
-#include "edge/job_desk.h"
+#include "edge/batch_job_service.h"
 #include "edge/job_forwarder.h"
 #include "edge/order_service.h"
 #include "edge/peer_transport_service.h"
