edge/detour_transport is named failover_store_transport after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/edge/detour_transport.cpp
+++ b/edge/failover_store_transport.cpp
@@ -1,6 +1,6 @@
 // Short calls show which path works. When the direct path fails, long polls on it are cancelled, so that their callers read again on a path that works.
 
-#include "edge/detour_transport.h"
+#include "edge/failover_store_transport.h"
 
 #include "edge/peer_protocol.h"
 #include "kernel/log.h"
--- a/edge/peer_transport_service.h
+++ b/edge/peer_transport_service.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "edge/asio_loop.h"
-#include "edge/detour_transport.h"
+#include "edge/failover_store_transport.h"
 #include "edge/edge_settings.h"
 #include "edge/job_forwarder.h"
 #include "edge/snapshot_server.h"
--- a/edge/testing/detour_transport_test.cpp
+++ b/edge/testing/failover_store_transport_test.cpp
@@ -1,4 +1,4 @@
-#include "edge/detour_transport.h"
+#include "edge/failover_store_transport.h"
 
 #include "net/http_server.h"
 
