edge/order_service is named weight_load_service after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -5,7 +5,7 @@
 #include "edge/fleet_cache.h"
 #include "edge/batch_job_service.h"
 #include "edge/job_forwarder.h"
-#include "edge/order_service.h"
+#include "edge/weight_load_service.h"
 #include "edge/peer_transport_service.h"
 #include "kernel/command_line.h"
 #include "kernel/log.h"
--- a/edge/order_service.cpp
+++ b/edge/weight_load_service.cpp
@@ -1,4 +1,4 @@
-#include "edge/order_service.h"
+#include "edge/weight_load_service.h"
 
 #include "batch/job_store.h"
 #include "kernel/log.h"
