edge/peer_transport_service is named peer_service after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -6,7 +6,7 @@
 #include "edge/batch_job_service.h"
 #include "edge/job_forwarder.h"
 #include "edge/weight_load_service.h"
-#include "edge/peer_transport_service.h"
+#include "edge/peer_service.h"
 #include "kernel/command_line.h"
 #include "kernel/log.h"
 #include "platform/node_file.h"
--- a/edge/peer_transport_service.cpp
+++ b/edge/peer_service.cpp
@@ -1,7 +1,7 @@
 // Nodes register under store keys without a lease. A peer that is gone is detected by the first call through it, which costs less than renewing one key per
 // node all the time.
 
-#include "edge/peer_transport_service.h"
+#include "edge/peer_service.h"
 
 #include "edge/peer_protocol.h"
 #include "kernel/log.h"
