fleet/outage_memory is named outage_tracker after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -8,7 +8,7 @@
 #include "edge/edge_context.h"
 #include "edge/peer_snapshot_source.h"
 #include "edge/snapshot_server.h"
-#include "fleet/outage_memory.h"
+#include "fleet/outage_tracker.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
 #include "kernel/service.h"
--- a/fleet/testing/server_directory_test.cpp
+++ b/fleet/testing/server_directory_test.cpp
@@ -1,4 +1,4 @@
-#include "fleet/outage_memory.h"
+#include "fleet/outage_tracker.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
 #include "fleet/store_path.h"
