fleet/store_path is named store_router after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/edge/failover_store_transport.h
+++ b/edge/failover_store_transport.h
@@ -7,7 +7,7 @@
 
 #include "edge/asio_loop.h"
 #include "edge/edge_settings.h"
-#include "fleet/store_path.h"
+#include "fleet/store_router.h"
 #include "fleet/watch_hub.h"
 #include "net/http_client.h"
 #include "platform/key_value_store.h"
--- a/edge/peer_snapshot_source.h
+++ b/edge/peer_snapshot_source.h
@@ -7,7 +7,7 @@
 #include "base/random.h"
 #include "edge/edge_context.h"
 #include "fleet/dated_snapshot.h"
-#include "fleet/store_path.h"
+#include "fleet/store_router.h"
 
 #include <functional>
 #include <optional>
--- a/fleet/store_path.cpp
+++ b/fleet/store_router.cpp
@@ -1,4 +1,4 @@
-#include "fleet/store_path.h"
+#include "fleet/store_router.h"
 
 #include "base/hash.h"
 
--- a/fleet/testing/duty_candidacy_test.cpp
+++ b/fleet/testing/duty_candidacy_test.cpp
@@ -1,7 +1,7 @@
 #include "fleet/duty_candidacy.h"
 
 #include "base/random.h"
-#include "fleet/store_path.h"
+#include "fleet/store_router.h"
 
 #include <gtest/gtest.h>
 #include <set>
--- a/fleet/testing/server_directory_test.cpp
+++ b/fleet/testing/server_directory_test.cpp
@@ -1,7 +1,7 @@
 #include "fleet/outage_tracker.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
-#include "fleet/store_path.h"
+#include "fleet/store_router.h"
 
 #include <gtest/gtest.h>
 #include <set>
