gate/once_desk is named request_deduplicator after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/gate/caller_api.h
+++ b/gate/caller_api.h
@@ -10,7 +10,7 @@
 #pragma once
 
 #include "gate/answer_writer.h"
-#include "gate/once_desk.h"
+#include "gate/request_deduplicator.h"
 #include "gate/request_broker.h"
 #include "gate/token_directory.h"
 #include "net/http_server.h"
--- a/gate/once_desk.cpp
+++ b/gate/request_deduplicator.cpp
@@ -2,7 +2,7 @@
 // each waiter exactly one answer, which belongs to the same request name, customer and content. A late, duplicate or misrouted answer therefore never reaches
 // another waiter.
 
-#include "gate/once_desk.h"
+#include "gate/request_deduplicator.h"
 
 #include "base/check.h"
 #include "gate/answer_writer.h"
