once/once_core is named once_coordinator after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/gate/request_deduplicator.h
+++ b/gate/request_deduplicator.h
@@ -15,7 +15,7 @@
 #include "gate/gate_messages.h"
 #include "gate/request_broker.h"
 #include "once/key_records.h"
-#include "once/once_core.h"
+#include "once/once_coordinator.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/once/testing/once_world.h
+++ b/once/testing/once_world.h
@@ -15,7 +15,7 @@
 #include "harness/virtual_time.h"
 #include "once/key_ranges.h"
 #include "once/key_records.h"
-#include "once/once_core.h"
+#include "once/once_coordinator.h"
 #include "once/testing/once_world_store.h"
 
 #include <algorithm>
