once/testing/once_world is named once_simulation after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/bench/once_bench.cpp
+++ b/bench/once_bench.cpp
@@ -3,7 +3,7 @@
 
 #include "base/check.h"
 #include "bench/benchmark.h"
-#include "once/testing/once_world.h"
+#include "once/testing/once_simulation.h"
 
 #include <string>
 
--- a/once/testing/once_world_test.cpp
+++ b/once/testing/once_simulation_test.cpp
@@ -1,5 +1,5 @@
 #include "base/check.h"
-#include "once/testing/once_world.h"
+#include "once/testing/once_simulation.h"
 
 #include <gtest/gtest.h>
 
--- a/once/testing/once_world_callers.h
+++ b/once/testing/once_world_callers.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "once/testing/once_world.h"
+#include "once/testing/once_simulation.h"
 
 namespace reedtrail::testing {
 
