once/once_table is named deduplication_table after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/once/once_table.cpp
+++ b/once/deduplication_table.cpp
@@ -7,7 +7,7 @@
 // the request run sends it with a higher attempt number or under a new name. The attempt number plays the role of the sequence number in "Kafka Transactions",
 // by which a receiver tells a new send from a late copy of an old one.
 
-#include "once/once_table.h"
+#include "once/deduplication_table.h"
 
 #include "base/check.h"
 
--- a/once/once_coordinator.h
+++ b/once/once_coordinator.h
@@ -13,7 +13,7 @@
 
 #include "base/check.h"
 #include "once/key_standing.h"
-#include "once/once_table.h"
+#include "once/deduplication_table.h"
 #include "once/ticket.h"
 
 #include <cstdint>
--- a/once/testing/once_table_test.cpp
+++ b/once/testing/deduplication_table_test.cpp
@@ -1,4 +1,4 @@
-#include "once/once_table.h"
+#include "once/deduplication_table.h"
 
 #include "base/check.h"
 #include "base/random.h"
