once/request_life is named request_lifecycle after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/once/deduplication_table.h
+++ b/once/deduplication_table.h
@@ -16,7 +16,7 @@
 #include "base/error_kind.h"
 #include "base/ids.h"
 #include "base/time.h"
-#include "once/request_life.h"
+#include "once/request_lifecycle.h"
 
 #include <cstdint>
 #include <deque>
--- a/once/request_life.cpp
+++ b/once/request_lifecycle.cpp
@@ -2,7 +2,7 @@
 // server reported, or the connection proves, that the server did not start it; from there it may be refused or dispatched again. Answered, NotRun and Unknown
 // are final, so a request that was answered "not run" can never run later.
 
-#include "once/request_life.h"
+#include "once/request_lifecycle.h"
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
--- a/once/testing/request_life_test.cpp
+++ b/once/testing/request_lifecycle_test.cpp
@@ -1,4 +1,4 @@
-#include "once/request_life.h"
+#include "once/request_lifecycle.h"
 
 #include <array>
 #include <gtest/gtest.h>
