once/key_standing is named key_resolution after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/once/key_ranges.h
+++ b/once/key_ranges.h
@@ -15,7 +15,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "once/key_standing.h"
+#include "once/key_resolution.h"
 
 #include <cstdint>
 #include <optional>
--- a/once/once_coordinator.h
+++ b/once/once_coordinator.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "base/check.h"
-#include "once/key_standing.h"
+#include "once/key_resolution.h"
 #include "once/deduplication_table.h"
 #include "once/ticket.h"
 
