routing/open_sums is named open_request_aggregator after its type

Cause: the file kept an earlier name than the type that it holds.

Change: renamed, with its tests and all includes. No line of code differs otherwise.

--- a/routing/open_sums.cpp
+++ b/routing/open_request_aggregator.cpp
@@ -1,7 +1,7 @@
 // Each report replaces the previous counts of its gate as a whole, so sums cannot drift when a message is lost or a gate dies: the counts of a dead gate
 // expire. A server without open requests is still listed, with 0, as long as any gate lists it.
 
-#include "routing/open_sums.h"
+#include "routing/open_request_aggregator.h"
 
 namespace reedtrail {
 
--- a/routing/testing/tables_test.cpp
+++ b/routing/testing/tables_test.cpp
@@ -1,6 +1,6 @@
 #include "base/cbor_codec.h"
 #include "routing/deadline_heap.h"
-#include "routing/open_sums.h"
+#include "routing/open_request_aggregator.h"
 #include "routing/prefix_index.h"
 #include "routing/request_table.h"
 
--- a/routing/testing/virtual_fleet.h
+++ b/routing/testing/virtual_fleet.h
@@ -14,7 +14,7 @@
 #include "base/random.h"
 #include "harness/fake_server.h"
 #include "harness/virtual_time.h"
-#include "routing/open_sums.h"
+#include "routing/open_request_aggregator.h"
 #include "routing/request_scheduler.h"
 #include "routing/usage_tree.h"
 
