routing/server_choice is named server_selector after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/routing/scheduler_implementation.h
+++ b/routing/scheduler_implementation.h
@@ -11,7 +11,7 @@
 #include "routing/request_scheduler.h"
 #include "routing/request_table.h"
 #include "routing/retry_budget.h"
-#include "routing/server_choice.h"
+#include "routing/server_selector.h"
 #include "routing/server_table.h"
 
 #include <memory>
--- a/routing/server_choice.cpp
+++ b/routing/server_selector.cpp
@@ -14,7 +14,7 @@
 // Cost of a selection: a constant number of random draws, a logarithmic search in a ring and a few entries of the prefix index. No memory is allocated. Only a
 // request that has waited, or that no candidate accepts, scans all servers with room.
 
-#include "routing/server_choice.h"
+#include "routing/server_selector.h"
 
 #include "base/hash.h"
 
