sampling/draft_objective is named draft_lead_planner after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/sampling/draft_objective.cpp
+++ b/sampling/draft_lead_planner.cpp
@@ -5,7 +5,7 @@
 // convex in x for x up to G, and a scan over a fixed grid finds its minimum. Of equal costs the latest start wins, so that weight 0 never drafts ahead.
 // G and P are exponentially weighted means over the steps. Each call of lead() evaluates 65 points; the state is four numbers.
 
-#include "sampling/draft_objective.h"
+#include "sampling/draft_lead_planner.h"
 
 #include <algorithm>
 #include <array>
--- a/sampling/run_messages.h
+++ b/sampling/run_messages.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "base/ids.h"
-#include "sampling/draft_objective.h"
+#include "sampling/draft_lead_planner.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -21,7 +21,7 @@
 #pragma once
 
 #include "base/decision_log.h"
-#include "sampling/draft_objective.h"
+#include "sampling/draft_lead_planner.h"
 #include "sampling/run_events.h"
 #include "sampling/run_machine.h"
 #include "sampling/step_book.h"
--- a/sampling/run_share.h
+++ b/sampling/run_share.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "fleet/fleet_document.h"
-#include "sampling/draft_objective.h"
+#include "sampling/draft_lead_planner.h"
 
 #include <cstdint>
 #include <map>
