sampling/step_book is named step_table after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -24,7 +24,7 @@
 #include "sampling/draft_lead_planner.h"
 #include "sampling/run_events.h"
 #include "sampling/run_machine.h"
-#include "sampling/step_book.h"
+#include "sampling/step_table.h"
 #include "sampling/straggler_watch.h"
 
 #include <deque>
--- a/sampling/step_book.cpp
+++ b/sampling/step_table.cpp
@@ -1,6 +1,6 @@
 // Each step keeps the number of its slots by phase, because every event asks whether a step is complete or has ready slots, and must not scan all slots for it.
 
-#include "sampling/step_book.h"
+#include "sampling/step_table.h"
 
 #include "base/check.h"
 
--- a/sampling/straggler_watch.h
+++ b/sampling/straggler_watch.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "base/time.h"
-#include "sampling/step_book.h"
+#include "sampling/step_table.h"
 
 #include <cstdint>
 
