sampling/straggler_watch is named straggler_detector after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/sampling/run_owner.h
+++ b/sampling/run_owner.h
@@ -25,7 +25,7 @@
 #include "sampling/run_events.h"
 #include "sampling/run_machine.h"
 #include "sampling/step_table.h"
-#include "sampling/straggler_watch.h"
+#include "sampling/straggler_detector.h"
 
 #include <deque>
 #include <map>
--- a/sampling/straggler_watch.cpp
+++ b/sampling/straggler_detector.cpp
@@ -2,7 +2,7 @@
 // reach the trainer. The age and the number of tokens of a draft are not used, because cancelling long drafts would leave the trainer with short answers. A
 // moved draft resumes from the tokens it has. Only a draft that stays silent after a move is discarded and generated again.
 
-#include "sampling/straggler_watch.h"
+#include "sampling/straggler_detector.h"
 
 #include <algorithm>
 
