weights/staging_allotment is named staging_rate_limiter after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/weights/staging_allotment.cpp
+++ b/weights/staging_rate_limiter.cpp
@@ -4,7 +4,7 @@
 // first measured server were slow, all others would be taken for slow too and overload the weight store. The store refuses what still exceeds its rate with
 // status 429, and the server downloads later.
 
-#include "weights/staging_allotment.h"
+#include "weights/staging_rate_limiter.h"
 
 #include <algorithm>
 
--- a/weights/weight_rollout.h
+++ b/weights/weight_rollout.h
@@ -17,7 +17,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "weights/rollout_machine.h"
-#include "weights/staging_allotment.h"
+#include "weights/staging_rate_limiter.h"
 #include "weights/weight_messages.h"
 
 #include <map>
