weights/zone_weights is named weight_deputy after its type

Cause: the file kept an earlier name than the type that it holds.

No line of code differs otherwise.

--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -1,4 +1,4 @@
-// Connects the state machines, which do no I/O (weights/weight_rollout.h on the owner of a run, weights/zone_weights.h on the deputy of a zone), to the weight
+// Connects the state machines, which do no I/O (weights/weight_rollout.h on the owner of a run, weights/weight_deputy.h on the deputy of a zone), to the weight
 // store, the backend servers, the peer bus and the clock.
 //
 // A zone without a live node has no deputy; the first deputy of the other zones serves its servers.
@@ -10,7 +10,7 @@
 #include "steward/fleet_service.h"
 #include "steward/run_service.h"
 #include "weights/weight_rollout.h"
-#include "weights/zone_weights.h"
+#include "weights/weight_deputy.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/weights/testing/fake_servers.h
+++ b/weights/testing/fake_servers.h
@@ -12,7 +12,7 @@
 
 #include "harness/lossy_network.h"
 #include "weights/weight_rollout.h"
-#include "weights/zone_weights.h"
+#include "weights/weight_deputy.h"
 
 #include <map>
 #include <memory>
--- a/weights/zone_weights.cpp
+++ b/weights/weight_deputy.cpp
@@ -6,7 +6,7 @@
 // Cost: one load read per server every loadInterval (busyLoadInterval during a switch), and one report per run every reportInterval or after a change. Memory:
 // about 300 bytes per pair of server and run.
 
-#include "weights/zone_weights.h"
+#include "weights/weight_deputy.h"
 
 #include <algorithm>
 
--- a/weights/weight_rollout.h
+++ b/weights/weight_rollout.h
@@ -8,7 +8,7 @@
  *     perform(rollout.onEvent(now, rollout_input::ownership_gained{epoch, leaseUntil}));
  *     perform(rollout.onEvent(now, rollout_input::version_published{42}));
  *
- * Orders go to one deputy in each zone (weights/zone_weights.h). They are idempotent and their versions only increase, so a repeated or delayed order has no
+ * Orders go to one deputy in each zone (weights/weight_deputy.h). They are idempotent and their versions only increase, so a repeated or delayed order has no
  * effect. The versions recorded with a sample do not depend on the rollout: they come from the backend server that generated it.
  */
 #pragma once
