--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -4,9 +4,9 @@
  */
 #pragma once
 
+#include "edge/batch_job_service.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
-#include "edge/batch_job_service.h"
 #include "edge/job_forwarder.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -1,12 +1,12 @@
 // reedtrail-edge: serves callers and trainers on one entry VM of the users' platform.
 
+#include "edge/batch_job_service.h"
 #include "edge/caller_service.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
-#include "edge/batch_job_service.h"
 #include "edge/job_forwarder.h"
-#include "edge/weight_load_service.h"
 #include "edge/peer_service.h"
+#include "edge/weight_load_service.h"
 #include "kernel/command_line.h"
 #include "kernel/log.h"
 #include "platform/node_file.h"
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "edge/asio_loop.h"
-#include "edge/failover_store_transport.h"
 #include "edge/edge_settings.h"
+#include "edge/failover_store_transport.h"
 #include "edge/job_forwarder.h"
 #include "edge/snapshot_server.h"
 #include "kernel/service.h"
--- a/gate/caller_api.h
+++ b/gate/caller_api.h
@@ -10,8 +10,8 @@
 #pragma once
 
 #include "gate/answer_writer.h"
-#include "gate/request_deduplicator.h"
 #include "gate/request_broker.h"
+#include "gate/request_deduplicator.h"
 #include "gate/token_directory.h"
 #include "net/http_server.h"
 
--- a/once/once_coordinator.h
+++ b/once/once_coordinator.h
@@ -12,8 +12,8 @@
 #pragma once
 
 #include "base/check.h"
-#include "once/key_resolution.h"
 #include "once/deduplication_table.h"
+#include "once/key_resolution.h"
 #include "once/ticket.h"
 
 #include <cstdint>
--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -9,8 +9,8 @@
 #include "net/http_client.h"
 #include "steward/fleet_service.h"
 #include "steward/run_service.h"
-#include "weights/weight_rollout.h"
 #include "weights/weight_deputy.h"
+#include "weights/weight_rollout.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/weights/testing/fake_servers.h
+++ b/weights/testing/fake_servers.h
@@ -11,8 +11,8 @@
 #pragma once
 
 #include "harness/lossy_network.h"
-#include "weights/weight_rollout.h"
 #include "weights/weight_deputy.h"
+#include "weights/weight_rollout.h"
 
 #include <map>
 #include <memory>
