Nodes without requests refresh now and then; an old configuration denies no route

Nodes read first 14 s before traffic, so the first request at each of fifty nodes of a zone asked the reader for the changes of all servers since then, about 1 MB each over links of 60 to 200 Mbit/s, and the question for the configuration waited behind them for longer than the hold time.

Change: a node to which nothing comes asks its zone's reader for the registrations each five seconds, so that the changes that it lacks are few. A request that matches no route of a configuration older than its allowance is refused with 503 and the time to come back, since the route may be newer; 404 is only said on a configuration that is young enough.

Not built: differences without what only hosts of jobs need.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -154,6 +154,10 @@
 {
     const http_request &request = exchange->request();
     const route *matchedRoute = m_fleet.routes().match(request.fields.get("Host"), request.path());
+    if (matchedRoute == nullptr && !m_fleet.isConfigurationCurrent()) {
+        refuse(exchange, http_status::unavailable, "the route may be newer than the configuration of this node", retryAfterWhileStarting);
+        return;
+    }
     if (matchedRoute == nullptr) {
         refuse(exchange, http_status::notFound, "no route for this host and path", duration::zero());
         return;
--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -12,6 +12,8 @@
 constexpr double replyAgeShare = 0.45; // Leaves a share of 0.15 for the way from the zone's reader to this node.
 constexpr double prefetchAgeShare = 0.3; // Under steady load a read ends long before decisions would have to wait for it.
 
+constexpr duration idleRefreshInterval = std::chrono::seconds(5); // Of the registrations of servers, on a node without requests.
+
 backend_table_options optionsFor(const edge_settings &settings)
 {
     backend_table_options options;
@@ -25,6 +27,7 @@
     : m_context(context)
     , m_source(source)
     , m_snapshots(snapshots)
+    , m_random(context.randomSeed)
     , m_backends(optionsFor(context.settings), context.randomSeed)
 {
     m_backends.setConnectionQuery([this](const endpoint &address) {
@@ -87,9 +90,27 @@
     if (!std::exchange(m_hasBegun, true)) {
         m_configurationMirror->start();
         m_serverMirror->start();
+        scheduleIdleRefresh();
     }
 }
 
+/**
+ * Refreshes the state of a node to which no request comes. With thousands of servers the changes of a longer time are so many that the first requests after it
+ * would wait for them, and all nodes of a zone would ask its reader for them together.
+ */
+void fleet_cache::scheduleIdleRefresh()
+{
+    m_context.loop.after(fromSeconds(toSeconds(idleRefreshInterval) * m_random.uniform(0.8, 1.2)), [this] {
+        m_serverMirror->prefetch();
+        scheduleIdleRefresh();
+    });
+}
+
+bool fleet_cache::isConfigurationCurrent() const
+{
+    return m_configurationMirror->age(m_context.loop.now()) <= fromSeconds(toSeconds(m_context.settings.maxConfigurationDelay) * allowanceShare);
+}
+
 void fleet_cache::stop()
 {
     m_configurationMirror->stop();
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -40,6 +40,8 @@
      * @param whenReady called later, and only if the result is false; it should ask again
      */
     bool ensureCurrent(const std::function<void()> &whenReady);
+    /** Tells whether the configuration is as young as a judgement requires. If not, a route that is missing here may exist. */
+    bool isConfigurationCurrent() const;
     /**
      * Records the word of a server that it is about to end; this node gives it no new work from now on.
      * @param source kind of the response that said so, for the log
@@ -65,6 +67,7 @@
 
 private:
     std::shared_ptr<edge_snapshot_mirror> makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers);
+    void scheduleIdleRefresh();
     void applyConfiguration(const store_key_value &item);
     void applyServerEvent(const store_watch_event &event, bool mayHaveLapsed);
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
@@ -80,6 +83,7 @@
     server_directory m_directory;
     backend_table m_backends;
     outage_tracker m_outages;
+    random_source m_random;
     bool m_hasBegun = false;
     bool m_hasLapsedServers = false; ///< Registrations have gone since the last check that may only have lapsed.
     std::uint64_t m_appliedDirectoryChanges = 0;
