A listing that a peer's reply has overtaken is no state to ask changes from

Cause, found by reading: a listing of an older revision than the state at hand is ignored, but the state at hand was then taken for one that was read as a whole from the store. It is a reader's, which may lack what the store hid from that reader.

Change: only a listing that was taken counts. The new test overtakes a listing by a late reply and expects the next read to be whole.

--- a/fleet/snapshot_mirror.h
+++ b/fleet/snapshot_mirror.h
@@ -332,8 +332,9 @@
                               self.handleReadEnd(askedAt, false);
                               return;
                           }
+                          const bool isTaken = answer.revision >= self.m_snapshot.revision(); // A peer's reply may have overtaken it.
                           const std::vector<store_watch_event> changes = self.m_snapshot.replace(askedAt, answer);
-                          self.recordBase(true);
+                          self.recordBase(isTaken);
                           self.takeState(askedAt, changes);
                           self.handleReadEnd(askedAt, true);
                       }));
--- a/fleet/testing/snapshot_mirror_test.cpp
+++ b/fleet/testing/snapshot_mirror_test.cpp
@@ -288,6 +288,27 @@
     EXPECT_EQ(fixture.made, 1);
 }
 
+/** A listing that a reader's reply overtakes is ignored, so the state at hand is the reader's, which may have holes. */
+TEST(snapshot_mirror_test, overtakenListingIsNoStateToAskFrom)
+{
+    mirror_fixture fixture;
+    fixture.source.zoneReader = "reader";
+    fixture.world.runUntil(time_point(25s));
+    fixture.decide();
+    fixture.world.runUntil(time_point(25s) + fixture.options.readerPatience);
+    ASSERT_EQ(fixture.source.listings.size(), 1U);
+    snapshot_reply reply;
+    reply.revision = 30;
+    reply.isComplete = true;
+    fixture.source.questions.front().second(reply);
+    fixture.answerRead(20);
+    EXPECT_EQ(fixture.mirror->revision(), 30U);
+    fixture.world.runUntil(time_point(27s));
+    fixture.mirror->prefetch();
+    EXPECT_EQ(fixture.source.changeReads.size(), 0U) << "changes after the reader's state would not show what was hidden from it";
+    EXPECT_EQ(fixture.source.listings.size(), 1U);
+}
+
 /** The store answers slowly, as with a long listing. No second read begins, which would slow it down further. */
 TEST(snapshot_mirror_test, overdueReadIsNotRepeated)
 {
