The stand-ins of edge's tests speak the platform's words in platform/testing

Cause: the fixture with a store and servers named the platform's keys, paths and headers outside platform/.

Change: it and the scripted model server moved to platform/testing; tests of edge/ say what they mean in the product's words.

--- a/edge/testing/fleet_cache_test.cpp
+++ b/edge/testing/fleet_cache_test.cpp
@@ -1,6 +1,6 @@
 #include "edge/fleet_cache.h"
 
-#include "edge/testing/node_fixture.h"
+#include "platform/testing/node_fixture.h"
 
 namespace reedtrail {
 namespace {
@@ -30,10 +30,7 @@
 {
     node_fixture fixture;
     fixture.run(1300ms);
-    fixture.transport.put("op/config",
-                          { { "version", 2 },
-                            { "routes", { { { "name", "new" }, { "hostname", "h" }, { "prefix", "/n/" }, { "kind", "idempotent" }, { "service", "s" } } } },
-                            { "services", nlohmann::json::array({ { { "name", "s" } } }) } });
+    fixture.putConfiguration(2, { { "new", "/n/", route_kind::Idempotent } });
     bool isReady = false;
     EXPECT_FALSE(fixture.fleet->ensureCurrent([&] {
         isReady = true;
--- a/edge/testing/job_worker_test.cpp
+++ b/edge/testing/job_worker_test.cpp
@@ -1,6 +1,7 @@
 #include "edge/job_worker.h"
 
-#include "edge/testing/node_fixture.h"
+#include "platform/testing/node_fixture.h"
+#include "platform/testing/scripted_engine.h"
 
 #include <algorithm>
 
@@ -9,6 +10,9 @@
 
 using namespace std::chrono_literals;
 using testing::node_fixture;
+using testing::scripted_engine;
+using testing::served_run;
+using testing::versionLine;
 
 /** Returns a job of one item for the route of the fixture. */
 job_spec singleItemJob()
@@ -57,68 +61,6 @@
     }
 }
 
-/** One part of a server's answer to an item. */
-struct stream_part
-{
-    duration pause{}; ///< Before the part is sent.
-    std::string bytes;
-};
-
-/** What a server does with one request for an item. */
-struct served_run
-{
-    std::uint16_t status = http_status::ok;
-    bool isNotExecuted = false; ///< The server says that it did not run the request.
-    std::string version; ///< Weight version that the head of the answer names.
-    std::vector<stream_part> parts;
-    bool isCut = false; ///< The connection ends after the last part, without the end of the stream.
-};
-
-/** Plays the runs of a script one after the other, the last one again and again, and keeps the headers asked with. */
-class scripted_engine
-{
-public:
-    scripted_engine(asio_loop &loop, std::vector<served_run> runs)
-        : m_loop(loop)
-        , m_runs(std::move(runs))
-    {
-    }
-    void serve(const std::shared_ptr<http_exchange> &exchange)
-    {
-        const served_run &run = m_runs[std::min(resumedAfter.size(), m_runs.size() - 1)];
-        resumedAfter.emplace_back(exchange->request().fields.get("Last-Event-Id"));
-        http_response head;
-        head.status = run.status;
-        head.fields = { { "Request-Id", std::string(exchange->request().fields.get("Request-Id")) }, { "Server-Signature", "sig" } };
-        if (run.isNotExecuted) {
-            head.fields.set("Not-Executed", "1");
-            exchange->respond(std::move(head));
-            return;
-        }
-        head.fields.set("Weight-Versions", run.version);
-        exchange->startStream(std::move(head));
-        sendFrom(exchange, run, 0);
-    }
-
-    std::vector<std::string> resumedAfter; ///< Event after which each run was asked to go on; empty for a run from the start.
-
-private:
-    void sendFrom(const std::shared_ptr<http_exchange> &exchange, const served_run &run, std::size_t part)
-    {
-        if (part == run.parts.size()) {
-            run.isCut ? exchange->abort() : exchange->finishStream();
-            return;
-        }
-        m_loop.after(run.parts[part].pause, [this, exchange, &run, part] {
-            exchange->write(run.parts[part].bytes);
-            sendFrom(exchange, run, part + 1);
-        });
-    }
-
-    asio_loop &m_loop;
-    std::vector<served_run> m_runs;
-};
-
 /** Behaviours of model servers that a text must survive: whole, in order, and with the versions that made it. */
 TEST(job_worker_test, textSurvivesBehavioursOfModelServers)
 {
@@ -145,7 +87,7 @@
           { 6 },
           { "" } },
         { "the version changes within the stream",
-          { { .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" }, { 5ms, "weight-versions: 7\nid: 2\ndata: b\n\n" } } } },
+          { { .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" }, { 5ms, versionLine(7) + "id: 2\ndata: b\n\n" } } } },
           "a\nb",
           { 6, 7 },
           { "" } },
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -1,6 +1,6 @@
 // Servers that say in their answers that they are about to end, on a node whose knowledge from the store is late or cut off.
 
-#include "edge/testing/node_fixture.h"
+#include "platform/testing/node_fixture.h"
 
 namespace reedtrail {
 namespace {
@@ -46,7 +46,7 @@
     EXPECT_EQ(fixture.first.requests, 1);
     EXPECT_EQ(fixture.second.requests, 1);
     EXPECT_EQ(fixture.request(), http_status::unavailable);
-    fixture.transport.erase("servers/i-1");
+    fixture.removeServer("i-1");
     fixture.first.isLeaving = false;
     fixture.enter("i-3", fixture.first.address, "ready", 900);
     fixture.run(1300ms);
--- a/fleet/testing/snapshot_simulation.cpp
+++ b/fleet/testing/snapshot_simulation.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr auto prefix = "servers/";
+constexpr auto prefix = "records/";
 constexpr duration callTimeout = 2s; // Of a question to a peer.
 constexpr double longestDelaySeconds = 1.5; // Of a message that is delayed.
 constexpr duration readerPause = 3s;
