--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -27,8 +27,8 @@
     : m_context(context)
     , m_source(source)
     , m_snapshots(snapshots)
-    , m_random(context.randomSeed)
     , m_backends(optionsFor(context.settings), context.randomSeed)
+    , m_random(context.randomSeed)
 {
     m_backends.setConnectionQuery([this](const endpoint &address) {
         return m_context.serverClient.hasIdle(address);
