--- a/fleet/testing/dated_snapshot_test.cpp
+++ b/fleet/testing/dated_snapshot_test.cpp
@@ -178,6 +178,7 @@
         store_revision revision = 1;
         const auto listing = [&] {
             std::vector<store_key_value> items;
+            items.reserve(store.size());
             for (const auto &[key, item] : store) {
                 items.push_back(item);
             }
