Limits of servers are decoded and logged, with what is sent to them by kind

A response says nothing, no limit, a limit, or something malformed; each statement is dated by the request's sending and the response's arrival, so that responses on different connections may overtake each other.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -14,6 +14,8 @@
 
 constexpr duration idleRefreshInterval = std::chrono::seconds(5); // Of the registrations of servers, on a node without requests.
 
+constexpr duration limitReportInterval = std::chrono::seconds(1); // Between log lines on each server with a limit.
+
 backend_table_options optionsFor(const edge_settings &settings)
 {
     backend_table_options options;
@@ -135,6 +137,76 @@
     }
 }
 
+fleet_cache::sent_request fleet_cache::recordSend(std::string server, std::int64_t startedAt, send_kind kind)
+{
+    if (m_limits.find(server, startedAt)) {
+        m_limitedTraffic.recordSend(server, kind);
+        m_context.metrics
+            .counter("reedtrail_limited_sends_total", "Requests sent to servers that have named a limit", "kind=\"" + std::string(sendKindName(kind)) + "\"")
+            .add();
+    }
+    return { std::move(server), startedAt, m_context.loop.now(), kind };
+}
+
+void fleet_cache::recordLimit(const sent_request &request, const limit_statement &statement, bool isWhole)
+{
+    const std::string source(sendKindName(request.kind));
+    if (statement.what == limit_statement::kind::Malformed) {
+        if (m_limits.recordMalformed(request.server)) {
+            logLine(log_level::Warning, "server-limit-unreadable", { { "server", request.server }, { "value", statement.text }, { "source", source } });
+        }
+        return;
+    }
+    if (statement.what == limit_statement::kind::Nothing || (statement.what == limit_statement::kind::Unlimited && !isWhole)) {
+        return;
+    }
+    const dated_limit dated{ statement.rate, request.sentAt, m_context.loop.now() };
+    const server_limits::outcome outcome = m_limits.record(request.server, request.startedAt, dated);
+    if (outcome != server_limits::outcome::Unchanged) {
+        logLine(log_level::Info,
+                "server-limit",
+                { { "server", request.server },
+                  { "change",
+                    outcome == server_limits::outcome::Named         ? "named"
+                        : outcome == server_limits::outcome::Changed ? "changed"
+                                                                     : "lifted" },
+                  { "rate", std::to_string(statement.rate) },
+                  { "source", source } });
+        scheduleLimitReport();
+    }
+}
+
+void fleet_cache::scheduleLimitReport()
+{
+    if (!std::exchange(m_isLimitReportScheduled, true)) {
+        m_context.loop.after(limitReportInterval, [this] {
+            m_isLimitReportScheduled = false;
+            reportLimits();
+        });
+    }
+}
+
+/** Logs what this node sent to each server with a limit since the last report. */
+void fleet_cache::reportLimits()
+{
+    m_limits.retainIf([this](const std::string &server) {
+        return m_directory.find(server) != nullptr;
+    });
+    for (const auto &[server, counts] : m_limitedTraffic.take()) {
+        const server_entry *entry = m_directory.find(server);
+        const std::optional<dated_limit> limit = entry == nullptr ? std::nullopt : m_limits.find(server, entry->startedAt);
+        logLine(log_level::Info,
+                "limited-server",
+                { { "server", server },
+                  { "rate", limit ? std::to_string(limit->rate) : "-" },
+                  { "sent", describeSends(counts) },
+                  { "denied", std::to_string(counts.denied) } });
+    }
+    if (!m_limits.isEmpty()) {
+        scheduleLimitReport();
+    }
+}
+
 nlohmann::json fleet_cache::dump() const
 {
     nlohmann::json servers = nlohmann::json::array();
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -8,9 +8,11 @@
 #include "edge/edge_context.h"
 #include "edge/peer_snapshot_source.h"
 #include "edge/snapshot_server.h"
+#include "fleet/limited_traffic.h"
 #include "fleet/outage_tracker.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
+#include "fleet/server_limits.h"
 #include "kernel/service.h"
 #include "routing/backend_table.h"
 
@@ -47,6 +49,21 @@
      * @param source kind of the response that said so, for the log
      */
     void recordLeaving(const std::string &server, std::string_view source);
+    /** A request that this node sent to a server. */
+    struct sent_request
+    {
+        std::string server;
+        std::int64_t startedAt = 0; ///< Start time of the server's instance, as server_entry::startedAt.
+        time_point sentAt;
+        send_kind kind = send_kind::Request;
+    };
+    /** Records that a request is sent now. */
+    sent_request recordSend(std::string server, std::int64_t startedAt, send_kind kind);
+    /**
+     * Records what the response to a request says of its server's limit.
+     * @param isWhole whether the response is certainly that server's own to this request, so that a limit that it leaves out is lifted
+     */
+    void recordLimit(const sent_request &request, const limit_statement &statement, bool isWhole);
     const route_table &routes() const
     {
         return m_routes;
@@ -73,6 +90,8 @@
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
     void onServersChanged();
     void removeExpiredServers();
+    void scheduleLimitReport();
+    void reportLimits();
 
     edge_context &m_context;
     peer_snapshot_source &m_source;
@@ -82,6 +101,9 @@
     route_table m_routes;
     server_directory m_directory;
     backend_table m_backends;
+    server_limits m_limits;
+    limited_traffic m_limitedTraffic;
+    bool m_isLimitReportScheduled = false;
     outage_tracker m_outages;
     random_source m_random;
     bool m_hasBegun = false;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -237,6 +237,7 @@
         });
     };
     m_runs.push_back(newRun);
+    newRun->sent = m_fleet.recordSend(server.id, server.startedAt, newRun->isScore ? send_kind::Score : send_kind::Item);
     newRun->call = m_context.serverClient.start(server.address, std::move(request), options, std::move(handlers));
 }
 
@@ -249,6 +250,7 @@
         m_fleet.recordLeaving(current.server, current.isScore ? "score" : "item");
     }
     const std::string &expected = current.isScore ? m_progress.item(current.item).score->id : m_progress.item(current.item).id;
+    m_fleet.recordLimit(current.sent, platform::decodeLimit(head), current.answer.isFromServer(expected));
     if (!current.answer.isNotStarted && current.answer.requestId != expected) {
         current.isInvalidResponse = true;
     }
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -61,6 +61,7 @@
         std::size_t item = 0; ///< Index of the item in the job.
         std::uint64_t number = 0;
         std::string server; ///< Id of the server.
+        fleet_cache::sent_request sent;
         std::shared_ptr<http_call> call;
         event_stream_reader events;
         platform::server_answer answer;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -128,6 +128,7 @@
         });
     };
     m_fleet.backends().onRequestStarted(server.id);
+    m_sent = m_fleet.recordSend(server.id, server.startedAt, number == 1 ? send_kind::Request : send_kind::Retry);
     m_attempt = m_context.serverClient.start(server.address, std::move(request), options, std::move(handlers));
 }
 
@@ -161,6 +162,7 @@
     if (m_serverAnswer.isLeaving) {
         m_fleet.recordLeaving(m_server.id, "request");
     }
+    m_fleet.recordLimit(m_sent, platform::decodeLimit(head), m_serverAnswer.isFromServer(m_call.id));
     if (m_serverAnswer.serverLoad) {
         m_fleet.backends().onLoad(m_context.loop.now(), m_server.id, m_serverAnswer.serverLoad->running, m_serverAnswer.serverLoad->waiting);
     }
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -60,6 +60,7 @@
     int m_possibleRuns = 0; ///< Attempts that a server ran or may have run.
     int m_notRunAttempts = 0; ///< Attempts that certainly did not run: refused, or never sent.
     backend_choice m_server;
+    fleet_cache::sent_request m_sent;
     time_point m_attemptStartedAt;
     std::shared_ptr<http_call> m_attempt;
     std::uint64_t m_attemptNumber = 0;
--- a/edge/weight_load_service.cpp
+++ b/edge/weight_load_service.cpp
@@ -255,10 +255,11 @@
     http_call_options options;
     options.connectTimeout = serverCallTimeout;
     options.deadline = serverCallTimeout;
+    const fleet_cache::sent_request sent = m_fleet.recordSend(intent.server, instanceOf(intent.server), send_kind::Report);
     m_context.serverClient.call(
-        intent.address, platform::reportRequest(intent.server), options, [this, intent](const http_call_end &end, const http_response &response) {
+        intent.address, platform::reportRequest(intent.server), options, [this, intent, sent](const http_call_end &end, const http_response &response) {
             const time_point now = m_context.loop.now();
-            recordLeaving(intent, response, "report");
+            recordServerState(sent, end, response);
             const std::optional<engine_report> report =
                 end.error == error_kind::None && response.status == 200 ? platform::decodeReport(response.body) : std::nullopt;
             if (!report) {
@@ -276,11 +277,23 @@
         });
 }
 
-void weight_load_service::recordLeaving(const server_poll &intent, const http_response &response, std::string_view source)
+/** Returns the start time of the registered instance of a server; 0 if it is not registered. */
+std::int64_t weight_load_service::instanceOf(std::string_view server) const
 {
+    const server_entry *entry = m_fleet.directory().find(server);
+    return entry == nullptr ? 0 : entry->startedAt;
+}
+
+/** Records what a response says of its server beside the answer itself. */
+void weight_load_service::recordServerState(const fleet_cache::sent_request &sent, const http_call_end &end, const http_response &response)
+{
+    if (!end.hasHead) {
+        return;
+    }
     if (platform::isServerLeaving(response)) {
-        m_fleet.recordLeaving(intent.server, source);
+        m_fleet.recordLeaving(sent.server, sendKindName(sent.kind));
     }
+    m_fleet.recordLimit(sent, platform::decodeLimit(response), false);
 }
 
 void weight_load_service::sendLoadOrder(const server_poll &intent, load_order loadOrder)
@@ -297,10 +310,11 @@
     options.deadline = serverCallTimeout;
     m_context.metrics.counter("reedtrail_load_orders_total", "Orders to load weights").add();
     ++m_ordersInFlight;
+    const fleet_cache::sent_request sent = m_fleet.recordSend(intent.server, instanceOf(intent.server), send_kind::Order);
     m_context.serverClient.call(
-        intent.address, platform::orderRequest(loadOrder), options, [this, intent, loadOrder](const http_call_end &end, const http_response &response) {
+        intent.address, platform::orderRequest(loadOrder), options, [this, intent, loadOrder, sent](const http_call_end &end, const http_response &response) {
             --m_ordersInFlight;
-            recordLeaving(intent, response, "order");
+            recordServerState(sent, end, response);
             const order_answer answer = end.error == error_kind::None ? platform::decodeOrderAnswer(response.status) : order_answer::Unknown;
             logLine(log_level::Info,
                     "load-order",
--- a/edge/weight_load_service.h
+++ b/edge/weight_load_service.h
@@ -53,7 +53,8 @@
     void startDueLoads();
     void scheduleNextPass();
     void requestReport(const server_poll &intent);
-    void recordLeaving(const server_poll &intent, const http_response &response, std::string_view source);
+    std::int64_t instanceOf(std::string_view server) const;
+    void recordServerState(const fleet_cache::sent_request &sent, const http_call_end &end, const http_response &response);
     void sendLoadOrder(const server_poll &intent, load_order loadOrder);
 
     edge_context &m_context;
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -52,7 +52,7 @@
         }
         const double time = expectedTime(now, id, server, criteria, typical) * m_random.uniform(1, 1 + m_options.tieBreakJitter);
         if (!best || time < bestTime) {
-            best = backend_choice{ id, server.address };
+            best = backend_choice{ id, server.address, server.startedAt };
             bestTime = time;
         }
     }
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -70,6 +70,7 @@
 {
     std::string id;
     endpoint address;
+    std::int64_t startedAt = 0; ///< Identifies the instance, as server_entry::startedAt.
 };
 
 /** State of all registered backend servers, as this node sees them. */
