Nodes keep together to the limit that a server in need names

Cause: the limit was read by nobody, and nothing counted what all nodes send to one server together. Change: all sends to a server with a limit (requests, retries, items, score calls) ask for a place first, reports and orders are charged. One node in the server's zone, found by rendezvous hashing without a vote, schedules the places (generic cell rate algorithm): in the order of asking, half of them at least for urgent requests while there are any. A second keeper hands out a quarter unless the first is certainly gone. What finds no place in time goes to another server, or is refused at once with a time to return that is spread by the rate of the places. Ruled out: shares per node (a few requests a second over hundreds of nodes leave none to each), counts passed around (bytes and lag), a duty in the store (calls).

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -1,6 +1,7 @@
 #include "edge/fleet_cache.h"
 
 #include "kernel/log.h"
+#include "net/http_status.h"
 #include "platform/fleet_wire.h"
 
 namespace reedtrail {
@@ -14,6 +15,7 @@
 
 constexpr duration idleRefreshInterval = std::chrono::seconds(5); // Of the registrations of servers, on a node without requests.
 
+constexpr duration minLimitPause = std::chrono::milliseconds(10); // Before a server at its limit is asked for a place again.
 constexpr duration limitReportInterval = std::chrono::seconds(1); // Between log lines on each server with a limit.
 
 backend_table_options optionsFor(const edge_settings &settings)
@@ -25,16 +27,20 @@
 
 } // namespace
 
-fleet_cache::fleet_cache(edge_context &context, peer_snapshot_source &source, snapshot_server &snapshots)
+fleet_cache::fleet_cache(edge_context &context, peer_snapshot_source &source, snapshot_server &snapshots, limit_peer_client &limitPeers)
     : m_context(context)
     , m_source(source)
     , m_snapshots(snapshots)
     , m_backends(optionsFor(context.settings), context.randomSeed)
+    , m_limitClient(std::make_shared<edge_limit_client>(limitPeers, context.loop, context.settings.node))
     , m_random(context.randomSeed)
 {
     m_backends.setConnectionQuery([this](const endpoint &address) {
         return m_context.serverClient.hasIdle(address);
     });
+    m_backends.setLimitQuery([this](std::string_view id, std::int64_t startedAt) {
+        return m_limitClient->limits().find(id, startedAt).has_value();
+    });
 }
 
 result<void> fleet_cache::start(kernel &)
@@ -137,9 +143,55 @@
     }
 }
 
+void fleet_cache::admit(const backend_choice &server, const limit_demand &demand, std::function<void(const limit_grant &)> onEnd)
+{
+    if (m_context.isDraining) {
+        m_limitClient->stopKeeping();
+    }
+    m_limitClient->admit({ server.id, server.startedAt, zoneOf(server.id) }, demand, [this, server, onEnd = std::move(onEnd)](limit_grant grant) {
+        grant.isGranted = grant.isGranted && m_directory.isUsable(server.id, server.startedAt);
+        if (!grant.isGranted) {
+            m_limitedTraffic.recordDenial(server.id);
+            m_context.metrics.counter("reedtrail_limit_denials_total", "Requests that a server's limit did not allow").add();
+            m_backends.onLimited(server.id, m_context.loop.now() + std::max(grant.wait, minLimitPause));
+        }
+        onEnd(grant);
+    });
+}
+
+void fleet_cache::chargeLimit(std::string_view server)
+{
+    if (const server_entry *entry = m_directory.find(server)) {
+        m_limitClient->charge({ entry->id, entry->startedAt, entry->zone });
+    }
+}
+
+void fleet_cache::serveLimitAsks(const std::shared_ptr<http_exchange> &exchange)
+{
+    if (m_context.isDraining) {
+        exchange->respond(textResponse(http_status::unavailable, ""));
+        return;
+    }
+    const std::optional<limit_asks> question = decodeLimitAsks(exchange->request());
+    if (!question) {
+        exchange->respond(textResponse(http_status::badRequest, "bad question\n"));
+        return;
+    }
+    exchange->respond(encodeLimitReplies(m_limitClient->serve(*question, [this](const std::string &server) {
+        return zoneOf(server);
+    })));
+}
+
+/** Returns the zone of a registered server; empty if it is not registered. */
+std::string fleet_cache::zoneOf(std::string_view server) const
+{
+    const server_entry *entry = m_directory.find(server);
+    return entry == nullptr ? "" : entry->zone;
+}
+
 fleet_cache::sent_request fleet_cache::recordSend(std::string server, std::int64_t startedAt, send_kind kind)
 {
-    if (m_limits.find(server, startedAt)) {
+    if (m_limitClient->limits().find(server, startedAt)) {
         m_limitedTraffic.recordSend(server, kind);
         m_context.metrics
             .counter("reedtrail_limited_sends_total", "Requests sent to servers that have named a limit", "kind=\"" + std::string(sendKindName(kind)) + "\"")
@@ -152,7 +204,7 @@
 {
     const std::string source(sendKindName(request.kind));
     if (statement.what == limit_statement::kind::Malformed) {
-        if (m_limits.recordMalformed(request.server)) {
+        if (m_limitClient->limits().recordMalformed(request.server)) {
             logLine(log_level::Warning, "server-limit-unreadable", { { "server", request.server }, { "value", statement.text }, { "source", source } });
         }
         return;
@@ -161,7 +213,7 @@
         return;
     }
     const dated_limit dated{ statement.rate, request.sentAt, m_context.loop.now() };
-    const server_limits::outcome outcome = m_limits.record(request.server, request.startedAt, dated);
+    const server_limits::outcome outcome = m_limitClient->limits().record(request.server, request.startedAt, dated);
     if (outcome != server_limits::outcome::Unchanged) {
         logLine(log_level::Info,
                 "server-limit",
@@ -189,12 +241,12 @@
 /** Logs what this node sent to each server with a limit since the last report. */
 void fleet_cache::reportLimits()
 {
-    m_limits.retainIf([this](const std::string &server) {
+    m_limitClient->limits().retainIf([this](const std::string &server) {
         return m_directory.find(server) != nullptr;
     });
     for (const auto &[server, counts] : m_limitedTraffic.take()) {
         const server_entry *entry = m_directory.find(server);
-        const std::optional<dated_limit> limit = entry == nullptr ? std::nullopt : m_limits.find(server, entry->startedAt);
+        const std::optional<dated_limit> limit = entry == nullptr ? std::nullopt : m_limitClient->limits().find(server, entry->startedAt);
         logLine(log_level::Info,
                 "limited-server",
                 { { "server", server },
@@ -202,7 +254,7 @@
                   { "sent", describeSends(counts) },
                   { "denied", std::to_string(counts.denied) } });
     }
-    if (!m_limits.isEmpty()) {
+    if (!m_limitClient->limits().isEmpty()) {
         scheduleLimitReport();
     }
 }
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "edge/edge_context.h"
+#include "edge/limit_peer_client.h"
 #include "edge/peer_snapshot_source.h"
 #include "edge/snapshot_server.h"
 #include "fleet/limited_traffic.h"
@@ -26,8 +27,11 @@
 class fleet_cache : public service
 {
 public:
-    /** @param snapshots receives the mirrors of this cache, to answer peers from them */
-    fleet_cache(edge_context &context, peer_snapshot_source &source, snapshot_server &snapshots);
+    /**
+     * @param snapshots receives the mirrors of this cache, to answer peers from them
+     * @param limitPeers sends questions on limits of servers to peers
+     */
+    fleet_cache(edge_context &context, peer_snapshot_source &source, snapshot_server &snapshots, limit_peer_client &limitPeers);
 
     result<void> start(kernel &process) override;
     void stop() override;
@@ -57,6 +61,20 @@
         time_point sentAt;
         send_kind kind = send_kind::Request;
     };
+    /** Replaces the list of all nodes, by which the keepers of limits are chosen. @param wasRegistered whether this node was registered before its start */
+    void setNodes(const std::map<std::string, store_peer> &nodes, bool wasRegistered)
+    {
+        m_limitClient->setNodes(nodes, wasRegistered);
+    }
+    /**
+     * Admits a request to a chosen server, or turns it away if the server's limit allows none in time or the server may no longer be used.
+     * @param onEnd called once: from inside this call if the server has no limit, otherwise later, at the time of the granted place
+     */
+    void admit(const backend_choice &server, const limit_demand &demand, std::function<void(const limit_grant &)> onEnd);
+    /** Counts a request towards the limit of its server that is sent in any case. */
+    void chargeLimit(std::string_view server);
+    /** Answers a peer's questions on limits of servers. */
+    void serveLimitAsks(const std::shared_ptr<http_exchange> &exchange);
     /** Records that a request is sent now. */
     sent_request recordSend(std::string server, std::int64_t startedAt, send_kind kind);
     /**
@@ -90,6 +108,7 @@
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
     void onServersChanged();
     void removeExpiredServers();
+    std::string zoneOf(std::string_view server) const;
     void scheduleLimitReport();
     void reportLimits();
 
@@ -101,7 +120,7 @@
     route_table m_routes;
     server_directory m_directory;
     backend_table m_backends;
-    server_limits m_limits;
+    std::shared_ptr<edge_limit_client> m_limitClient;
     limited_traffic m_limitedTraffic;
     bool m_isLimitReportScheduled = false;
     outage_tracker m_outages;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -22,6 +22,8 @@
 constexpr duration maxScoreTimeout = std::chrono::milliseconds(3000); // Deadline sent with score calls: over five times the mean score time of any server type.
 constexpr duration minScoreTimeout = std::chrono::milliseconds(800);
 constexpr double scorePaceFactor = 8; // Multiple of the service's usual time after which a score is requested from another server.
+constexpr duration maxItemPlaceWait = std::chrono::milliseconds(1000); // For a place at a server with a limit; the next pass may know a better server.
+constexpr duration maxScorePlaceWait = std::chrono::milliseconds(500);
 constexpr duration refusalRetryDelay = std::chrono::milliseconds(30); // Another server is tried next; this limits the request rate when all servers refuse.
 constexpr duration brokenRunRetryDelay = std::chrono::milliseconds(10);
 constexpr duration failureRetryDelay = std::chrono::milliseconds(100);
@@ -98,7 +100,9 @@
     m_isStopped = true;
     for (const auto &current : std::exchange(m_runs, {})) {
         m_fleet.backends().onRequestEnded(current->server);
-        current->call->cancel();
+        if (current->call) {
+            current->call->cancel();
+        }
     }
 }
 
@@ -209,6 +213,41 @@
     newRun->startedAt = now;
     newRun->lastActivityAt = now;
     m_fleet.backends().onRequestStarted(server.id);
+    m_runs.push_back(newRun);
+    const auto pending = std::make_shared<http_request>(std::move(request));
+    m_fleet.admit(server,
+                  { false, newRun->isScore ? maxScorePlaceWait : maxItemPlaceWait },
+                  [weak = weak_from_this(), newRun, server, pending, limit](const limit_grant &grant) {
+                      const auto self = weak.lock();
+                      if (!self || self->m_isStopped) {
+                          return;
+                      }
+                      if (grant.isGranted) {
+                          self->send(newRun, server, std::move(*pending), limit);
+                      } else {
+                          self->handleLimit(newRun);
+                      }
+                  });
+}
+
+/** Puts a run off that found no place at a server with a limit. */
+void job_worker::handleLimit(const std::shared_ptr<run> &deniedRun)
+{
+    std::erase(m_runs, deniedRun);
+    m_fleet.backends().onRequestEnded(deniedRun->server);
+    const time_point now = m_context.loop.now();
+    if (deniedRun->isScore) {
+        m_progress.scoringFailed(now, deniedRun->item, run_failure::NotRun, refusalRetryDelay);
+    } else {
+        m_progress.runFailed(now, deniedRun->item, run_failure::NotRun, refusalRetryDelay);
+    }
+    advance();
+}
+
+void job_worker::send(const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit)
+{
+    newRun->startedAt = m_context.loop.now();
+    newRun->lastActivityAt = newRun->startedAt;
     http_call_options options;
     options.connectTimeout = std::min(serverConnectTimeout, limit);
     options.silenceTimeout = limit;
@@ -236,7 +275,6 @@
             self.onRunEnded(current, end);
         });
     };
-    m_runs.push_back(newRun);
     newRun->sent = m_fleet.recordSend(server.id, server.startedAt, newRun->isScore ? send_kind::Score : send_kind::Item);
     newRun->call = m_context.serverClient.start(server.address, std::move(request), options, std::move(handlers));
 }
@@ -389,7 +427,7 @@
 {
     std::vector<std::shared_ptr<run>> silentRuns;
     for (const auto &current : m_runs) {
-        if (current->isScore) {
+        if (current->isScore || !current->call) {
             continue;
         }
         const duration latency = m_fleet.backends().latency(now, current->server);
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -62,7 +62,7 @@
         std::uint64_t number = 0;
         std::string server; ///< Id of the server.
         fleet_cache::sent_request sent;
-        std::shared_ptr<http_call> call;
+        std::shared_ptr<http_call> call; ///< Null while the run waits for a place at a server with a limit.
         event_stream_reader events;
         platform::server_answer answer;
         std::uint64_t version = 0; ///< Weight version that the server reported last; 0 if it reported none.
@@ -84,6 +84,8 @@
     void startItem(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server);
     void startScore(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server);
     void launch(time_point now, const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
+    void send(const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
+    void handleLimit(const std::shared_ptr<run> &deniedRun);
     void onResponseHead(run &current, const http_response &head);
     void onResponseBody(run &current, std::string_view part);
     void onRunEnded(const std::shared_ptr<run> &endedRun, const http_call_end &end);
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -40,6 +40,7 @@
                      m_serverClient,      std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics }
         , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient, m_context.settings, std::hash<std::string>()(m_context.incarnation))
         , m_snapshotServer(m_context)
+        , m_limitPeers(m_transport.path(), m_peerClient)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
@@ -55,7 +56,7 @@
                 .add();
             ++m_storeCalls[std::string(call.kind) + (call.subject.empty() ? "" : " ") + call.subject];
         });
-        auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshotSource, m_snapshotServer);
+        auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshotSource, m_snapshotServer, m_limitPeers);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
         auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet, m_snapshotSource, m_snapshotServer);
         auto callers = std::make_unique<caller_service>(m_context, *fleet, *jobs, m_forwarder);
@@ -77,10 +78,17 @@
         peers->onFirstPeers([fleet = fleet.get()] {
             fleet->beginReading();
         });
-        peers->onPeersChanged([this, weightLoads = weightLoads.get()](std::map<std::string, store_peer> nodes) {
+        peers->onLimitAsks([fleet = fleet.get()](const std::shared_ptr<http_exchange> &exchange) {
+            fleet->serveLimitAsks(exchange);
+        });
+        m_limitPeers.setNodeListAge([peers = peers.get()] {
+            return peers->nodeListAge();
+        });
+        peers->onPeersChanged([this, fleet = fleet.get(), peers = peers.get(), weightLoads = weightLoads.get()](std::map<std::string, store_peer> nodes) {
             const edge_settings &settings = m_context.settings;
             nodes[settings.node] = { settings.peers.value_or(endpoint{}), settings.zone, settings.processorShare };
             updateJobHosts(nodes);
+            fleet->setNodes(nodes, peers->wasRegistered());
             weightLoads->setNodes(nodes);
         });
         m_context.lease->setRenewalCondition([weightLoads = weightLoads.get(), jobs = jobs.get(), peers = peers.get()] {
@@ -228,6 +236,7 @@
     edge_context m_context;
     peer_snapshot_source m_snapshotSource;
     snapshot_server m_snapshotServer;
+    limit_peer_client m_limitPeers;
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
--- a/edge/peer_protocol.h
+++ b/edge/peer_protocol.h
@@ -24,6 +24,8 @@
 
 inline constexpr std::string_view snapshotPath = "/snapshot"; ///< Query for a snapshot of a store prefix; bodies are snapshot_query and snapshot_reply.
 
+inline constexpr std::string_view limitPath = "/limit"; ///< Questions on limits of backend servers; bodies are limit_asks and limit_replies.
+
 inline constexpr std::string_view followPath = "/follow"; ///< Watch request to the hub of the zone's reader.
 inline constexpr std::string_view prefixField = "Reedtrail-Prefix"; ///< Watched key prefix.
 inline constexpr std::string_view afterField = "Reedtrail-After"; ///< Revision after which changes are requested.
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -46,6 +46,11 @@
     return m_loop.now() - m_lastWatchRequestAt < watchingPeerMemory;
 }
 
+duration peer_service::nodeListAge() const
+{
+    return m_mirror ? m_mirror->age(m_loop.now()) : duration::zero();
+}
+
 result<void> peer_service::start(kernel &)
 {
     if (!m_settings.peers) {
@@ -204,6 +209,7 @@
     const std::string name = event.item.key.substr(nodesPrefix.size());
     if (name == m_settings.node) {
         m_registeredEntry = event.type == store_watch_event::kind::Put ? event.item.value : "";
+        m_wasRegistered = m_wasRegistered || (!m_isRegistering && !m_settings.isFirstStart && !m_registeredEntry.empty());
         return;
     }
     if (event.type == store_watch_event::kind::Delete) {
@@ -242,6 +248,10 @@
         m_snapshots.serve(exchange);
         return;
     }
+    if (request.path() == limitPath) {
+        m_onLimitAsks(std::move(exchange));
+        return;
+    }
     if (request.path() == followPath) {
         serveWatchRequest(std::move(exchange));
         return;
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -52,6 +52,12 @@
         m_onForwardedCall = std::move(action);
     }
 
+    /** Sets the handler of peers' questions on limits of backend servers. */
+    void onLimitAsks(std::function<void(std::shared_ptr<http_exchange>)> action)
+    {
+        m_onLimitAsks = std::move(action);
+    }
+
     /** Sets the action that runs once, when the peers have been read for the first time or the store has not answered for a while. */
     void onFirstPeers(std::function<void()> action)
     {
@@ -64,6 +70,13 @@
 
     /** Tells whether peers have sent watch requests to this node's hub recently. */
     bool servesWatchingPeers() const;
+    /** Returns the age of the list of nodes; zero if this process has no peers. */
+    duration nodeListAge() const;
+    /** Tells whether the store had a registration of this node before its process started. */
+    bool wasRegistered() const
+    {
+        return m_wasRegistered;
+    }
 
 private:
     std::string encodeOwnEntry() const;
@@ -88,6 +101,7 @@
     std::shared_ptr<edge_snapshot_mirror> m_mirror; ///< The registrations of all nodes.
     std::string m_registeredEntry; ///< This node's own registration in the store; empty if there is none.
     bool m_isRegistering = false;
+    bool m_wasRegistered = false;
     std::map<std::string, store_peer> m_peers;
     std::function<void()> m_maintainStoreContact;
     std::function<bool()> m_hasUrgentStoreWork = [] {
@@ -95,6 +109,7 @@
     };
     std::function<void(const std::map<std::string, store_peer> &)> m_onPeersChanged = [](const auto &) {};
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwardedCall = &job_forwarder::decline;
+    std::function<void(std::shared_ptr<http_exchange>)> m_onLimitAsks = &job_forwarder::decline;
     std::function<void()> m_onFirstPeers;
     time_point m_lastWatchRequestAt;
     bool m_isDraining = false;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -14,6 +14,7 @@
 constexpr double attemptPaceFactor = 6; // An idempotent attempt ends after this multiple of the typical service time; tail latencies reach 5 times it.
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
+constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
 } // namespace
@@ -82,11 +83,46 @@
         criteria.excluded = {};
         server = m_fleet.backends().choose(now, criteria);
     }
+    if (server) {
+        admitAttempt(*server, false);
+        return;
+    }
+    criteria.ignoresLimit = true;
+    server = m_fleet.backends().choose(now, criteria);
     if (!server) {
         refuse(http_status::unavailable, "no server of the service is registered", retryAfterWhenNoServer);
         return;
     }
-    sendAttempt(*server);
+    admitAttempt(*server, true);
+}
+
+/**
+ * Sends the request once its server's limit allows it, or tries another server if there is no place in time.
+ * @param isLastServer whether all other servers are at their limits
+ */
+void request_relay::admitAttempt(const backend_choice &server, bool isLastServer)
+{
+    m_fleet.admit(server, { true, maxPlaceWait() }, [self = shared_from_this(), server, isLastServer](const limit_grant &grant) {
+        if (self->m_isDone) {
+            return;
+        }
+        if (grant.isGranted) {
+            self->sendAttempt(server);
+        } else if (isLastServer) {
+            self->refuse(http_status::unavailable, "all servers are at their limits", std::max(grant.returnAfter, minRetryAfterAtLimit));
+        } else {
+            self->startNextAttempt();
+        }
+    });
+}
+
+/** Returns how long the request may wait for a place at a server with a limit and still be answered on time. */
+duration request_relay::maxPlaceWait() const
+{
+    const time_point now = m_context.loop.now();
+    const time_point target = m_route.latencyTarget > duration::zero() ? m_startedAt + m_route.latencyTarget : m_deadline;
+    const duration typical = m_fleet.backends().meanLatency(now, m_service);
+    return std::max(duration::zero(), std::min(target, m_deadline) - now - typical);
 }
 
 void request_relay::sendAttempt(const backend_choice &server)
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -31,6 +31,8 @@
 private:
     void startNextAttempt();
     void placeAttempt();
+    void admitAttempt(const backend_choice &server, bool isLastServer);
+    duration maxPlaceWait() const;
     void sendAttempt(const backend_choice &server);
     duration attemptTimeout() const;
     void onResponseHead(const http_response &head);
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -75,30 +75,7 @@
     node_fixture fixture;
     fixture.first.isStreaming = fixture.second.isStreaming = true;
     fixture.first.isLeaving = true;
-    job_spec spec;
-    for (int i = 0; i < 12; ++i) {
-        job_item item;
-        item.id = "item-" + std::to_string(i);
-        item.path = "/j/1";
-        item.expectedTokens = 10;
-        spec.items.push_back(item);
-    }
-    job_metadata metadata;
-    metadata.host = "h";
-    metadata.path = "/j/1";
-    metadata.submittedAtMs = unixMilliseconds();
-    const auto worker = std::make_shared<job_worker>(*fixture.context,
-                                                     *fixture.fleet,
-                                                     "job",
-                                                     metadata,
-                                                     spec,
-                                                     fixture.loop.now(),
-                                                     job_worker::recorder{ [](auto, auto) {},
-                                                                           [](auto) {},
-                                                                           [] {
-                                                                               return false;
-                                                                           } });
-    worker->advance();
+    const auto worker = fixture.startJob(12);
     const int atOnce = 4; // The places of a server.
     EXPECT_TRUE(fixture.runUntil([&] {
         return fixture.first.requests == atOnce && fixture.second.requests == atOnce;
--- a/edge/testing/limited_server_test.cpp
+++ b/edge/testing/limited_server_test.cpp
@@ -30,8 +30,14 @@
             if (!this->limit.empty()) {
                 response.fields.set("Server-Limit", this->limit);
             }
-            response.body = "ok";
-            exchange->respond(std::move(response));
+            if (exchange->request().path() == "/p/1") {
+                response.body = "ok";
+                exchange->respond(std::move(response));
+                return;
+            }
+            exchange->startStream(std::move(response));
+            exchange->write("id: 1\ndata: a\n\n");
+            exchange->finishStream();
         };
     }
     /** Returns the most requests that arrived within a window, the first one of the test left out: it told the node the limit. */
@@ -71,5 +77,107 @@
     EXPECT_GE(refused, 40 - toleratedRequests - 2 * tolerance * 4);
 }
 
+TEST(limited_server_test, requestIsRefusedAtOnceWithTimeToReturn)
+{
+    node_fixture fixture;
+    fixture.removeServer("i-2");
+    fixture.run(1300ms);
+    limited_server limited(fixture, fixture.first, "1");
+    fixture.requestMany(1);
+    int refused = 0;
+    for (int i = 0; i < 6; ++i) {
+        const time_point askedAt = fixture.loop.now();
+        const http_response response = fixture.responseTo();
+        if (response.status == http_status::unavailable) {
+            ++refused;
+            EXPECT_LT(fixture.loop.now() - askedAt, 500ms) << "half of the least time of a request, for slow machines";
+            EXPECT_GT(std::strtod(std::string(response.fields.get("Retry-After")).c_str(), nullptr), 0);
+        }
+    }
+    EXPECT_GE(refused, 3);
+}
+
+TEST(limited_server_test, noCallerIsRefusedWhileAnotherServerHasRoom)
+{
+    node_fixture fixture;
+    limited_server first(fixture, fixture.first, "1");
+    limited_server second(fixture, fixture.second, "");
+    for (int i = 0; i < 60; ++i) {
+        EXPECT_EQ(fixture.request(), http_status::ok);
+    }
+    EXPECT_LE(first.mostInWindow(), toleratedRequests + tolerance * 4);
+    EXPECT_GT(second.arrivals.size(), 40U);
+}
+
+TEST(limited_server_test, itemsOfJobExceedNamedLimit)
+{
+    node_fixture fixture;
+    fixture.removeServer("i-2");
+    fixture.run(1300ms);
+    limited_server limited(fixture, fixture.first, "2");
+    fixture.requestMany(1);
+    const auto worker = fixture.startJob(30);
+    const time_point end = fixture.loop.now() + 4500ms;
+    while (fixture.loop.now() < end) {
+        fixture.run(100ms);
+        worker->advance();
+    }
+    EXPECT_LE(limited.mostInWindow(), toleratedRequests + 2 * tolerance * 4);
+    EXPECT_GE(limited.arrivals.size(), 5U) << "items go on at the pace that the server allows";
+    worker->stop();
+}
+
+TEST(limited_server_test, limitThatIsNoLongerNamedEnds)
+{
+    node_fixture fixture;
+    fixture.removeServer("i-2");
+    fixture.run(1300ms);
+    limited_server limited(fixture, fixture.first, "4");
+    fixture.requestMany(1);
+    limited.limit.clear();
+    fixture.run(300ms); // A place is free by now; its answer names no limit.
+    fixture.requestMany(40);
+}
+
+TEST(limited_server_test, laterInstanceUnderSameIdIsNotLimited)
+{
+    node_fixture fixture;
+    fixture.removeServer("i-2");
+    fixture.run(1300ms);
+    limited_server limited(fixture, fixture.first, "1");
+    fixture.requestMany(1);
+    limited.limit.clear();
+    fixture.enter("i-1", fixture.first.address, "ready", 900);
+    fixture.run(1300ms);
+    fixture.requestMany(20);
+}
+
+TEST(limited_server_test, malformedLimitLosesNoAnswer)
+{
+    for (const char *value : { "0", "-3", "nan", "inf", "fast", "1,5" }) {
+        node_fixture fixture;
+        limited_server first(fixture, fixture.first, value);
+        limited_server second(fixture, fixture.second, value);
+        fixture.requestMany(12);
+    }
+}
+
+/** The keeper of the limit is another node, which does not answer. */
+TEST(limited_server_test, nodeThatReachesNoKeeperSendsNothing)
+{
+    node_fixture fixture;
+    fixture.removeServer("i-2");
+    fixture.run(1300ms);
+    limited_server limited(fixture, fixture.first, "5");
+    fixture.requestMany(1);
+    std::map<std::string, store_peer> others;
+    others["other-1"].zone = others["other-2"].zone = "zone-1";
+    fixture.fleet->setNodes(others, false);
+    const std::size_t before = limited.arrivals.size();
+    EXPECT_EQ(fixture.request(), http_status::unavailable);
+    EXPECT_EQ(fixture.request(), http_status::unavailable);
+    EXPECT_EQ(limited.arrivals.size(), before);
+}
+
 } // namespace
 } // namespace reedtrail
--- a/edge/weight_load_service.cpp
+++ b/edge/weight_load_service.cpp
@@ -255,6 +255,7 @@
     http_call_options options;
     options.connectTimeout = serverCallTimeout;
     options.deadline = serverCallTimeout;
+    m_fleet.chargeLimit(intent.server);
     const fleet_cache::sent_request sent = m_fleet.recordSend(intent.server, instanceOf(intent.server), send_kind::Report);
     m_context.serverClient.call(
         intent.address, platform::reportRequest(intent.server), options, [this, intent, sent](const http_call_end &end, const http_response &response) {
@@ -310,6 +311,7 @@
     options.deadline = serverCallTimeout;
     m_context.metrics.counter("reedtrail_load_orders_total", "Orders to load weights").add();
     ++m_ordersInFlight;
+    m_fleet.chargeLimit(intent.server);
     const fleet_cache::sent_request sent = m_fleet.recordSend(intent.server, instanceOf(intent.server), send_kind::Order);
     m_context.serverClient.call(
         intent.address, platform::orderRequest(loadOrder), options, [this, intent, loadOrder, sent](const http_call_end &end, const http_response &response) {
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -107,6 +107,12 @@
     return found;
 }
 
+bool server_directory::isUsable(std::string_view id, std::int64_t startedAt) const
+{
+    const server_entry *entry = find(id);
+    return entry != nullptr && entry->startedAt == startedAt && isUsable(*entry);
+}
+
 const server_entry *server_directory::find(std::string_view id) const
 {
     const auto found = m_rows.find(id);
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -158,6 +158,7 @@
         }
         m_socket->async_connect(address, [self = shared_from_this()](const beast::error_code &error) {
             if (error) {
+                self->m_isConnectionRefused = error == asio::error::connection_refused;
                 self->end(error_kind::NoServer, "connection refused: " + error.message());
                 return;
             }
@@ -362,7 +363,7 @@
         }
         const http_call_handlers handlers = std::exchange(m_handlers, {});
         if (handlers.onEnd) {
-            handlers.onEnd({ kind, m_isHandedOver, m_hasHead, std::move(detail) });
+            handlers.onEnd({ kind, m_isHandedOver, m_isConnectionRefused, m_hasHead, std::move(detail) });
         }
     }
 
@@ -383,6 +384,7 @@
     std::array<char, readBufferBytes> m_readBuffer{};
     bool m_isHeadRequest = false;
     bool m_isHandedOver = false;
+    bool m_isConnectionRefused = false;
     bool m_hasHead = false;
     bool m_hasEnded = false;
 };
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -99,6 +99,9 @@
     if (!isEligible(server, criteria) || isBackingOff || std::ranges::find(criteria.excluded, id) != criteria.excluded.end()) {
         return false;
     }
+    if (server.limitedUntil > now && !criteria.ignoresLimit) {
+        return false;
+    }
     if (!criteria.model.empty()) {
         const auto probe = server.modelProbeTimes.find(criteria.model);
         if (probe != server.modelProbeTimes.end() && probe->second > now) {
@@ -127,7 +130,8 @@
     time *= id == criteria.preferred ? 1 - m_options.preferredDiscount : 1;
     time *= server.zone == m_options.ownZone ? 1 : 1 + m_options.otherZonePenalty;
     time *= !m_hasConnection || m_hasConnection(server.address) ? 1 : 1 + m_options.newConnectionPenalty;
-    return time;
+    time *= m_hasLimit && m_hasLimit(id, server.startedAt) ? 1 + m_options.limitPenalty : 1;
+    return time + toSeconds(std::max(duration::zero(), server.limitedUntil - now));
 }
 
 double backend_table::knownLatency(time_point now, const server_state &server) const
@@ -220,6 +224,13 @@
     }
 }
 
+void backend_table::onLimited(std::string_view id, time_point until)
+{
+    if (server_state *server = find(id)) {
+        server->limitedUntil = until;
+    }
+}
+
 void backend_table::onAccepted(std::string_view id, std::string_view model)
 {
     if (server_state *server = find(id)) {
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -35,6 +35,7 @@
     double queueWeight = 1.0; ///< Service times added to the expected time for each queue of one request per slot.
     double preferredDiscount = 0.03; ///< Share of the expected time that a cached prompt saves: 255 prompt tokens against a text of 1,200 tokens.
     double otherZonePenalty = 0.08; ///< A round trip between zones takes 2.8 ms, the median request 25 ms; rounded down because requests also queue.
+    double limitPenalty = 0.5; ///< A server in need is chosen once the others have a queue of half a request per slot.
     double newConnectionPenalty = 0.1; ///< Opening a connection costs a round trip and a millisecond of the server, 4 ms or more of a median request of 25 ms.
                                        ///< The penalty is below that, because a server that is one third fuller is as bad.
     double tieBreakJitter = 0.02; ///< Relative width of the random factor on the expected time; smaller differences are decided at random.
@@ -63,6 +64,7 @@
     std::span<const std::string> excluded; ///< Ids of servers that have already been tried.
     bool mayQueue = false; ///< Whether a server without a free slot is acceptable.
     bool ignoresBackoff = false; ///< Whether a server in backoff after a failure or a refusal is acceptable.
+    bool ignoresLimit = false; ///< Whether a server is acceptable of which the last request was turned away at its limit.
 };
 
 /** The selected server. */
@@ -89,6 +91,11 @@
     {
         m_hasConnection = std::move(hasConnection);
     }
+    /** Sets the predicate that tells whether an instance of a server has named a limit. Without it, no server has one. */
+    void setLimitQuery(std::function<bool(std::string_view id, std::int64_t startedAt)> hasLimit)
+    {
+        m_hasLimit = std::move(hasLimit);
+    }
     /** Replaces the set of servers. @param servers all registered servers that are not draining */
     void refresh(std::span<const server_entry *const> servers);
     /** Selects a server for a request. @return nothing if no server may take the request now */
@@ -110,6 +117,8 @@
     void onLatency(time_point now, std::string_view id, duration time);
     /** Records that the server refused a request without starting it. @param model model that the server is loading; empty if it is out of capacity */
     void onRefused(time_point now, std::string_view id, std::string_view model);
+    /** Records that a request was turned away at the server's limit, which has no place before @p until. */
+    void onLimited(std::string_view id, time_point until);
     /** Records that the server started a request for @p model and therefore is not loading it. */
     void onAccepted(std::string_view id, std::string_view model);
     /** Records that a request failed at the server. */
@@ -150,6 +159,7 @@
         time_point latencyUpdatedAt;
         int consecutiveFailures = 0;
         time_point backoffUntil;
+        time_point limitedUntil; ///< The server's limit has no place before this.
     };
     /** Suspicion state of one zone. */
     struct zone_state
@@ -178,6 +188,7 @@
     backend_table_options m_options;
     random_source m_random;
     std::function<bool(const endpoint &)> m_hasConnection;
+    std::function<bool(std::string_view, std::int64_t)> m_hasLimit;
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, zone_state, std::less<>> m_zones;
 };
