Answers of servers without end are given up by their number of bytes

What was seen: three of them were read until the deadline of the call (chunk extension: 7.3 GB in 25 s, kept in one buffer), interim responses counted as the answer, and forty endless bodies at once were kept in full up to 64 MB each on machines that have 88 MB. Cause: limits stood on the head and on one body, none on what frames a chunked body, none on the sum, none on the text of an item that goes on in run after run.

--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -125,6 +125,10 @@
     if (event != state.lastEvent + 1 || version < m_spec.minVersion || (isNewVersion && m_options.isSingleVersion && !state.versions.empty())) {
         return false;
     }
+    if (state.text.size() + data.size() > m_options.maxTextBytes) {
+        restartText(state);
+        return false;
+    }
     if (state.lastEvent > 0) {
         state.text += '\n';
     }
@@ -162,12 +166,17 @@
     moveTo(now, index, item_stage::Waiting);
     // Such a text must come from one weight version, but the version that generated its first part is being replaced, so it restarts.
     if (m_options.isSingleVersion) {
-        state.text.clear();
-        state.lastEvent = 0;
-        state.versions.clear();
+        restartText(state);
     }
 }
 
+void job_progress::restartText(item_state &state)
+{
+    state.text.clear();
+    state.lastEvent = 0;
+    state.versions.clear();
+}
+
 void job_progress::scoringStarted(time_point now, std::size_t index)
 {
     moveTo(now, index, item_stage::Scoring);
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -36,6 +36,7 @@
     int maxFailures = 3; ///< An item is given up after this many runs that the server reported as failed.
     int maxScoreFailures = 3; ///< An item is given up after this many failed attempts to score it.
     bool isSingleVersion = false; ///< All events of a text must come from one weight version.
+    std::size_t maxTextBytes = 700U << 10U; ///< A longer text is no item's output: it would not fit into a value of the store once it is encoded.
 };
 
 /** Stages of an item, in order. A failed run or score returns the item to the stage before. */
@@ -132,6 +133,7 @@
     std::size_t completeGroups() const;
 
 private:
+    static void restartText(item_state &state);
     void orderItems();
     void moveTo(time_point now, std::size_t index, item_stage stage);
     void giveUp(time_point now, std::size_t index);
--- a/batch/testing/job_progress_test.cpp
+++ b/batch/testing/job_progress_test.cpp
@@ -40,6 +40,22 @@
     progress.scored(now, index, "signature");
 }
 
+TEST(job_progress_test, textWithoutEndStartsAnew)
+{
+    job_progress_options options;
+    options.maxTextBytes = 10;
+    job_progress progress(makeJob(1, 1, 1), options, start);
+    progress.started(start, 0, "s");
+    EXPECT_TRUE(progress.addEvent(0, 1, "123456", 3));
+    EXPECT_FALSE(progress.addEvent(0, 2, "123456", 3));
+    progress.runFailed(start, 0, run_failure::Broken, 10ms);
+    EXPECT_EQ(progress.state(0).lastEvent, 0U);
+    progress.started(start + 1s, 0, "t");
+    EXPECT_TRUE(progress.addEvent(0, 1, "1234", 4));
+    progress.textEnded(start + 1s, 0);
+    EXPECT_EQ(progress.state(0).text, "1234");
+}
+
 TEST(job_progress_test, textConsistsOfAllEventsInOrder)
 {
     job_progress progress(makeJob(1, 1, 1), {}, start);
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -316,7 +316,7 @@
         const std::optional<std::uint64_t> number = eventNumber(event.id);
         if (!number || !m_progress.addEvent(current.item, *number, event.data, current.version)) {
             current.isInvalidResponse = true;
-            abortRun(current, "an event does not follow the text so far");
+            abortRun(current, "an event does not continue the text");
             return;
         }
         if (current.eventCount > 0) {
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -23,6 +23,8 @@
 constexpr duration logFlushInterval = std::chrono::milliseconds(250); // Longest delay of a log line; one write per line would cost more than the line itself.
 constexpr duration callReportInterval = std::chrono::seconds(10); // Between log lines that sum up the calls to the store.
 constexpr duration serverIdleTimeout = std::chrono::seconds(30); // For idle connections to servers that announce no keep-alive time.
+constexpr std::size_t maxServerBodyBytes = 8U << 20U; // Twice what callers may send; a server in trouble may send bytes without end.
+constexpr std::size_t maxServerBytesInFlight = 16U << 20U; // Of all responses under way; the smallest machines have 88 MB.
 constexpr std::size_t maxIdleServerConnections = 24; // Per server: twice the slots of the largest server, so that a burst reuses existing connections.
 
 /** Owns the event loop, the clients and the services of the process, and handles its signals. */
@@ -125,6 +127,8 @@
         http_client_options options;
         options.idleTimeout = serverIdleTimeout;
         options.maximumIdlePerEndpoint = maxIdleServerConnections;
+        options.maximumBodyBytes = maxServerBodyBytes;
+        options.maximumBytesInFlight = maxServerBytesInFlight;
         return options;
     }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -5,6 +5,8 @@
 
 #include "net/http_client.h"
 
+#include "net/http_status.h"
+
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/beast.hpp>
@@ -71,6 +73,7 @@
     std::optional<tls_context_source> tlsContexts;
     std::map<endpoint, std::deque<idle_connection>> idle;
     std::uint64_t opened = 0; ///< Connections that calls have begun to open.
+    std::size_t bytesInFlight = 0; ///< Bytes of bodies that calls have received which have not ended.
 };
 
 /** Returns true if a peek at an idle connection finds neither end of stream nor unexpected bytes. */
@@ -267,9 +270,18 @@
             end(error_kind::ServerFailed, "no response: " + error.message());
             return;
         }
+        const auto status = static_cast<std::uint16_t>(m_parser->get().result_int());
+        if (status < http_status::ok && status != http_status::switchingProtocols) {
+            if (++m_interimResponses > maxInterimResponses) {
+                end(error_kind::ServerFailed, "too many interim responses");
+            } else {
+                readHead();
+            }
+            return;
+        }
         m_hasHead = true;
         http_response head;
-        head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
+        head.status = status;
         for (const auto &field : m_parser->get()) {
             head.fields.add(std::string_view(field.name_string().data(), field.name_string().size()), std::string(field.value()));
         }
@@ -308,6 +320,15 @@
             error = {};
         }
         const std::size_t count = m_readBuffer.size() - m_parser->get().body().size;
+        const auto pool = m_pool.lock();
+        if (pool && pool->bytesInFlight + count > pool->options.maximumBytesInFlight) {
+            end(error_kind::ServerFailed, "response too long while others are under way");
+            return;
+        }
+        m_bodyBytes += count;
+        if (pool) {
+            pool->bytesInFlight += count;
+        }
         if (count > 0 && m_handlers.onBody) {
             m_handlers.onBody(std::string_view(m_readBuffer.data(), count));
         }
@@ -352,6 +373,9 @@
         m_hasEnded = true;
         m_silenceTimer.cancel();
         m_deadlineTimer.cancel();
+        if (const auto pool = m_pool.lock()) {
+            pool->bytesInFlight -= m_bodyBytes;
+        }
         if (m_socket) {
             beast::error_code ignored;
             if (kind != error_kind::None) {
@@ -368,6 +392,8 @@
     }
 
     static constexpr std::size_t readBufferBytes = 16U << 10U;
+    static constexpr std::size_t parseBufferBytes = 64U << 10U; ///< Bounds what has no limit of its own: sizes, extensions and trailers of chunks.
+    static constexpr int maxInterimResponses = 8;
 
     std::weak_ptr<connection_pool> m_pool;
     endpoint m_where;
@@ -379,9 +405,11 @@
     std::shared_ptr<asio::ssl::context> m_context;
     std::optional<asio::ssl::stream<tcp::socket &>> m_tls;
     http::request<http::string_body> m_message;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{ parseBufferBytes };
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, readBufferBytes> m_readBuffer{};
+    std::size_t m_bodyBytes = 0; ///< Received so far.
+    int m_interimResponses = 0;
     bool m_isHeadRequest = false;
     bool m_isHandedOver = false;
     bool m_isConnectionRefused = false;
--- a/net/http_status.h
+++ b/net/http_status.h
@@ -8,6 +8,7 @@
 
 namespace reedtrail::http_status {
 
+inline constexpr std::uint16_t switchingProtocols = 101;
 inline constexpr std::uint16_t ok = 200;
 inline constexpr std::uint16_t accepted = 202;
 inline constexpr std::uint16_t noContent = 204;
