--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -18,6 +18,8 @@
 namespace reedtrail {
 namespace {
 
+constexpr std::size_t parseBufferBytes = 64U << 10U; // For what is parsed at once beside the head.
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -95,6 +97,7 @@
         : m_context(std::move(context))
         , m_stream(std::forward<StreamArguments>(streamArguments)...)
         , m_server(std::move(server))
+        , m_buffer(m_server->options.maximumHeaderBytes + parseBufferBytes)
     {
     }
 
@@ -339,7 +342,7 @@
     std::shared_ptr<asio::ssl::context> m_context;
     Stream m_stream;
     std::shared_ptr<server_state> m_server;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer; ///< Bounded, because the framing of a chunked body has no limit of its own.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::deque<std::string> m_queue;
     std::size_t m_queuedBytes = 0;
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace reedtrail {
@@ -132,5 +133,41 @@
     EXPECT_EQ(statuses, (std::vector<int>{ 413, 400 }));
 }
 
+// Guards against a request whose framing never ends, which would fill the memory of the server.
+TEST(http, requestsWithEndlessFramingAreTakenWithoutBound)
+{
+    constexpr std::size_t bound = 16U << 20U; // Buffers of both ends on loopback.
+    for (const char *begin : { "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+                               "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Fill: " }) {
+        http_fixture fixture;
+        http_server server(fixture.io, { .address = fixture.where, .maximumBodyBytes = 8 }, [](std::shared_ptr<http_exchange> exchange) {
+            exchange->respond(textResponse(200, ""));
+        });
+        ASSERT_TRUE(server.start());
+        boost::asio::ip::tcp::socket caller(fixture.io);
+        caller.connect({ boost::asio::ip::make_address(fixture.where.ip), fixture.where.port });
+        std::string out = begin;
+        std::size_t sent = 0;
+        bool isClosed = false;
+        std::function<void()> sendNext = [&] {
+            out += std::string(16U << 10U, 'x');
+            boost::asio::async_write(caller, boost::asio::buffer(out), [&](const boost::system::error_code &error, std::size_t count) {
+                sent += count;
+                out.clear();
+                isClosed = error.failed();
+                if (isClosed || sent > 2 * bound) {
+                    fixture.io.stop();
+                } else {
+                    sendNext();
+                }
+            });
+        };
+        sendNext();
+        fixture.io.run_for(20s);
+        EXPECT_TRUE(isClosed) << begin;
+        EXPECT_LE(sent, bound) << begin;
+    }
+}
+
 } // namespace
 } // namespace reedtrail
