A read that its peer does not answer goes to the store itself as well

What was seen: edge-zone-b-1, whose cut from the store had healed at 19.0 s, went on by way of a peer that the store no longer served, and had its next state of the servers at 23.4 s. Cause: a call through a silent peer takes 1.8 s to fail, the next one goes through another such peer, and no other read begins meanwhile. Change: a read or renewal that a peer has not answered in 0.3 s is sent on the direct path too; if the store serves it, the node is back on that path. Writes are not repeated. readWaitsForSilentPeerWhileStoreIsBack failed before. Ruled out: giving up the peer after its first failure (a node that is really cut would lose 0.7 s for each failed peer).

--- a/edge/failover_store_transport.cpp
+++ b/edge/failover_store_transport.cpp
@@ -17,6 +17,7 @@
 constexpr duration directCallTimeout =
     std::chrono::milliseconds(700); // Twice the response time of the slowest store; with a longer timeout the lease would lapse.
 constexpr duration peerHopAllowance = std::chrono::milliseconds(300); // Extra time for the hop to the peer and back.
+constexpr duration peerPatience = std::chrono::milliseconds(300); // A peer that the store serves answers within this even while the store is slow.
 constexpr duration probeTimeout = std::chrono::milliseconds(450); // Shorter than the interval between two probes of the store.
 constexpr duration pingTimeout = std::chrono::milliseconds(300); // A hundred times the network latency between zones.
 constexpr duration peerLongPollTimeout = std::chrono::milliseconds(1000); // A long poll through a peer is then sent again on the path that is best by then, so
@@ -44,6 +45,7 @@
     reply_handler onReply;
     cancel_action cancel;
     bool isCancelled = false;
+    bool isAnswered = false; ///< onReply has been called with the reply of a peer.
     bool hasSwitchedPath = false; ///< Set when a failed call is sent again on the other path, so that it does not switch back.
 
     /** Tells whether the call may be sent again after an unknown outcome. That holds for reads and for lease renewals, which are idempotent. */
@@ -208,6 +210,13 @@
     options.connectTimeout = peerHopAllowance;
     options.deadline = call->isLongPoll() ? peerLongPollTimeout : call->timeout + peerHopAllowance;
     options.silenceTimeout = options.deadline;
+    if (call->isRetrySafe() && !call->isLongPoll()) {
+        m_loop.after(peerPatience, [this, weak = std::weak_ptr(call)] {
+            if (const auto pending = weak.lock()) {
+                hedgeDirectly(pending);
+            }
+        });
+    }
     const auto httpCall = m_client.call(address, std::move(request), options, [this, call, peer](const http_call_end &end, const http_response &response) {
         if (!call->isCancelled) {
             onPeerReply(call, peer, end, response);
@@ -220,6 +229,30 @@
     };
 }
 
+/** Sends a call that its peer does not answer in time on the direct path too. A failure there says nothing new. */
+void failover_store_transport::hedgeDirectly(const std::shared_ptr<pending_call> &call)
+{
+    if (call->isCancelled || call->hasSwitchedPath) {
+        return;
+    }
+    m_direct.call(call->method, call->target, call->body, directCallTimeout, [this, call](const reply &answer) {
+        if (isStoreUnavailable(answer)) {
+            return;
+        }
+        const bool wasLost = m_path.isStoreLost();
+        m_path.recordDirectResult(m_loop.now(), true);
+        notifyIfRecovered(wasLost);
+        if (call->isCancelled || call->isAnswered) {
+            return;
+        }
+        call->isCancelled = true; // The peer's reply is no longer of interest.
+        if (const auto cancel = std::exchange(call->cancel, nullptr)) {
+            cancel();
+        }
+        call->onReply(answer);
+    });
+}
+
 void failover_store_transport::onPeerReply(const std::shared_ptr<pending_call> &call,
                                            const std::string &peer,
                                            const http_call_end &end,
@@ -242,6 +275,7 @@
         sendDirectly(call);
         return;
     }
+    call->isAnswered = true;
     call->onReply({ !isNotExecuted && !isOutcomeUnknown, isOutcomeUnknown, response.status, response.body });
 }
 
--- a/edge/failover_store_transport.h
+++ b/edge/failover_store_transport.h
@@ -93,6 +93,7 @@
     void sendDirectly(const std::shared_ptr<pending_call> &call);
     void sendThroughPeer(const std::shared_ptr<pending_call> &call, const std::string &peer, const endpoint &address);
     void onDirectReply(const std::shared_ptr<pending_call> &call, const reply &answer);
+    void hedgeDirectly(const std::shared_ptr<pending_call> &call);
     void onPeerReply(const std::shared_ptr<pending_call> &call, const std::string &peer, const http_call_end &end, const http_response &response);
 
     asio_loop &m_loop;
--- a/edge/testing/failover_store_transport_test.cpp
+++ b/edge/testing/failover_store_transport_test.cpp
@@ -64,6 +64,31 @@
     EXPECT_FALSE(unanswered.empty());
 }
 
+// Guards against a node that waits for a silent peer while the store would serve it again: its knowledge grows old meanwhile, though it is in touch.
+TEST(failover_store_transport_test, readWaitsForSilentPeerWhileStoreIsBack)
+{
+    failover_fixture fixture;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    http_server peer(fixture.io, { .address = fixture.peer }, [&](std::shared_ptr<http_exchange> exchange) {
+        unanswered.push_back(std::move(exchange));
+    });
+    http_server store(fixture.io, { .address = fixture.store }, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->respond(textResponse(200, "from the store"));
+    });
+    ASSERT_TRUE(peer.start());
+    ASSERT_TRUE(store.start());
+    failover_store_transport transport(fixture.loop, fixture.client, fixture.settings);
+    fixture.failDirectPath(transport);
+    std::vector<std::string> bodies;
+    transport.call("GET", "/read", "", 4900ms, [&](const platform::store_transport::reply &reply) {
+        bodies.push_back(reply.body);
+    });
+    fixture.io.run_for(2500ms);
+    EXPECT_EQ(bodies, std::vector<std::string>{ "from the store" });
+    EXPECT_EQ(unanswered.size(), 1U);
+    EXPECT_FALSE(transport.path().isFailedOver(fixture.loop.now())) << "the direct path is used again";
+}
+
 // Guards against executing a write twice: a peer that received the write and did not answer may have executed it, so the write must not be sent again and its
 // outcome must be reported as unknown.
 TEST(failover_store_transport_test, unansweredWriteThroughPeerIsNotRetried)
