A lost path to the store is no outage of the store

What callers saw: nothing; servers that leave got requests up to 2.4 s after their word. It took its own loss of the store for an outage of the store, in which registrations lapse. The state was fresh, so its age says nothing of this: noDecisionRestsOnTooOldState checks ages and revisions, not what becomes of a server that is missing. Change: the calls that the store answered are recorded with their begin and end. Less than two heartbeats between two of them (three must fail) make nothing lapse. After a longer time with a failure, the readers of other zones are asked for their longest time without an answer; one with answers all the while shows that the store was there. Until they have answered, peers get no states from this node. Calls are made only after such a loss. The process also keeps the settings that its transport reads: it read a parameter that had been moved from. Ruled out: ages that begin too late (the state at 21.1 s was fresh), a queue or a connection before the send (the items were sent at once).

--- a/edge/edge_context.h
+++ b/edge/edge_context.h
@@ -7,6 +7,7 @@
 #include "edge/asio_loop.h"
 #include "edge/edge_settings.h"
 #include "fleet/node_lease.h"
+#include "fleet/outage_tracker.h"
 #include "kernel/metrics.h"
 #include "net/http_client.h"
 #include "platform/key_value_store.h"
@@ -30,6 +31,7 @@
     http_client &serverClient; ///< Connection pool to backend servers.
     std::shared_ptr<edge_lease> lease;
     metric_registry &metrics;
+    outage_tracker &outages; ///< Which calls the store answered.
     std::uint64_t randomSeed = 0; ///< Seed of this process's random choices.
     std::function<bool()> isIsolated; ///< Tells whether this node reaches neither the store nor other zones.
     bool isDraining = false;
--- a/edge/edge_settings.h
+++ b/edge/edge_settings.h
@@ -32,6 +32,7 @@
     double processorShare = 0; ///< Share of one processor core that this process may use; 0 if unknown.
     duration maxDrainDelay = std::chrono::milliseconds(2000); ///< A server that announces its shutdown receives no new requests after this time.
     duration maxConfigurationDelay = std::chrono::milliseconds(2000); ///< Requests are judged by a new configuration after this time.
+    duration serverHeartbeat = std::chrono::milliseconds(1200); ///< Time between two renewals of a server's registration.
     duration shutdownGracePeriod = std::chrono::seconds(8); ///< Time from the stop signal until the process is killed.
     duration orderHandoverInterval = std::chrono::milliseconds(3000); ///< Minimum time between load orders of two different nodes to the same server.
 };
--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -68,18 +68,44 @@
             m_directory.dropLapsed(m_context.loop.now());
         }
         onServersChanged();
+        resolveOutageDoubt();
     };
-    serverHandlers.onConnectionChange = [this, log = logConnection("servers")](bool isConnected) {
-        isConnected ? m_outages.recordReconnect(m_context.loop.now()) : m_outages.recordDisconnect(m_context.loop.now());
-        log(isConnected);
-    };
+    serverHandlers.onConnectionChange = logConnection("servers");
     serverHandlers.lapseGrace = [this](time_point askedAt) {
-        return m_outages.lapseGrace(askedAt);
+        return m_context.outages.lapseGrace(askedAt);
+    };
+    serverHandlers.isLapseKnown = [this] {
+        return !m_isAskingWitnesses;
     };
     m_serverMirror = makeMirror(platform::serversPrefix, true, m_context.settings.maxDrainDelay, std::move(serverHandlers));
     return {};
 }
 
+/** Asks other nodes whether a time without answers of the store was an outage. If it was none, the servers missing since then have left. */
+void fleet_cache::resolveOutageDoubt()
+{
+    const std::optional<outage_tracker::span> doubt = m_context.outages.pendingDoubt();
+    if (!doubt || !m_witness || m_isAskingWitnesses) {
+        return;
+    }
+    m_isAskingWitnesses = true;
+    m_witness(*doubt, [this, doubt](std::optional<duration> longestGap) {
+        m_isAskingWitnesses = false;
+        m_context.outages.resolveDoubt(longestGap);
+        const time_point now = m_context.loop.now();
+        const bool wasOutage = m_context.outages.lapseGrace(doubt->until) > duration::zero();
+        logLine(log_level::Info,
+                "store-outage-judged",
+                { { "outage", wasOutage ? "yes" : "no" },
+                  { "ms", std::to_string((doubt->until - doubt->from) / std::chrono::milliseconds(1)) },
+                  { "witness-gap-ms", longestGap ? std::to_string(*longestGap / std::chrono::milliseconds(1)) : "-" } });
+        m_serverMirror->onLapseKnown();
+        if (!wasOutage && m_directory.dropLapsed(now)) {
+            onServersChanged();
+        }
+    });
+}
+
 std::shared_ptr<edge_snapshot_mirror> fleet_cache::makeMirror(std::string_view prefix, bool isPrefix, duration bound, snapshot_mirror_handlers handlers)
 {
     snapshot_mirror_options options;
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -10,7 +10,6 @@
 #include "edge/peer_snapshot_source.h"
 #include "edge/snapshot_server.h"
 #include "fleet/limited_traffic.h"
-#include "fleet/outage_tracker.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
 #include "fleet/server_limits.h"
@@ -94,6 +93,13 @@
     {
         return m_backends;
     }
+    /** Asks other nodes whether the store answered them in a time of doubt, as contact_witness_client::ask(). */
+    using contact_witness = std::function<void(const outage_tracker::span &doubt, std::function<void(std::optional<duration>)> onAnswer)>;
+    /** Sets the way to ask other nodes; without it, this node has only its own contacts to go by. */
+    void setWitness(contact_witness witness)
+    {
+        m_witness = std::move(witness);
+    }
     /** Adds an action that runs after each change of routes or servers. */
     void onChange(std::function<void()> action)
     {
@@ -107,6 +113,7 @@
     void applyServerEvent(const store_watch_event &event, bool mayHaveLapsed);
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
     void onServersChanged();
+    void resolveOutageDoubt();
     void removeExpiredServers();
     std::string zoneOf(std::string_view server) const;
     void scheduleLimitReport();
@@ -123,9 +130,10 @@
     std::shared_ptr<edge_limit_client> m_limitClient;
     limited_traffic m_limitedTraffic;
     bool m_isLimitReportScheduled = false;
-    outage_tracker m_outages;
+    contact_witness m_witness;
     random_source m_random;
     bool m_hasBegun = false;
+    bool m_isAskingWitnesses = false; ///< Other nodes have been asked whether the store was there.
     bool m_hasLapsedServers = false; ///< Registrations have gone since the last check that may only have lapsed.
     std::uint64_t m_appliedDirectoryChanges = 0;
     std::vector<std::function<void()>> m_listeners;
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -2,10 +2,12 @@
 
 #include "edge/batch_job_service.h"
 #include "edge/caller_service.h"
+#include "edge/contact_witness_client.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "edge/job_forwarder.h"
 #include "edge/peer_service.h"
+#include "edge/recording_store_transport.h"
 #include "edge/weight_load_service.h"
 #include "kernel/command_line.h"
 #include "kernel/log.h"
@@ -32,17 +34,21 @@
 {
 public:
     explicit edge_process(edge_settings settings)
-        : m_loop(m_io)
+        : m_startSettings(std::move(settings))
+        , m_loop(m_io)
         , m_storeClient(m_io, storeClientOptions())
         , m_serverClient(m_io, serverClientOptions())
         , m_peerClient(m_io, {})
-        , m_transport(m_loop, m_storeClient, settings)
-        , m_store(m_io, m_transport)
-        , m_context{ std::move(settings), std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,   m_store,
-                     m_serverClient,      std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics }
+        , m_transport(m_loop, m_storeClient, m_startSettings)
+        , m_outages(m_startSettings.serverHeartbeat)
+        , m_recordedTransport(m_loop, m_transport, m_outages)
+        , m_store(m_io, m_recordedTransport)
+        , m_context{ m_startSettings, std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,    m_store,
+                     m_serverClient,  std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics, m_outages }
         , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient, m_context.settings, std::hash<std::string>()(m_context.incarnation))
         , m_snapshotServer(m_context)
         , m_limitPeers(m_transport.path(), m_peerClient)
+        , m_witnesses(m_loop, m_transport.path(), m_peerClient)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
@@ -83,6 +89,12 @@
         peers->onLimitAsks([fleet = fleet.get()](const std::shared_ptr<http_exchange> &exchange) {
             fleet->serveLimitAsks(exchange);
         });
+        peers->onContactQuestion([this](const std::shared_ptr<http_exchange> &exchange) {
+            contact_witness_client::serve(exchange, m_outages, m_loop.now());
+        });
+        fleet->setWitness([this](const outage_tracker::span &doubt, std::function<void(std::optional<duration>)> onAnswer) {
+            m_witnesses.ask(doubt, std::move(onAnswer));
+        });
         m_limitPeers.setNodeListAge([peers = peers.get()] {
             return peers->nodeListAge();
         });
@@ -229,18 +241,22 @@
         logLine(log_level::Info, "store-calls", { { "calls", calls }, { "server-connections", std::to_string(newConnections) } });
     }
 
+    const edge_settings m_startSettings;
     boost::asio::io_context m_io{ 1 };
     asio_loop m_loop;
     http_client m_storeClient;
     http_client m_serverClient;
     http_client m_peerClient;
     failover_store_transport m_transport;
+    outage_tracker m_outages;
+    recording_store_transport m_recordedTransport;
     edge_store m_store;
     metric_registry m_metrics;
     edge_context m_context;
     peer_snapshot_source m_snapshotSource;
     snapshot_server m_snapshotServer;
     limit_peer_client m_limitPeers;
+    contact_witness_client m_witnesses;
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -248,6 +248,10 @@
         m_snapshots.serve(exchange);
         return;
     }
+    if (request.path() == contactPath) {
+        m_onContactQuestion(std::move(exchange));
+        return;
+    }
     if (request.path() == limitPath) {
         m_onLimitAsks(std::move(exchange));
         return;
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -52,6 +52,11 @@
         m_onForwardedCall = std::move(action);
     }
 
+    /** Sets the handler of peers' questions on this node's contacts with the store. */
+    void onContactQuestion(std::function<void(std::shared_ptr<http_exchange>)> action)
+    {
+        m_onContactQuestion = std::move(action);
+    }
     /** Sets the handler of peers' questions on limits of backend servers. */
     void onLimitAsks(std::function<void(std::shared_ptr<http_exchange>)> action)
     {
@@ -109,6 +114,7 @@
     };
     std::function<void(const std::map<std::string, store_peer> &)> m_onPeersChanged = [](const auto &) {};
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwardedCall = &job_forwarder::decline;
+    std::function<void(std::shared_ptr<http_exchange>)> m_onContactQuestion = &job_forwarder::decline;
     std::function<void(std::shared_ptr<http_exchange>)> m_onLimitAsks = &job_forwarder::decline;
     std::function<void()> m_onFirstPeers;
     time_point m_lastWatchRequestAt;
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -94,5 +94,64 @@
     worker->stop();
 }
 
+/** The node loses its own way to the store, while the store serves the servers, of which one leaves. */
+TEST(leaving_server_test, serverThatLeftWhileNodeHadLostStoreIsUsedAfterwards)
+{
+    struct row
+    {
+        duration cut;
+        std::optional<duration> witnessedGap; ///< Of another node that the store served.
+    };
+    const row rows[] = { { 1700ms, std::nullopt }, { 3500ms, 600ms } };
+    for (const row &each : rows) {
+        node_fixture fixture;
+        fixture.fleet->setWitness([&](const outage_tracker::span &, const std::function<void(std::optional<duration>)> &onAnswer) {
+            fixture.loop.after(2ms, [onAnswer, gap = each.witnessedGap] {
+                onAnswer(gap);
+            });
+        });
+        fixture.requestMany(2);
+        fixture.transport.isCut = true;
+        const time_point end = fixture.loop.now() + each.cut;
+        while (fixture.loop.now() < end) {
+            fixture.requestMany(1);
+            fixture.run(100ms);
+        }
+        fixture.removeServer("i-2");
+        fixture.transport.isCut = false;
+        const store_revision left = fixture.transport.revision;
+        EXPECT_TRUE(fixture.runUntil([&] {
+            fixture.requestMany(1);
+            return fixture.fleet->dump()["serverState"]["revision"] == left;
+        }));
+        fixture.run(50ms);
+        const int before = fixture.second.requests;
+        fixture.requestMany(12);
+        EXPECT_EQ(fixture.second.requests, before) << toSeconds(each.cut) << " s";
+    }
+}
+
+/** The store itself was away, so that a registration may have lapsed. The server is back in time, and no caller is refused meanwhile. */
+TEST(leaving_server_test, serverWhoseRegistrationLapsedIsKept)
+{
+    node_fixture fixture;
+    fixture.removeServer("i-2");
+    fixture.run(1300ms);
+    fixture.requestMany(1);
+    fixture.transport.isCut = true;
+    const time_point end = fixture.loop.now() + 3500ms;
+    while (fixture.loop.now() < end) {
+        fixture.requestMany(1);
+        fixture.run(100ms);
+    }
+    fixture.removeServer("i-1");
+    fixture.transport.isCut = false;
+    fixture.run(300ms);
+    fixture.requestMany(6);
+    fixture.enter("i-1", fixture.first.address, "ready", 100);
+    fixture.run(1500ms);
+    fixture.requestMany(6);
+}
+
 } // namespace
 } // namespace reedtrail
--- a/fleet/outage_tracker.h
+++ b/fleet/outage_tracker.h
@@ -2,40 +2,63 @@
  * @file
  * Tells whether a missing registration may have lapsed because of a store outage, rather than because its backend server left. Makes no I/O calls.
  *
- * A registration lapses when three heartbeats in a row fail, so an interruption of less than a second makes none lapse. A watch that breaks and is opened again
- * is therefore no outage: a server whose registration disappears around that time has left. Servers whose registrations lapsed are back two seconds after the
- * store's return, so a state that was read later shows which of them have left.
+ * A registration lapses when its server could not renew it for three heartbeats in a row. The first of these begins up to one heartbeat before the outage, so
+ * an outage shorter than two heartbeats makes none lapse. Servers whose registrations lapsed are back two seconds after the store's return, so a state that was
+ * read later shows which of them have left.
+ *
+ * A node that has lost the store can't tell an outage of the store from a fault of its own path. What it knows are the calls that the store has answered: the
+ * store was there at some moment between the begin and the end of each. Only the time between two of them can hide an outage. If that time is too long and a
+ * call failed in it, other nodes are asked for their longest time without an answer. One that had answers all the while shows that there was no outage.
  */
 #pragma once
 
 #include "base/time.h"
 
 #include <algorithm>
+#include <deque>
+#include <optional>
+#include <utility>
 
 namespace reedtrail {
 
-/** Records disconnects from the store and the grace period after each outage. */
+/** Records contacts with the store, and judges the times between them. */
 class outage_tracker
 {
 public:
-    /** Shorter interruptions make no registration lapse: heartbeats come every 1.2 s, and three must fail. */
-    static constexpr duration minOutage = std::chrono::seconds(1);
     /** Servers register again within two seconds of the store's return. */
     static constexpr duration returnTime = std::chrono::seconds(2);
+    /** Contacts are kept for this long, for the questions of other nodes. */
+    static constexpr duration memory = std::chrono::seconds(60);
+
+    /** @param heartbeat time between two renewals of a server's registration */
+    explicit outage_tracker(duration heartbeat)
+        : m_minOutage(2 * heartbeat)
+    {
+    }
 
-    /** Records that the connection to the store failed. */
-    void recordDisconnect(time_point now)
+    /** A time in which the store may have been away. */
+    struct span
     {
-        m_lostAt = now;
+        time_point from;
+        time_point until;
+    };
+
+    /** Records a call that the store answered. */
+    void recordContact(time_point begunAt, time_point endedAt);
+    /** Records a call that the store did not answer, or refused. */
+    void recordFailure()
+    {
+        m_hasFailed = true;
     }
-    /** Records that the store answers again. */
-    void recordReconnect(time_point now)
+    /** Returns the outage that other nodes should be asked about; nothing if there is none, or if they have been asked. */
+    std::optional<span> pendingDoubt() const
     {
-        if (m_lostAt != timeNever && now - m_lostAt >= minOutage) {
-            m_returnedUntil = now + returnTime;
-        }
-        m_lostAt = timeNever;
+        return m_isPending ? m_doubt : std::nullopt;
     }
+    /** Records the answers of other nodes. @param longestGap the shortest of their longest times without an answer of the store; nothing if no node knows */
+    void resolveDoubt(std::optional<duration> longestGap);
+    /** Returns the longest time within @p asked in which the store gave this node no sign; nothing if this node's records do not reach back. */
+    std::optional<duration> longestGap(const span &asked) const;
     /**
      * Returns for how much longer registrations may come back that are missing in a state of the store.
      * @param askedAt when the store was asked for that state
@@ -43,15 +66,22 @@
      */
     duration lapseGrace(time_point askedAt) const
     {
-        if (m_lostAt != timeNever && askedAt - m_lostAt >= minOutage) {
-            return returnTime;
-        }
-        return std::max(duration::zero(), m_returnedUntil - askedAt);
+        return m_doubt ? std::max(duration::zero(), m_doubt->until + returnTime - askedAt) : duration::zero();
     }
 
 private:
-    time_point m_lostAt = timeNever;
-    time_point m_returnedUntil; ///< Lapsed registrations are back by then.
+    /** A call that the store answered. */
+    struct contact
+    {
+        time_point begunAt;
+        time_point endedAt;
+    };
+
+    duration m_minOutage;
+    std::deque<contact> m_contacts; ///< By begin; those that others close by make superfluous are left out.
+    std::optional<span> m_doubt; ///< The last time that may have been an outage and was not shown to be none.
+    bool m_isPending = false; ///< Other nodes have not been asked about it yet.
+    bool m_hasFailed = false; ///< A call has failed since the last contact.
 };
 
 } // namespace reedtrail
--- a/fleet/snapshot_mirror.h
+++ b/fleet/snapshot_mirror.h
@@ -79,6 +79,7 @@
     std::function<void(bool mayHaveLapsed)> onCaughtUp; ///< Called after all differences of one read; keys that lapsed are back if the argument is false.
     std::function<void(bool isConnected)> onConnectionChange; ///< Called when reads of the store begin to fail or to succeed.
     std::function<duration(time_point askedAt)> lapseGrace; ///< Returns for how much longer keys may come back that are missing in a listing.
+    std::function<bool()> isLapseKnown; ///< Tells whether lapseGrace is certain; while it is not, peers get no replies.
 };
 
 /** Counts of a snapshot_mirror since its start. */
@@ -162,6 +163,14 @@
         }
     }
 
+    /** Called when the lapse grace has become certain, or has changed. */
+    void onLapseKnown()
+    {
+        if (m_isOwnState && m_handlers.lapseGrace) {
+            m_lapseGrace = m_handlers.lapseGrace(m_snapshot.askedAt());
+        }
+        answerAskers();
+    }
     /** Tells whether a state has been read. */
     bool hasListed() const
     {
@@ -272,6 +281,7 @@
         const std::vector<store_watch_event> changes = m_snapshot.apply(askedAt, reply);
         recordBase(false);
         m_lapseGrace = duration(reply.lapseGraceUs);
+        m_isOwnState = false;
         report(changes);
     }
 
@@ -362,6 +372,7 @@
     void takeState(time_point askedAt, const std::vector<store_watch_event> &changes)
     {
         setConnected(true);
+        m_isOwnState = true;
         m_lapseGrace = m_handlers.lapseGrace ? m_handlers.lapseGrace(askedAt) : duration::zero();
         report(changes);
         answerAskers();
@@ -423,6 +434,9 @@
 
     void answerAskers()
     {
+        if (m_handlers.isLapseKnown && !m_handlers.isLapseKnown()) {
+            return;
+        }
         const time_point now = m_loop.now();
         std::vector<asker> answered;
         std::erase_if(m_askers, [&](asker &each) {
@@ -481,6 +495,7 @@
     bool m_isAskingReader = false; ///< The reader of the zone has been asked, has not replied, and is not passed over yet.
     bool m_isListing = false; ///< A read of the store is under way.
     bool m_isConnected = false;
+    bool m_isOwnState = false; ///< The state at hand was read from the store, not from a peer.
     bool m_isStopped = false;
     snapshot_mirror_counts m_counts;
 };
--- a/fleet/store_router.cpp
+++ b/fleet/store_router.cpp
@@ -66,6 +66,30 @@
     m_readerPauses.erase(peer);
 }
 
+std::vector<endpoint> store_router::witnesses() const
+{
+    constexpr std::size_t witnessesPerZone = 2;
+    std::map<std::string_view, std::vector<std::string_view>> zones;
+    const bool hasOtherZones = std::ranges::any_of(m_peers, [this](const auto &each) {
+        return isInOtherZone(each.second);
+    });
+    for (const auto &[name, peer] : m_peers) {
+        if (!hasOtherZones || isInOtherZone(peer)) {
+            zones[peer.zone].push_back(name);
+        }
+    }
+    std::vector<endpoint> found;
+    for (auto &[zone, names] : zones) {
+        std::ranges::sort(names, [zone = zone](std::string_view left, std::string_view right) {
+            return rendezvousRank(zone, left) > rendezvousRank(zone, right);
+        });
+        for (std::size_t i = 0; i < std::min(names.size(), witnessesPerZone); ++i) {
+            found.push_back(m_peers.at(std::string(names[i])).address);
+        }
+    }
+    return found;
+}
+
 std::optional<endpoint> store_router::peerAddress(const std::string &peer) const
 {
     const auto found = m_peers.find(peer);
--- a/fleet/store_router.h
+++ b/fleet/store_router.h
@@ -80,6 +80,9 @@
     {
         return !m_peers.empty();
     }
+    /** Returns the nodes that know best whether the store was there: in each other zone the two that read for it, or those of this zone if there is no other.
+     */
+    std::vector<endpoint> witnesses() const;
     /** Returns the address of a known peer, or nothing if no peer has this name. */
     std::optional<endpoint> peerAddress(const std::string &peer) const;
     /** Records the result of a direct call. @param isServed whether the store served it */
--- a/fleet/testing/server_directory_test.cpp
+++ b/fleet/testing/server_directory_test.cpp
@@ -1,4 +1,3 @@
-#include "fleet/outage_tracker.h"
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
 #include "fleet/store_router.h"
@@ -72,22 +71,6 @@
     EXPECT_EQ(directory.usable("shop").front()->id, "b");
 }
 
-TEST(outage_tracker_test, lapsedRegistrationsMayComeBackForTwoSecondsAfterOutage)
-{
-    outage_tracker outages;
-    const time_point start{ 10s };
-    EXPECT_EQ(outages.lapseGrace(start), 0s);
-    outages.recordDisconnect(start);
-    outages.recordReconnect(start + 300ms);
-    EXPECT_EQ(outages.lapseGrace(start + 400ms), 0s) << "a server that is missing after a short disconnect has left";
-    outages.recordDisconnect(start + 1s);
-    EXPECT_EQ(outages.lapseGrace(start + 1900ms), 0s);
-    EXPECT_EQ(outages.lapseGrace(start + 2s), 2s);
-    outages.recordReconnect(start + 5s);
-    EXPECT_EQ(outages.lapseGrace(start + 6900ms), 100ms);
-    EXPECT_EQ(outages.lapseGrace(start + 7s), 0s) << "an entry that is missing two seconds after the store's return is gone";
-}
-
 server_entry instanceOf(const std::string &id, std::int64_t startedAt)
 {
     server_entry entry = entryOf(id);
