Servers in doubt: how long an outage can have been, and asked again at the send

Causes, each traced by the simulation's list of events: - A node whose zone's reader reads for it has no contact of its own, so that an outage long ago was taken to end with its next call. Replies of peers now show contacts, and witnesses say since when the store has answered them, which bounds when an outage had ended. - The time in which a registration may return counted from the read at which it was missing, up to two seconds after it had ended. It now ends two seconds after the outage. - While witnesses are asked, servers in doubt are not used. - A request was checked when it was placed, not when it left: a connection may take a second. It is asked again just before its first byte (requestIsSentThoughServerLeftWhileItConnected); what may not be sent has not run and is placed anew.

--- a/edge/contact_witness_client.h
+++ b/edge/contact_witness_client.h
@@ -28,8 +28,8 @@
     {
     }
 
-    /** @param onAnswer called once with the shortest of the longest times in which the store gave one of the nodes no sign; nothing if none knows */
-    void ask(const outage_tracker::span &doubt, std::function<void(std::optional<duration>)> onAnswer);
+    /** @param onAnswer called once with the earliest moment since which the store has answered one of the nodes; nothing if none knows */
+    void ask(std::function<void(std::optional<time_point>)> onAnswer);
     /** Answers the question of another node. */
     static void serve(const std::shared_ptr<http_exchange> &exchange, const outage_tracker &outages, time_point now);
 
--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -10,6 +10,7 @@
 // Ages of a state on which decisions rest, as shares of the time after which a change must be in effect. The rest of that time covers a new connection to the
 // server, and a request that waits in this node for its turn.
 constexpr double allowanceShare = 0.6;
+constexpr double sendAllowanceShare = 0.9; // When the request leaves this node; what is left covers its way to the server.
 constexpr double replyAgeShare = 0.45; // Leaves a share of 0.15 for the way from the zone's reader to this node.
 constexpr double prefetchAgeShare = 0.3; // Under steady load a read ends long before decisions would have to wait for it.
 
@@ -67,8 +68,8 @@
         if (!mayHaveLapsed) {
             m_directory.dropLapsed(m_context.loop.now());
         }
-        onServersChanged();
         resolveOutageDoubt();
+        onServersChanged();
     };
     serverHandlers.onConnectionChange = logConnection("servers");
     serverHandlers.lapseGrace = [this](time_point askedAt) {
@@ -89,20 +90,21 @@
         return;
     }
     m_isAskingWitnesses = true;
-    m_witness(*doubt, [this, doubt](std::optional<duration> longestGap) {
+    m_directory.setGraceUsable(false);
+    m_witness([this, doubt](std::optional<time_point> answersSince) {
         m_isAskingWitnesses = false;
-        m_context.outages.resolveDoubt(longestGap);
+        m_context.outages.resolveDoubt(answersSince);
         const time_point now = m_context.loop.now();
-        const bool wasOutage = m_context.outages.lapseGrace(doubt->until) > duration::zero();
+        const bool wasOutage = m_context.outages.lapseGrace(now) > duration::zero();
         logLine(log_level::Info,
                 "store-outage-judged",
                 { { "outage", wasOutage ? "yes" : "no" },
                   { "ms", std::to_string((doubt->until - doubt->from) / std::chrono::milliseconds(1)) },
-                  { "witness-gap-ms", longestGap ? std::to_string(*longestGap / std::chrono::milliseconds(1)) : "-" } });
+                  { "witness-contact-ms", answersSince ? std::to_string((now - *answersSince) / std::chrono::milliseconds(1)) : "-" } });
         m_serverMirror->onLapseKnown();
-        if (!wasOutage && m_directory.dropLapsed(now)) {
-            onServersChanged();
-        }
+        m_directory.setGraceUsable(true);
+        m_directory.limitGrace(m_serverMirror->lapseEnd());
+        onServersChanged();
     });
 }
 
@@ -185,6 +187,14 @@
     });
 }
 
+bool fleet_cache::maySend(std::string_view server, std::int64_t startedAt) const
+{
+    const time_point now = m_context.loop.now();
+    const duration maxAge = fromSeconds(toSeconds(m_context.settings.maxDrainDelay) * sendAllowanceShare);
+    const bool isKnown = m_serverMirror->age(now) <= maxAge || m_serverMirror->isFailing(now) || m_context.isIsolated();
+    return isKnown && m_directory.isUsable(server, startedAt);
+}
+
 void fleet_cache::chargeLimit(std::string_view server)
 {
     if (const server_entry *entry = m_directory.find(server)) {
@@ -352,13 +362,13 @@
     if (event.type == store_watch_event::kind::Delete) {
         const std::string id = event.item.key.substr(platform::serversPrefix.size());
         logLine(log_level::Info, "server-unregistered", { { "server", id }, { "may-have-lapsed", mayHaveLapsed ? "yes" : "no" } });
-        m_directory.remove(m_context.loop.now(), id, mayHaveLapsed);
+        m_directory.remove(m_context.loop.now(), id, mayHaveLapsed ? std::optional(m_serverMirror->lapseEnd()) : std::nullopt);
         m_hasLapsedServers = m_hasLapsedServers || mayHaveLapsed;
         return;
     }
     std::optional<server_entry> entry = decodeServerEntry(event.item);
     if (!entry) {
-        m_directory.remove(m_context.loop.now(), event.item.key.substr(platform::serversPrefix.size()), false);
+        m_directory.remove(m_context.loop.now(), event.item.key.substr(platform::serversPrefix.size()), std::nullopt);
         return;
     }
     const server_entry *before = m_directory.find(entry->id);
@@ -385,11 +395,14 @@
 void fleet_cache::removeExpiredServers()
 {
     m_directory.expire(m_context.loop.now());
-    if (std::exchange(m_hasLapsedServers, false)) {
-        m_context.loop.after(server_directory::lapseGracePeriod, [this] {
+    const std::optional<time_point> next = m_directory.nextExpiry();
+    if (next && std::exchange(m_hasLapsedServers, false)) {
+        m_context.loop.after(*next - m_context.loop.now(), [this] {
             if (m_directory.expire(m_context.loop.now())) {
                 onServersChanged();
             }
+            m_hasLapsedServers = m_directory.nextExpiry().has_value();
+            removeExpiredServers();
         });
     }
 }
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -70,6 +70,11 @@
      * @param onEnd called once: from inside this call if the server has no limit, otherwise later, at the time of the granted place
      */
     void admit(const backend_choice &server, const limit_demand &demand, std::function<void(const limit_grant &)> onEnd);
+    /**
+     * Tells whether a request may be sent now that was placed on the server before: it is still usable, and that is known from a state that is young enough.
+     * Asked again at the moment of the send, because a connection may take a while.
+     */
+    bool maySend(std::string_view server, std::int64_t startedAt) const;
     /** Counts a request towards the limit of its server that is sent in any case. */
     void chargeLimit(std::string_view server);
     /** Answers a peer's questions on limits of servers. */
@@ -93,8 +98,8 @@
     {
         return m_backends;
     }
-    /** Asks other nodes whether the store answered them in a time of doubt, as contact_witness_client::ask(). */
-    using contact_witness = std::function<void(const outage_tracker::span &doubt, std::function<void(std::optional<duration>)> onAnswer)>;
+    /** Asks other nodes since when the store has answered them, as contact_witness_client::ask(). */
+    using contact_witness = std::function<void(std::function<void(std::optional<time_point>)> onAnswer)>;
     /** Sets the way to ask other nodes; without it, this node has only its own contacts to go by. */
     void setWitness(contact_witness witness)
     {
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -252,6 +252,9 @@
     options.connectTimeout = std::min(serverConnectTimeout, limit);
     options.silenceTimeout = limit;
     options.deadline = limit;
+    options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt] {
+        return fleet.maySend(id, startedAt);
+    };
     const auto guarded = [weak = weak_from_this(), weakRun = std::weak_ptr(newRun)](auto action) {
         const auto self = weak.lock();
         const auto current = weakRun.lock();
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -45,7 +45,7 @@
         , m_store(m_io, m_recordedTransport)
         , m_context{ m_startSettings, std::to_string(unixMilliseconds()) + "-" + std::to_string(::getpid()), m_loop,    m_store,
                      m_serverClient,  std::make_shared<edge_lease>(m_store, m_loop, node_lease_options{}),   m_metrics, m_outages }
-        , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient, m_context.settings, std::hash<std::string>()(m_context.incarnation))
+        , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient, m_context.settings, m_outages, std::hash<std::string>()(m_context.incarnation))
         , m_snapshotServer(m_context)
         , m_limitPeers(m_transport.path(), m_peerClient)
         , m_witnesses(m_loop, m_transport.path(), m_peerClient)
@@ -92,8 +92,8 @@
         peers->onContactQuestion([this](const std::shared_ptr<http_exchange> &exchange) {
             contact_witness_client::serve(exchange, m_outages, m_loop.now());
         });
-        fleet->setWitness([this](const outage_tracker::span &doubt, std::function<void(std::optional<duration>)> onAnswer) {
-            m_witnesses.ask(doubt, std::move(onAnswer));
+        fleet->setWitness([this](std::function<void(std::optional<time_point>)> onAnswer) {
+            m_witnesses.ask(std::move(onAnswer));
         });
         m_limitPeers.setNodeListAge([peers = peers.get()] {
             return peers->nodeListAge();
--- a/edge/peer_protocol.h
+++ b/edge/peer_protocol.h
@@ -24,10 +24,8 @@
 
 inline constexpr std::string_view snapshotPath = "/snapshot"; ///< Query for a snapshot of a store prefix; bodies are snapshot_query and snapshot_reply.
 
-inline constexpr std::string_view contactPath = "/contact"; ///< Asks for the longest time in which the store gave the node no sign.
-inline constexpr std::string_view fromAgeField = "Reedtrail-From-Age-Us"; ///< Begin of the time asked about, as an age in microseconds.
-inline constexpr std::string_view untilAgeField = "Reedtrail-Until-Age-Us"; ///< Its end.
-inline constexpr std::string_view gapField = "Reedtrail-Gap-Us"; ///< The answer, in microseconds.
+inline constexpr std::string_view contactPath = "/contact"; ///< Asks since when the store has answered the node without interruption.
+inline constexpr std::string_view contactAgeField = "Reedtrail-Contact-Age-Us"; ///< The answer, as an age in microseconds.
 
 inline constexpr std::string_view limitPath = "/limit"; ///< Questions on limits of backend servers; bodies are limit_asks and limit_replies.
 
--- a/edge/peer_snapshot_source.cpp
+++ b/edge/peer_snapshot_source.cpp
@@ -75,10 +75,16 @@
     options.connectTimeout = askTimeout;
     options.silenceTimeout = askTimeout;
     options.deadline = askTimeout;
-    m_peerClient.call(*address, std::move(request), options, [onReply = std::move(onReply)](const http_call_end &end, const http_response &response) {
-        const bool isAnswered = end.error == error_kind::None && response.status == http_status::ok;
-        onReply(isAnswered ? decodeReply(response) : std::nullopt);
-    });
+    const time_point askedAt = m_loop.now();
+    m_peerClient.call(
+        *address, std::move(request), options, [this, askedAt, onReply = std::move(onReply)](const http_call_end &end, const http_response &response) {
+            const bool isAnswered = end.error == error_kind::None && response.status == http_status::ok;
+            const std::optional<snapshot_reply> reply = isAnswered ? decodeReply(response) : std::nullopt;
+            if (reply) {
+                m_outages.recordContact(askedAt - reply->age(), m_loop.now()); // The store answered the reader within this time.
+            }
+            onReply(reply);
+        });
 }
 
 void peer_snapshot_source::recordReaderFailure(const std::string &reader)
--- a/edge/peer_snapshot_source.h
+++ b/edge/peer_snapshot_source.h
@@ -23,15 +23,22 @@
      * @param router knows the zone's reader
      * @param peerClient connects to other nodes
      * @param settings its seeds are asked, one at random, until other nodes are known
+     * @param outages records the contacts with the store that replies show
      * @param randomSeed of the choice of a seed
      */
-    peer_snapshot_source(
-        asio_loop &loop, edge_store &store, store_router &router, http_client &peerClient, const edge_settings &settings, std::uint64_t randomSeed)
+    peer_snapshot_source(asio_loop &loop,
+                         edge_store &store,
+                         store_router &router,
+                         http_client &peerClient,
+                         const edge_settings &settings,
+                         outage_tracker &outages,
+                         std::uint64_t randomSeed)
         : m_loop(loop)
         , m_store(store)
         , m_router(router)
         , m_peerClient(peerClient)
         , m_settings(settings)
+        , m_outages(outages)
         , m_random(randomSeed)
     {
     }
@@ -56,6 +63,7 @@
     store_router &m_router;
     http_client &m_peerClient;
     const edge_settings &m_settings;
+    outage_tracker &m_outages;
     random_source m_random;
 };
 
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -141,6 +141,9 @@
     options.deadline = isStream() ? timeLeft : attemptTimeout();
     options.silenceTimeout = options.deadline;
     options.connectTimeout = std::min<duration>(options.connectTimeout, options.deadline);
+    options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt] {
+        return fleet.maySend(id, startedAt);
+    };
     http_call_handlers handlers;
     const std::uint64_t number = ++m_attemptNumber;
     const auto guarded = [self = shared_from_this(), number](auto action) {
--- a/fleet/outage_tracker.cpp
+++ b/fleet/outage_tracker.cpp
@@ -30,31 +30,28 @@
     }
 }
 
-void outage_tracker::resolveDoubt(std::optional<duration> longestGap)
+void outage_tracker::resolveDoubt(std::optional<time_point> answersSince)
 {
     m_isPending = false;
-    if (longestGap && *longestGap < m_minOutage) {
+    if (!m_doubt || !answersSince) {
+        return;
+    }
+    m_doubt->until = std::min(m_doubt->until, *answersSince);
+    if (m_doubt->until - m_doubt->from < m_minOutage) {
         m_doubt.reset();
     }
 }
 
-std::optional<duration> outage_tracker::longestGap(const span &asked) const
+std::optional<time_point> outage_tracker::answersSince(time_point now) const
 {
-    if (m_contacts.empty() || m_contacts.front().begunAt > asked.from) {
+    if (m_contacts.empty() || now - m_contacts.back().begunAt >= m_minOutage) {
         return std::nullopt;
     }
-    duration longest{};
-    time_point since = m_contacts.front().begunAt;
-    for (const contact &each : m_contacts) {
-        if (each.begunAt > asked.from) {
-            longest = std::max(longest, each.endedAt - std::max(since, asked.from));
-        }
-        since = each.begunAt;
-        if (since > asked.until) {
-            return longest;
-        }
-    }
-    return std::max(longest, asked.until - std::max(since, asked.from));
+    std::size_t first = m_contacts.size() - 1;
+    while (first > 0 && m_contacts[first].endedAt - m_contacts[first - 1].begunAt < m_minOutage) {
+        --first;
+    }
+    return m_contacts[first].endedAt;
 }
 
 } // namespace reedtrail
--- a/fleet/outage_tracker.h
+++ b/fleet/outage_tracker.h
@@ -8,7 +8,8 @@
  *
  * A node that has lost the store can't tell an outage of the store from a fault of its own path. What it knows are the calls that the store has answered: the
  * store was there at some moment between the begin and the end of each. Only the time between two of them can hide an outage. If that time is too long and a
- * call failed in it, other nodes are asked for their longest time without an answer. One that had answers all the while shows that there was no outage.
+ * call failed in it, other nodes are asked since when the store has answered them without such a time. The earliest of these moments is when an outage, if
+ * there was one, had ended.
  */
 #pragma once
 
@@ -55,10 +56,10 @@
     {
         return m_isPending ? m_doubt : std::nullopt;
     }
-    /** Records the answers of other nodes. @param longestGap the shortest of their longest times without an answer of the store; nothing if no node knows */
-    void resolveDoubt(std::optional<duration> longestGap);
-    /** Returns the longest time within @p asked in which the store gave this node no sign; nothing if this node's records do not reach back. */
-    std::optional<duration> longestGap(const span &asked) const;
+    /** Records the answers of other nodes. @param answersSince the earliest moment since which one of them has had answers; nothing if no node knows */
+    void resolveDoubt(std::optional<time_point> answersSince);
+    /** Returns since when the store has answered this node without an interruption that can hide an outage; nothing if it does not now. */
+    std::optional<time_point> answersSince(time_point now) const;
     /**
      * Returns for how much longer registrations may come back that are missing in a state of the store.
      * @param askedAt when the store was asked for that state
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -4,6 +4,7 @@
 #include "fleet/server_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace reedtrail {
 
@@ -40,14 +41,14 @@
     return notice == m_leaving.end() ? std::nullopt : std::optional(notice->second.since);
 }
 
-void server_directory::remove(time_point now, std::string_view id, bool afterOutage)
+void server_directory::remove(time_point now, std::string_view id, std::optional<time_point> mayReturnUntil)
 {
     const auto found = m_rows.find(id);
     if (found == m_rows.end()) {
         return;
     }
-    if (afterOutage && !found->second.entry.isDraining) {
-        found->second.graceUntil = std::min(found->second.graceUntil, now + lapseGracePeriod);
+    if (mayReturnUntil && *mayReturnUntil > now && !found->second.entry.isDraining) {
+        found->second.graceUntil = std::min(found->second.graceUntil, *mayReturnUntil);
         return;
     }
     m_former[found->first] = { found->second.entry.startedAt, now };
@@ -55,6 +56,20 @@
     ++m_changes;
 }
 
+void server_directory::limitGrace(time_point end)
+{
+    for (auto &[id, entryRow] : m_rows) {
+        if (entryRow.graceUntil != timeNever) {
+            entryRow.graceUntil = std::min(entryRow.graceUntil, end);
+        }
+    }
+}
+
+void server_directory::setGraceUsable(bool isUsable)
+{
+    m_changes += std::exchange(m_isGraceUsable, isUsable) != isUsable ? 1 : 0;
+}
+
 bool server_directory::dropLapsed(time_point now)
 {
     return dropGraceEndingBy(now, timeNever - duration(1));
@@ -71,6 +86,15 @@
     return dropGraceEndingBy(now, now);
 }
 
+std::optional<time_point> server_directory::nextExpiry() const
+{
+    time_point next = timeNever;
+    for (const auto &[id, entryRow] : m_rows) {
+        next = std::min(next, entryRow.graceUntil);
+    }
+    return next == timeNever ? std::nullopt : std::optional(next);
+}
+
 /** Drops the servers whose grace period ends at @p end or before. */
 bool server_directory::dropGraceEndingBy(time_point now, time_point end)
 {
@@ -89,7 +113,7 @@
 {
     std::vector<const server_entry *> found;
     for (const auto &[id, entryRow] : m_rows) {
-        if (isUsable(entryRow.entry) && entryRow.entry.service == service) {
+        if (isUsable(entryRow) && entryRow.entry.service == service) {
             found.push_back(&entryRow.entry);
         }
     }
@@ -100,7 +124,7 @@
 {
     std::vector<const server_entry *> found;
     for (const auto &[id, entryRow] : m_rows) {
-        if (isUsable(entryRow.entry)) {
+        if (isUsable(entryRow)) {
             found.push_back(&entryRow.entry);
         }
     }
@@ -109,8 +133,8 @@
 
 bool server_directory::isUsable(std::string_view id, std::int64_t startedAt) const
 {
-    const server_entry *entry = find(id);
-    return entry != nullptr && entry->startedAt == startedAt && isUsable(*entry);
+    const auto found = m_rows.find(id);
+    return found != m_rows.end() && found->second.entry.startedAt == startedAt && isUsable(found->second);
 }
 
 const server_entry *server_directory::find(std::string_view id) const
--- a/fleet/server_directory.h
+++ b/fleet/server_directory.h
@@ -41,8 +41,6 @@
 class server_directory
 {
 public:
-    /** Time for which a server is kept whose registration lapsed around a store outage. Servers register again within two seconds of the store's return. */
-    static constexpr duration lapseGracePeriod = std::chrono::seconds(2);
     /** Time for which the word of a server that it is about to end, and its start time, are kept after its registration is gone. */
     static constexpr duration leavingMemory = std::chrono::minutes(2);
 
@@ -50,15 +48,21 @@
     void put(server_entry entry);
     /**
      * Handles the end of a registration.
-     * @param afterOutage whether the store had an outage recently, so that the registration of a running server may have lapsed
+     * @param mayReturnUntil until when the registration may come back, because it may have lapsed in an outage of the store; nothing if the server has left
      */
-    void remove(time_point now, std::string_view id, bool afterOutage);
+    void remove(time_point now, std::string_view id, std::optional<time_point> mayReturnUntil);
     /** Records that the server itself said that it is about to end, also if its registration is missing. @return whether that is new */
     bool recordLeaving(time_point now, std::string_view id);
     /** Returns when the server said that it is about to end, or nothing if its current instance did not. */
     std::optional<time_point> leavingSince(std::string_view id) const;
+    /** Ends all grace periods at @p end at the latest; called when the end of an outage has become known better. */
+    void limitGrace(time_point end);
+    /** Sets whether servers in their grace period may be used; they may not while it is not certain that there was an outage. */
+    void setGraceUsable(bool isUsable);
     /** Drops all servers in their grace period; called for a state of the store in which lapsed registrations are back. @return whether any was dropped */
     bool dropLapsed(time_point now);
+    /** Returns when the next grace period ends; nothing if no server is in one. */
+    std::optional<time_point> nextExpiry() const;
     /** Drops the servers whose grace period has ended. @return whether any was dropped */
     bool expire(time_point now);
 
@@ -92,9 +96,10 @@
         std::int64_t startedAt = 0; ///< Start time of the instance that said so, as server_entry::startedAt.
         time_point since;
     };
-    bool isUsable(const server_entry &entry) const
+    bool isUsable(const row &entryRow) const
     {
-        return !entry.isDraining && !m_leaving.contains(entry.id);
+        const bool isRegistered = entryRow.graceUntil == timeNever || m_isGraceUsable;
+        return isRegistered && !entryRow.entry.isDraining && !m_leaving.contains(entryRow.entry.id);
     }
 
     std::map<std::string, row, std::less<>> m_rows;
@@ -109,6 +114,7 @@
     std::map<std::string, former_server, std::less<>> m_former; ///< By id.
     std::map<std::string, leaving_notice, std::less<>> m_leaving; ///< By id; kept while the registration is missing, which may be a lapse.
     std::uint64_t m_changes = 0;
+    bool m_isGraceUsable = true;
 };
 
 } // namespace reedtrail
--- a/fleet/snapshot_mirror.h
+++ b/fleet/snapshot_mirror.h
@@ -163,6 +163,16 @@
         }
     }
 
+    /** Tells whether reads fail, so that decisions go ahead on whatever state is at hand. */
+    bool isFailing(time_point now) const
+    {
+        return hasFailedRecently(now);
+    }
+    /** Returns until when keys may come back that are missing in the state at hand. */
+    time_point lapseEnd() const
+    {
+        return m_snapshot.askedAt() + m_lapseGrace;
+    }
     /** Called when the lapse grace has become certain, or has changed. */
     void onLapseKnown()
     {
--- a/fleet/testing/snapshot_simulation.cpp
+++ b/fleet/testing/snapshot_simulation.cpp
@@ -15,6 +15,10 @@
 constexpr double longestDelaySeconds = 1.5; // Of a message that is delayed.
 constexpr duration readerPause = 3s;
 constexpr std::uint64_t keyCount = 12;
+constexpr duration heartbeat = 1200ms; // Of the servers' registrations.
+constexpr double shareThatLeaves = 0.25; // Of the changes.
+constexpr duration storeTimeout = 700ms; // Of a call on the direct path.
+constexpr duration witnessTimeout = 300ms;
 constexpr duration hidingTime = 1s; // Before the store drops its history, reads of changes do not show the newest ones.
 
 } // namespace
@@ -28,8 +32,10 @@
 
 void simulated_source::list(const std::string &listedPrefix, bool isPrefix, std::function<void(const store_range_answer &)> onListing)
 {
-    m_simulation.m_nodes.at(m_node).client->range({ listedPrefix, isPrefix, 0 }, [this, onListing](const store_range_answer &answer) {
-        m_simulation.runOrDefer(m_node, [onListing, answer] {
+    const time_point begunAt = m_simulation.m_nodes.at(m_node).loop->now();
+    m_simulation.m_nodes.at(m_node).client->range({ listedPrefix, isPrefix, 0 }, [this, onListing, begunAt](const store_range_answer &answer) {
+        m_simulation.runOrDefer(m_node, [this, onListing, answer, begunAt] {
+            m_simulation.recordCall(m_node, begunAt, !answer.error);
             onListing(answer);
         });
     });
@@ -38,9 +44,11 @@
 void simulated_source::changes(const std::string &listedPrefix, store_revision after, std::function<void(const store_change_answer &)> onChanges)
 {
     // The answer is formed when the store answers, from the history up to the revision that it names.
-    m_simulation.m_nodes.at(m_node).client->range({ listedPrefix, true, 0 }, [this, after, onChanges](const store_range_answer &answer) {
+    const time_point begunAt = m_simulation.m_nodes.at(m_node).loop->now();
+    m_simulation.m_nodes.at(m_node).client->range({ listedPrefix, true, 0 }, [this, after, onChanges, begunAt](const store_range_answer &answer) {
         const store_change_answer changes = answer.error ? store_change_answer{ answer.error, 0, {} } : m_simulation.changesSince(after, answer.revision);
-        m_simulation.runOrDefer(m_node, [onChanges, changes] {
+        m_simulation.runOrDefer(m_node, [this, onChanges, changes, begunAt] {
+            m_simulation.recordCall(m_node, begunAt, !changes.error);
             onChanges(changes);
         });
     });
@@ -92,6 +100,10 @@
                     // The mirror subtracts the age from the moment of the question; this form subtracts it from the moment of arrival.
                     reply->ageUs -= (m_simulation.m_nodes.at(m_node).loop->now() - askedAt).count();
                 }
+                auto &receiver = m_simulation.m_nodes.at(m_node);
+                if (reply) {
+                    receiver.outages->recordContact(askedAt - reply->age(), receiver.loop->now());
+                }
                 finish(reply);
             });
         });
@@ -111,7 +123,7 @@
 snapshot_simulation::snapshot_simulation(std::uint64_t seed, follow_form form)
     : m_random(seed)
     , m_form(form)
-    , m_store(m_world, random_source(seed * 31 + 7), {})
+    , m_store(m_world, random_source(seed * 31 + 7), { .timeout = storeTimeout })
 {
 }
 
@@ -130,8 +142,7 @@
         }
     }
     for (std::uint64_t key = 0; key < keyCount; ++key) {
-        m_store.put(prefix + std::to_string(key), "ready");
-        m_history.push_back({ store_watch_event::kind::Put, m_store.peek(prefix + std::to_string(key)).value() });
+        put(prefix + std::to_string(key));
     }
     for (auto &[name, each] : m_nodes) {
         startNode(each);
@@ -155,6 +166,10 @@
     }
     each.deferred.clear();
     each.known.clear();
+    each.directory = server_directory();
+    each.outages.emplace(m_form == follow_form::OwnLossIsOutage ? duration(500ms) : heartbeat);
+    each.isAskingWitnesses = false;
+    ++each.incarnation;
     each.newest = 0;
     snapshot_mirror_options options;
     options.prefix = prefix;
@@ -168,7 +183,8 @@
         options.overlap = duration::zero();
     }
     snapshot_mirror_handlers handlers;
-    handlers.onEvent = [this, &each](const store_watch_event &event, bool) {
+    handlers.onEvent = [this, &each](const store_watch_event &event, bool mayHaveLapsed) {
+        applyEvent(each, event, mayHaveLapsed);
         if (event.type == store_watch_event::kind::Delete) {
             each.known.erase(event.item.key);
             return;
@@ -179,10 +195,117 @@
         }
         revision = event.item.modRevision;
     };
+    handlers.onCaughtUp = [this, &each](bool mayHaveLapsed) {
+        if (!mayHaveLapsed) {
+            each.directory.dropLapsed(each.loop->now());
+        }
+        each.directory.expire(each.loop->now());
+        resolveDoubt(each);
+    };
+    handlers.lapseGrace = [this, &each](time_point askedAt) {
+        return each.outages->lapseGrace(askedAt);
+    };
+    handlers.isLapseKnown = [&each] {
+        return !each.isAskingWitnesses;
+    };
     each.follower = std::make_shared<mirror>(*each.source, *each.loop, options, std::move(handlers));
     each.follower->start();
 }
 
+void snapshot_simulation::applyEvent(node &each, const store_watch_event &event, bool mayHaveLapsed)
+{
+    if (event.type == store_watch_event::kind::Delete) {
+        each.directory.remove(each.loop->now(), event.item.key, mayHaveLapsed ? std::optional(each.follower->lapseEnd()) : std::nullopt);
+        return;
+    }
+    server_entry entry;
+    entry.id = event.item.key;
+    each.directory.put(std::move(entry));
+}
+
+void snapshot_simulation::recordCall(const std::string &name, time_point begunAt, bool isAnswered)
+{
+    node &each = m_nodes.at(name);
+    isAnswered ? each.outages->recordContact(begunAt, each.loop->now()) : each.outages->recordFailure();
+}
+
+/** Asks two nodes of other zones for their longest time without the store. */
+void snapshot_simulation::resolveDoubt(node &each)
+{
+    const auto doubt = each.outages->pendingDoubt();
+    if (!doubt || each.isAskingWitnesses) {
+        return;
+    }
+    if (m_form == follow_form::OwnLossIsOutage) {
+        each.outages->resolveDoubt(std::nullopt);
+        return;
+    }
+    each.isAskingWitnesses = true;
+    each.directory.setGraceUsable(false);
+    const auto earliest = std::make_shared<std::optional<time_point>>();
+    for (auto &[name, other] : m_nodes) {
+        if (other.zone == each.zone) {
+            continue;
+        }
+        send(each.name, name, [this, &each, &other = other, earliest] {
+            const time_point now = other.loop->now();
+            const std::optional<time_point> since = other.outages->answersSince(now);
+            if (!since) {
+                return;
+            }
+            send(other.name, each.name, [&each, earliest, age = now - *since] {
+                const time_point told = each.loop->now() - age;
+                *earliest = std::min(earliest->value_or(told), told);
+            });
+        });
+    }
+    each.loop->after(witnessTimeout, [&each, earliest, incarnation = each.incarnation] {
+        if (each.incarnation != incarnation) {
+            return;
+        }
+        each.isAskingWitnesses = false;
+        each.outages->resolveDoubt(*earliest);
+        each.follower->onLapseKnown();
+        each.directory.setGraceUsable(true);
+        each.directory.limitGrace(each.follower->lapseEnd());
+    });
+}
+
+void snapshot_simulation::put(const std::string &key)
+{
+    m_store.put(key, "state " + std::to_string(m_random.below(100)));
+    m_history.push_back({ store_watch_event::kind::Put, m_store.peek(key).value() });
+}
+
+void snapshot_simulation::erase(const std::string &key)
+{
+    m_store.erase(key);
+    store_watch_event event;
+    event.type = store_watch_event::kind::Delete;
+    event.item.key = key;
+    event.item.modRevision = m_store.revision();
+    m_history.push_back(event);
+}
+
+/** The store is back after an outage in which all registrations lapsed. The servers that live register again within two seconds. */
+void snapshot_simulation::lapseRegistrations()
+{
+    for (std::uint64_t number = 0; number < keyCount; ++number) {
+        const std::string key = prefix + std::to_string(number);
+        if (!m_store.peek(key)) {
+            continue;
+        }
+        erase(key);
+        m_world.after(randomSpan(0.05, 1.9), [this, key] {
+            if (const auto last = m_lastChanges.find(key); last != m_lastChanges.end() && last->second.isGone) {
+                return;
+            }
+            put(key);
+            m_lastChanges[key] = { m_world.now(), key, m_store.revision(), false, false };
+        });
+    }
+}
+
 void snapshot_simulation::runOrDefer(const std::string &name, std::function<void()> action)
 {
     node &each = m_nodes.at(name);
@@ -256,8 +379,9 @@
     }
 }
 
-void snapshot_simulation::check(const node &each)
+void snapshot_simulation::check(node &each)
 {
+    each.directory.expire(each.loop->now());
     ++m_decisions;
     const time_point now = m_world.now();
     if (now < each.disturbedUntil + contactTime) {
@@ -265,12 +389,20 @@
     }
     ++m_checked;
     for (const auto &[key, last] : m_lastChanges) {
+        if (last.isGone) {
+            const bool isCutOff = now < each.cutUntil + contactTime; // Such a node can't ask whether the store was there.
+            if (now - last.at > bound && last.isStable && !isCutOff && each.directory.isUsable(key, 0)) {
+                m_late.push_back({ each.name, now, now - last.at, true, m_lastFault });
+                return;
+            }
+            continue;
+        }
         const auto known = each.known.find(key);
         const store_revision revision = known == each.known.end() ? 0 : known->second;
         if (revision >= last.revision || now - last.at <= bound) {
             continue;
         }
-        m_late.push_back({ each.name, now, now - last.at, m_lastFault });
+        m_late.push_back({ each.name, now, now - last.at, false, m_lastFault });
         return;
     }
 }
@@ -279,12 +411,16 @@
 void snapshot_simulation::scheduleChange()
 {
     m_world.after(fromSeconds(m_random.exponential(0.25)), [this] {
+        if (m_isStoreDown) {
+            scheduleChange();
+            return; // It acknowledges nothing.
+        }
         const std::string key = prefix + std::to_string(m_random.below(keyCount));
         change &last = m_lastChanges[key];
         if (last.revision == 0 || m_world.now() - last.at > 2 * bound) {
-            m_store.put(key, "state " + std::to_string(m_random.below(100)));
-            last = { m_world.now(), key, m_store.revision() };
-            m_history.push_back({ store_watch_event::kind::Put, m_store.peek(key).value() });
+            const bool leaves = m_store.peek(key) && m_random.chance(shareThatLeaves);
+            leaves ? erase(key) : put(key);
+            last = { m_world.now(), key, m_store.revision(), leaves, m_world.now() >= m_storeUnstableUntil };
         }
         scheduleChange();
     });
@@ -322,6 +458,7 @@
         break;
     case simulated_fault::CutFromPeers:
         m_lastFault = "cut of " + target.name + " from its peers";
+        target.cutUntil = std::max(target.cutUntil, end);
         for (const auto &[name, other] : m_nodes) {
             m_cuts.emplace(name, target.name);
             m_cuts.emplace(target.name, name);
@@ -338,6 +475,7 @@
     case simulated_fault::StoreSlow:
         m_lastFault = "slow store";
         excuseAll(end);
+        m_storeUnstableUntil = std::max(m_storeUnstableUntil, end + contactTime);
         m_store.setSlow(true);
         m_world.at(end, [this] {
             m_store.setSlow(false);
@@ -346,9 +484,15 @@
     case simulated_fault::StoreDown:
         m_lastFault = "store down";
         excuseAll(end);
+        m_storeUnstableUntil = std::max(m_storeUnstableUntil, end + contactTime);
         m_store.setDown(true);
-        m_world.at(end, [this] {
+        m_isStoreDown = true;
+        m_world.at(end, [this, length] {
             m_store.setDown(false);
+            m_isStoreDown = false;
+            if (length >= 3 * heartbeat) {
+                lapseRegistrations();
+            }
         });
         break;
     case simulated_fault::HistoryDropped:
--- a/fleet/testing/snapshot_simulation.h
+++ b/fleet/testing/snapshot_simulation.h
@@ -4,10 +4,15 @@
  *
  * A decision made by a node must rest on every change that the store acknowledged more than the bound before it. A decision counts only if the node was in
  * touch: for contactTime before it, the node ran, the store was well, and the node reached it. Faults of other nodes, and of the way to them, excuse nothing.
+ *
+ * Each key is the registration of a server. Servers change, leave and start; in a long outage of the store registrations lapse, and come back after it. A
+ * decision must not use a server that left more than the bound before it, if the store acknowledged that while it was well.
  */
 #pragma once
 
 #include "base/random.h"
+#include "fleet/outage_tracker.h"
+#include "fleet/server_directory.h"
 #include "fleet/snapshot_mirror.h"
 #include "harness/fake_store.h"
 #include "harness/virtual_time.h"
@@ -27,6 +32,7 @@
     UnchangedIsFresh, ///< A reader's reply counts as the present state, however old the reader's own is.
     AgeFromReceipt, ///< A reply's age counts from its arrival, so the time on the way is lost.
     AgeWithoutSuspension, ///< The reader's clock stands still while its machine is suspended.
+    OwnLossIsOutage, ///< A node that has lost the store for a second takes that for an outage of the store.
     NoOverlap, ///< Changes are read from the last state, so that what the store hid from that read stays unknown.
 };
 
@@ -38,7 +44,8 @@
 {
     std::string node;
     time_point at;
-    duration age{}; ///< Time since the store acknowledged the change that the decision did not know.
+    duration age{}; ///< Time since the store acknowledged the change that the decision did not know, or since the server left that it could use.
+    bool usesFormerServer = false; ///< The state was young enough, but a server in it had left.
     std::string lastFault; ///< The fault that began last before it, with its node.
 };
 
@@ -164,9 +171,14 @@
         std::shared_ptr<mirror> follower;
         std::optional<harness::fake_store_client> client;
         std::map<std::string, store_revision> known; ///< The state on which decisions rest: revisions by key.
+        server_directory directory; ///< The servers that decisions use.
+        std::optional<outage_tracker> outages;
+        bool isAskingWitnesses = false;
+        int incarnation = 0;
         store_revision newest = 0; ///< Highest revision ever known in this process.
         bool isRunning = true;
         time_point frozenUntil;
+        time_point cutUntil; ///< End of the last cut from its peers.
         time_point disturbedUntil; ///< The node is in touch from contactTime after this.
         std::vector<std::function<void()>> deferred; ///< Timers and messages that wait until the node runs again.
     };
@@ -175,6 +187,8 @@
         time_point at;
         std::string key;
         store_revision revision = 0;
+        bool isGone = false; ///< The server has left.
+        bool isStable = true; ///< The store was well, and had been so for contactTime, when it acknowledged the change.
     };
 
     void startNode(node &each);
@@ -182,8 +196,14 @@
     void send(const std::string &from, const std::string &to, std::function<void()> arrive);
     void scheduleDecision(const std::string &name);
     void decide(const std::string &name, time_point dueAt);
-    void check(const node &each);
+    void check(node &each);
     void scheduleChange();
+    void put(const std::string &key);
+    void erase(const std::string &key);
+    void lapseRegistrations();
+    void applyEvent(node &each, const store_watch_event &event, bool mayHaveLapsed);
+    void resolveDoubt(node &each);
+    void recordCall(const std::string &name, time_point begunAt, bool isAnswered);
     void scheduleFault();
     void injectFault();
     store_change_answer changesSince(store_revision after, store_revision reached) const;
@@ -211,8 +231,10 @@
     std::size_t m_checked = 0;
     duration m_longestWait{};
     bool m_hasFaults = true;
+    bool m_isStoreDown = false;
     std::size_t m_nodesPerZone = 3;
     duration m_decisionInterval = std::chrono::milliseconds(700);
+    time_point m_storeUnstableUntil; ///< The bound for a server that leaves counts from an acknowledgement of a store that is well for contactTime.
     time_point m_end;
 };
 
--- a/harness/fake_store.cpp
+++ b/harness/fake_store.cpp
@@ -129,6 +129,12 @@
     reportAll();
 }
 
+void fake_store::erase(const std::string &key)
+{
+    eraseKey(key, ++m_revision);
+    reportAll();
+}
+
 bool fake_store::reaches(const std::string &clientName) const
 {
     return !m_isDown && !m_cutClients.contains(clientName);
--- a/harness/fake_store.h
+++ b/harness/fake_store.h
@@ -114,6 +114,8 @@
     std::optional<store_key_value> peek(const std::string &key) const;
     /** Writes a key directly, as the test's own hand. */
     void put(const std::string &key, const std::string &value);
+    /** Removes a key, as an operator would. */
+    void erase(const std::string &key);
 
 private:
     friend class fake_store_client;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -94,7 +94,7 @@
     client_call(asio::io_context &io, std::weak_ptr<connection_pool> pool, endpoint where, http_call_options options, http_call_handlers handlers)
         : m_pool(std::move(pool))
         , m_where(std::move(where))
-        , m_options(options)
+        , m_options(std::move(options))
         , m_handlers(std::move(handlers))
         , m_silenceTimer(io)
         , m_deadlineTimer(io)
@@ -231,6 +231,10 @@
         if (m_hasEnded) {
             return;
         }
+        if (m_options.maySend && !m_options.maySend()) {
+            end(error_kind::NoServer, "no longer to be sent");
+            return;
+        }
         m_isHandedOver = true;
         startSilenceTimer(m_options.silenceTimeout, error_kind::ServerSilent, "no byte within the silence timeout");
         onStream([this](auto &stream) {
@@ -438,7 +442,7 @@
 
 std::shared_ptr<http_call> http_client::start(const endpoint &where, http_request request, http_call_options options, http_call_handlers handlers)
 {
-    const auto call = std::make_shared<client_call>(m_implementation->io, m_implementation->pool, where, options, std::move(handlers));
+    const auto call = std::make_shared<client_call>(m_implementation->io, m_implementation->pool, where, std::move(options), std::move(handlers));
     call->startCall(std::move(request));
     return call;
 }
@@ -456,7 +460,7 @@
     handlers.onEnd = [response, onResponse = std::move(onResponse)](const http_call_end &end) {
         onResponse(end, *response);
     };
-    return start(where, std::move(request), options, std::move(handlers));
+    return start(where, std::move(request), std::move(options), std::move(handlers));
 }
 
 bool http_client::hasIdle(const endpoint &where) const
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -53,6 +53,7 @@
     duration connectTimeout = std::chrono::seconds(1);
     duration silenceTimeout = std::chrono::seconds(10); ///< Longest wait for a write or read to complete.
     duration deadline = std::chrono::seconds(60); ///< Limit for the whole call, including the connection setup.
+    std::function<bool()> maySend; ///< Asked once a connection is there, just before the first byte is written. If false, the call ends with NoServer.
 };
 
 /** A call in progress. */
