--- a/steward/weight_service.cpp
+++ b/steward/weight_service.cpp
@@ -23,10 +23,10 @@
 
 constexpr duration publishedPollInterval = std::chrono::milliseconds(500);
 
-constexpr http_call_options publishedVersionLimits{ .silenceTimeout = std::chrono::seconds(2), .deadline = std::chrono::seconds(2) };
-constexpr http_call_options loadLimits{ .silenceTimeout = std::chrono::seconds(2), .deadline = std::chrono::seconds(2) };
-constexpr http_call_options stageLimits{ .silenceTimeout = std::chrono::seconds(120), .deadline = std::chrono::seconds(120) };
-constexpr http_call_options switchLimits{ .silenceTimeout = std::chrono::seconds(10), .deadline = std::chrono::seconds(10) };
+const http_call_options publishedVersionLimits{ .silenceTimeout = std::chrono::seconds(2), .deadline = std::chrono::seconds(2) };
+const http_call_options loadLimits{ .silenceTimeout = std::chrono::seconds(2), .deadline = std::chrono::seconds(2) };
+const http_call_options stageLimits{ .silenceTimeout = std::chrono::seconds(120), .deadline = std::chrono::seconds(120) };
+const http_call_options switchLimits{ .silenceTimeout = std::chrono::seconds(10), .deadline = std::chrono::seconds(10) };
 
 std::optional<endpoint> endpointOf(const std::string &text)
 {
