--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -7,8 +7,10 @@
 bench="$1"
 folder="$2"
 jobs="${3:-3}"
-# Site file and days to hunt: 8 on sites of 60 machines or more, 40 on others. The large site has taken the place of sites/, the oldest ones.
+# Site file and days to hunt: 8 on sites of 60 machines or more, 40 on others.
 sites=(
+    "sites/entoto-bothy 40"
+    "sites/mesa-comun 40"
     "large/entoto-bothy-large 8"
     "further-grown/brownstone-pitch-grown 8"
     "further/brownstone-pitch 40"
