--- a/edge/testing/limited_server_test.cpp
+++ b/edge/testing/limited_server_test.cpp
@@ -15,6 +15,16 @@
 constexpr int toleratedRequests = 5; // Requests beyond that.
 constexpr duration window = 4s;
 
+/** A node with one server. */
+struct single_server_fixture : node_fixture
+{
+    single_server_fixture()
+    {
+        removeServer("i-2");
+        run(1300ms); // The state at hand becomes too old, so the next request reads the registrations again.
+    }
+};
+
 /** Notes when requests arrive at a server that names a limit. */
 class limited_server
 {
@@ -64,9 +74,7 @@
 
 TEST(limited_server_test, serverInNeedGetsMoreRequestsThanItsLimit)
 {
-    node_fixture fixture;
-    fixture.removeServer("i-2");
-    fixture.run(1300ms);
+    single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "2");
     int refused = 0;
     for (int i = 0; i < 40; ++i) {
@@ -79,9 +87,7 @@
 
 TEST(limited_server_test, requestIsRefusedAtOnceWithTimeToReturn)
 {
-    node_fixture fixture;
-    fixture.removeServer("i-2");
-    fixture.run(1300ms);
+    single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "1");
     fixture.requestMany(1);
     int refused = 0;
@@ -111,9 +117,7 @@
 
 TEST(limited_server_test, itemsOfJobExceedNamedLimit)
 {
-    node_fixture fixture;
-    fixture.removeServer("i-2");
-    fixture.run(1300ms);
+    single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "2");
     fixture.requestMany(1);
     const auto worker = fixture.startJob(30);
@@ -129,9 +133,7 @@
 
 TEST(limited_server_test, limitThatIsNoLongerNamedEnds)
 {
-    node_fixture fixture;
-    fixture.removeServer("i-2");
-    fixture.run(1300ms);
+    single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "4");
     fixture.requestMany(1);
     limited.limit.clear();
@@ -141,9 +143,7 @@
 
 TEST(limited_server_test, laterInstanceUnderSameIdIsNotLimited)
 {
-    node_fixture fixture;
-    fixture.removeServer("i-2");
-    fixture.run(1300ms);
+    single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "1");
     fixture.requestMany(1);
     limited.limit.clear();
@@ -165,9 +165,7 @@
 /** The keeper of the limit is another node, which does not answer. */
 TEST(limited_server_test, nodeThatReachesNoKeeperSendsNothing)
 {
-    node_fixture fixture;
-    fixture.removeServer("i-2");
-    fixture.run(1300ms);
+    single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "5");
     fixture.requestMany(1);
     std::map<std::string, store_peer> others;
