--- a/edge/testing/endless_answer_test.cpp
+++ b/edge/testing/endless_answer_test.cpp
@@ -33,6 +33,7 @@
         SCOPED_TRACE(kind.what);
         endless_fixture fixture(kind);
         std::vector<std::shared_ptr<testing::recorded_exchange>> exchanges;
+        exchanges.reserve(6);
         for (int i = 0; i < 6; ++i) {
             exchanges.push_back(fixture.node.startRequest());
         }
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -74,6 +74,7 @@
 {
     node_fixture fixture;
     std::vector<std::shared_ptr<testing::recorded_exchange>> exchanges;
+    exchanges.reserve(6);
     for (int i = 0; i < 6; ++i) {
         exchanges.push_back(fixture.startRequest());
     }
