--- a/edge/limit_peer_client.cpp
+++ b/edge/limit_peer_client.cpp
@@ -1,3 +1,5 @@
+// One message carries all questions that wait for a keeper, and there is one at a time for each keeper, so a burst opens one connection to it.
+
 #include "edge/limit_peer_client.h"
 
 #include "base/cbor_codec.h"
--- a/edge/recording_store_transport.cpp
+++ b/edge/recording_store_transport.cpp
@@ -1,3 +1,5 @@
+// Long polls are left out of the failures, because their end without an answer says nothing of the store.
+
 #include "edge/recording_store_transport.h"
 
 #include "net/http_status.h"
--- a/fleet/limit_schedule.cpp
+++ b/fleet/limit_schedule.cpp
@@ -1,3 +1,5 @@
+// Each question costs a few additions, whatever the number of those who wait: a place granted ahead is only a later time of the next one.
+
 #include "fleet/limit_schedule.h"
 
 #include <algorithm>
--- a/fleet/limited_traffic.cpp
+++ b/fleet/limited_traffic.cpp
@@ -1,3 +1,5 @@
+// Rows exist only for servers with limits and are taken each second, so the map stays as small as the number of servers in need.
+
 #include "fleet/limited_traffic.h"
 
 #include <utility>
--- a/fleet/outage_tracker.cpp
+++ b/fleet/outage_tracker.cpp
@@ -1,3 +1,5 @@
+// Contacts are kept for a minute and spaced by a tenth of a second, so there are some hundred of them at most; questions scan them from the newest on.
+
 #include "fleet/outage_tracker.h"
 
 namespace reedtrail {
