A call to the store that goes both ways is answered once

Cause: three places passed a reply on, each with its own idea of whether one had been. Now one function does, once. readThatPeerDeclinesLateIs- AnsweredTwice got two bodies before, and gets one.

--- a/edge/failover_store_transport.cpp
+++ b/edge/failover_store_transport.cpp
@@ -45,9 +45,16 @@
     reply_handler onReply;
     cancel_action cancel;
     bool isCancelled = false;
-    bool isAnswered = false; ///< onReply has been called with the reply of a peer.
+    bool isAnswered = false;
     bool hasSwitchedPath = false; ///< Set when a failed call is sent again on the other path, so that it does not switch back.
 
+    /** Passes the first reply on. A call that went both ways gets two. */
+    void answer(const reply &first)
+    {
+        if (!isCancelled && !std::exchange(isAnswered, true)) {
+            onReply(first);
+        }
+    }
     /** Tells whether the call may be sent again after an unknown outcome. That holds for reads and for lease renewals, which are idempotent. */
     bool isRetrySafe() const
     {
@@ -120,7 +127,7 @@
     const time_point now = m_loop.now();
     const bool isServed = !isStoreUnavailable(answer);
     if (call->isLongPoll() && !isServed) {
-        call->onReply(answer); // A store that serves this node cuts long polls as well, so their failure says nothing about the path.
+        call->answer(answer); // A store that serves this node cuts long polls as well, so their failure says nothing about the path.
         return;
     }
     const bool wasUsingPeer = m_path.isFailedOver(now);
@@ -140,7 +147,7 @@
             return;
         }
     }
-    call->onReply(answer);
+    call->answer(answer);
 }
 
 /** Cancels the long polls on the direct path, which would wait in vain while it fails; their callers read again through a peer. */
@@ -232,7 +239,7 @@
 /** Sends a call that its peer does not answer in time on the direct path too. A failure there says nothing new. */
 void failover_store_transport::hedgeDirectly(const std::shared_ptr<pending_call> &call)
 {
-    if (call->isCancelled || call->hasSwitchedPath) {
+    if (call->isCancelled || call->isAnswered || call->hasSwitchedPath) {
         return;
     }
     m_direct.call(call->method, call->target, call->body, directCallTimeout, [this, call](const reply &answer) {
@@ -242,14 +249,12 @@
         const bool wasLost = m_path.isStoreLost();
         m_path.recordDirectResult(m_loop.now(), true);
         notifyIfRecovered(wasLost);
-        if (call->isCancelled || call->isAnswered) {
-            return;
-        }
-        call->isCancelled = true; // The peer's reply is no longer of interest.
-        if (const auto cancel = std::exchange(call->cancel, nullptr)) {
-            cancel();
+        const auto cancelOther = std::exchange(call->cancel, nullptr);
+        call->answer(answer);
+        call->isCancelled = true; // The end of the other way says nothing of the peer.
+        if (cancelOther) {
+            cancelOther();
         }
-        call->onReply(answer);
     });
 }
 
@@ -275,8 +280,7 @@
         sendDirectly(call);
         return;
     }
-    call->isAnswered = true;
-    call->onReply({ !isNotExecuted && !isOutcomeUnknown, isOutcomeUnknown, response.status, response.body });
+    call->answer({ !isNotExecuted && !isOutcomeUnknown, isOutcomeUnknown, response.status, response.body });
 }
 
 /** A shared watch that has not been answered yet. */
--- a/edge/testing/failover_store_transport_test.cpp
+++ b/edge/testing/failover_store_transport_test.cpp
@@ -1,5 +1,6 @@
 #include "edge/failover_store_transport.h"
 
+#include "edge/peer_protocol.h"
 #include "net/http_server.h"
 
 #include <gtest/gtest.h>
@@ -89,6 +90,38 @@
     EXPECT_FALSE(transport.path().isFailedOver(fixture.loop.now())) << "the direct path is used again";
 }
 
+// Guards against a second reply to one call: the peer declines after the read has gone to the store as well, and so it goes there once more.
+TEST(failover_store_transport_test, readThatPeerDeclinesLateIsAnsweredTwice)
+{
+    failover_fixture fixture;
+    http_server peer(fixture.io, { .address = fixture.peer }, [&](std::shared_ptr<http_exchange> exchange) {
+        fixture.loop.after(600ms, [exchange = std::move(exchange)] {
+            exchange->respond(textResponse(peer_protocol::statusNotExecuted, ""));
+        });
+    });
+    std::shared_ptr<http_exchange> slowRead;
+    http_server store(fixture.io, { .address = fixture.store }, [&](std::shared_ptr<http_exchange> exchange) {
+        if (!slowRead) {
+            slowRead = std::move(exchange);
+            return;
+        }
+        exchange->respond(textResponse(200, "second"));
+        fixture.loop.after(20ms, [&slowRead] {
+            slowRead->respond(textResponse(200, "first"));
+        });
+    });
+    ASSERT_TRUE(peer.start());
+    ASSERT_TRUE(store.start());
+    failover_store_transport transport(fixture.loop, fixture.client, fixture.settings);
+    fixture.failDirectPath(transport);
+    std::vector<std::string> bodies;
+    transport.call("GET", "/read", "", 4900ms, [&](const platform::store_transport::reply &reply) {
+        bodies.push_back(reply.body);
+    });
+    fixture.io.run_for(2500ms);
+    EXPECT_EQ(bodies, std::vector<std::string>{ "second" });
+}
+
 // Guards against executing a write twice: a peer that received the write and did not answer may have executed it, so the write must not be sent again and its
 // outcome must be reported as unknown.
 TEST(failover_store_transport_test, unansweredWriteThroughPeerIsNotRetried)
