The end of a grace period that was shortened is checked at the new time

Found by reading again: once a witness has shown that an outage ended earlier, the time in which a missing registration may return ends earlier too, but the timer stood at the first one, up to two seconds later, and a node without requests kept the server as usable until then. Cause: one timer for the first grace period, none for a changed one. Now each earlier end gets its check; a flag that the directory can answer for itself is gone. serverMissingTwoSecondsAfterOutageIsKeptAsLongAsFirst- Thought failed before.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -363,7 +363,6 @@
         const std::string id = event.item.key.substr(platform::serversPrefix.size());
         logLine(log_level::Info, "server-unregistered", { { "server", id }, { "may-have-lapsed", mayHaveLapsed ? "yes" : "no" } });
         m_directory.remove(m_context.loop.now(), id, mayHaveLapsed ? std::optional(m_serverMirror->lapseEnd()) : std::nullopt);
-        m_hasLapsedServers = m_hasLapsedServers || mayHaveLapsed;
         return;
     }
     std::optional<server_entry> entry = decodeServerEntry(event.item);
@@ -396,15 +395,16 @@
 {
     m_directory.expire(m_context.loop.now());
     const std::optional<time_point> next = m_directory.nextExpiry();
-    if (next && std::exchange(m_hasLapsedServers, false)) {
-        m_context.loop.after(*next - m_context.loop.now(), [this] {
-            if (m_directory.expire(m_context.loop.now())) {
-                onServersChanged();
-            }
-            m_hasLapsedServers = m_directory.nextExpiry().has_value();
-            removeExpiredServers();
-        });
+    if (!next || *next >= m_nextExpiryCheck) {
+        return;
     }
+    m_nextExpiryCheck = *next;
+    m_context.loop.after(*next - m_context.loop.now(), [this, due = *next] {
+        if (m_nextExpiryCheck == due) {
+            m_nextExpiryCheck = timeNever;
+        }
+        onServersChanged();
+    });
 }
 
 } // namespace reedtrail
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -139,7 +139,7 @@
     random_source m_random;
     bool m_hasBegun = false;
     bool m_isAskingWitnesses = false; ///< Other nodes have been asked whether the store was there.
-    bool m_hasLapsedServers = false; ///< Registrations have gone since the last check that may only have lapsed.
+    time_point m_nextExpiryCheck = timeNever; ///< When the next grace period of a server is checked for its end.
     std::uint64_t m_appliedDirectoryChanges = 0;
     std::vector<std::function<void()>> m_listeners;
 };
--- a/edge/testing/leaving_server_test.cpp
+++ b/edge/testing/leaving_server_test.cpp
@@ -149,6 +149,35 @@
     }
 }
 
+/** Another node knows that the outage ended a while before this node reached the store again. */
+TEST(leaving_server_test, serverMissingTwoSecondsAfterOutageIsKeptAsLongAsFirstThought)
+{
+    node_fixture fixture;
+    fixture.fleet->setWitness([&](const std::function<void(std::optional<time_point>)> &onAnswer) {
+        fixture.loop.after(2ms, [&, onAnswer] {
+            onAnswer(fixture.loop.now() - 1500ms);
+        });
+    });
+    fixture.requestMany(2);
+    fixture.transport.isCut = true;
+    const time_point end = fixture.loop.now() + 5s;
+    while (fixture.loop.now() < end) {
+        fixture.requestMany(1);
+        fixture.run(100ms);
+    }
+    fixture.removeServer("i-2");
+    fixture.transport.isCut = false;
+    const store_revision left = fixture.transport.revision;
+    EXPECT_TRUE(fixture.runUntil([&] {
+        fixture.requestMany(1);
+        return fixture.fleet->dump()["serverState"]["revision"] == left;
+    }));
+    fixture.run(50ms);
+    EXPECT_TRUE(fixture.fleet->directory().isUsable("i-2", 100)) << "it may still come back";
+    fixture.run(700ms); // Without a request nothing is read.
+    EXPECT_FALSE(fixture.fleet->directory().isUsable("i-2", 100));
+}
+
 /** The store itself was away, so that a registration may have lapsed. The server is back in time, and no caller is refused meanwhile. */
 TEST(leaving_server_test, serverWhoseRegistrationLapsedIsKept)
 {
