Names of the platform in the tests of limits and endless answers stand in platform/testing

Three test files outside platform/ wrote the platform's header names. The fields of a server's response and its limit now come from the node's fixture in platform/testing; endless_server takes the header lines from its caller.

--- a/edge/testing/endless_answer_test.cpp
+++ b/edge/testing/endless_answer_test.cpp
@@ -29,7 +29,7 @@
 
 TEST(endless_answer_test, callersWaitForBytesWithoutEnd)
 {
-    for (const endless_bytes &kind : testing::endlessKinds("r")) {
+    for (const endless_bytes &kind : testing::endlessKinds(testing::serverFieldLines("r"))) {
         SCOPED_TRACE(kind.what);
         endless_fixture fixture(kind);
         std::vector<std::shared_ptr<testing::recorded_exchange>> exchanges;
@@ -52,12 +52,12 @@
 
 TEST(endless_answer_test, itemsTakeBytesWithoutEnd)
 {
-    for (const endless_bytes &kind : testing::endlessKinds("item-0")) {
+    for (const endless_bytes &kind : testing::endlessKinds(testing::serverFieldLines("item-0"))) {
         SCOPED_TRACE(kind.what);
         endless_fixture fixture(kind);
         fixture.node.first.script = [](const std::shared_ptr<http_exchange> &exchange) {
             http_response head;
-            head.fields = { { "Request-Id", std::string(exchange->request().fields.get("Request-Id")) }, { "Server-Signature", "sig" } };
+            head.fields = testing::serverFields(exchange->request());
             exchange->startStream(std::move(head));
             exchange->write("id: 1\ndata: a\n\n");
             exchange->finishStream();
--- a/edge/testing/limited_server_test.cpp
+++ b/edge/testing/limited_server_test.cpp
@@ -29,17 +29,16 @@
 class limited_server
 {
 public:
-    limited_server(node_fixture &fixture, test_server &server, std::string limit)
+    limited_server(node_fixture &fixture, test_server &server, const std::string &limit)
         : m_fixture(fixture)
-        , limit(std::move(limit))
+        , m_server(server)
     {
+        server.limit = limit;
         server.script = [this](const std::shared_ptr<http_exchange> &exchange) {
             arrivals.push_back(m_fixture.loop.now());
             http_response response;
-            response.fields = { { "Request-Id", std::string(exchange->request().fields.get("Request-Id")) }, { "Server-Signature", "sig" } };
-            if (!this->limit.empty()) {
-                response.fields.set("Server-Limit", this->limit);
-            }
+            response.fields = testing::serverFields(exchange->request());
+            m_server.addLimit(response);
             if (exchange->request().path() == "/p/1") {
                 response.body = "ok";
                 exchange->respond(std::move(response));
@@ -64,12 +63,17 @@
         return static_cast<int>(most);
     }
 
-private:
-    node_fixture &m_fixture;
+    /** Ends the limit: the server names none from now on. */
+    void lift()
+    {
+        m_server.limit.clear();
+    }
 
-public:
-    std::string limit;
     std::vector<time_point> arrivals;
+
+private:
+    node_fixture &m_fixture;
+    test_server &m_server;
 };
 
 TEST(limited_server_test, serverInNeedGetsMoreRequestsThanItsLimit)
@@ -136,7 +140,7 @@
     single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "4");
     fixture.requestMany(1);
-    limited.limit.clear();
+    limited.lift();
     fixture.run(300ms); // A place is free by now; its answer names no limit.
     fixture.requestMany(40);
 }
@@ -146,7 +150,7 @@
     single_server_fixture fixture;
     limited_server limited(fixture, fixture.first, "1");
     fixture.requestMany(1);
-    limited.limit.clear();
+    limited.lift();
     fixture.enter("i-1", fixture.first.address, "ready", 900);
     fixture.run(1300ms);
     fixture.requestMany(20);
--- a/net/testing/endless_response_test.cpp
+++ b/net/testing/endless_response_test.cpp
@@ -17,7 +17,7 @@
 /** Bytes that never end are given up by their number, not when the time of the call is over. */
 TEST(endless_response_test, endlessBytesAreTakenUntilTheDeadline)
 {
-    for (const endless_bytes &kind : testing::endlessKinds("r")) {
+    for (const endless_bytes &kind : testing::endlessKinds("")) {
         SCOPED_TRACE(kind.what);
         boost::asio::io_context io;
         endless_server server(io, port, kind);
@@ -44,7 +44,7 @@
 {
     constexpr std::size_t callCount = 40;
     constexpr std::size_t sumLimit = 4 << 20;
-    const endless_bytes kind = testing::endlessKinds("r")[6];
+    const endless_bytes kind = testing::endlessKinds("")[6];
     boost::asio::io_context io;
     endless_server server(io, port, kind);
     http_client client(io, { .maximumBodyBytes = bodyLimit, .maximumBytesInFlight = sumLimit });
--- a/net/testing/endless_server.h
+++ b/net/testing/endless_server.h
@@ -20,15 +20,14 @@
     std::function<std::string(std::uint64_t number)> part; ///< Returns the part with a number from 1 on.
 };
 
-/** Returns the kinds of endless bytes, in heads and bodies. */
-inline std::vector<endless_bytes> endlessKinds(const std::string &requestId)
+/** Returns the kinds of endless bytes, in heads and bodies. @param fields header lines of each response, with their line ends */
+inline std::vector<endless_bytes> endlessKinds(const std::string &fields)
 {
     const auto same = [](std::string text) {
         return [text = std::move(text)](std::uint64_t) {
             return text;
         };
     };
-    const std::string fields = "Request-Id: " + requestId + "\r\nServer-Signature: sig\r\n";
     const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
     const std::string filler(16 << 10, 'x');
     return {
