What waited for a place is judged again by the configuration before it is sent

What could be seen: an item is sent although this node has adopted a configuration that drops its route. Change: a run keeps the version by which it was placed; just before its first byte the version must be the newest one and known young enough.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -187,12 +187,21 @@
     });
 }
 
-bool fleet_cache::maySend(std::string_view server, std::int64_t startedAt) const
+/** Tells whether a send may rest on the state of @p mirror, which must be known by the end of @p bound. */
+bool fleet_cache::isKnownForSend(const edge_snapshot_mirror &mirror, duration bound) const
 {
     const time_point now = m_context.loop.now();
-    const duration maxAge = fromSeconds(toSeconds(m_context.settings.maxDrainDelay) * sendAllowanceShare);
-    const bool isKnown = m_serverMirror->age(now) <= maxAge || m_serverMirror->isFailing(now) || m_context.isIsolated();
-    return isKnown && m_directory.isUsable(server, startedAt);
+    return mirror.age(now) <= fromSeconds(toSeconds(bound) * sendAllowanceShare) || mirror.isFailing(now) || m_context.isIsolated();
+}
+
+bool fleet_cache::maySend(std::string_view server, std::int64_t startedAt) const
+{
+    return isKnownForSend(*m_serverMirror, m_context.settings.maxDrainDelay) && m_directory.isUsable(server, startedAt);
+}
+
+bool fleet_cache::isConfigurationUnchanged(std::uint64_t version) const
+{
+    return isKnownForSend(*m_configurationMirror, m_context.settings.maxConfigurationDelay) && m_routes.document().version == version;
 }
 
 void fleet_cache::chargeLimit(std::string_view server)
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -75,6 +75,11 @@
      * Asked again at the moment of the send, because a connection may take a while.
      */
     bool maySend(std::string_view server, std::int64_t startedAt) const;
+    /**
+     * Tells whether a request may be sent now that was placed by the configuration of a version: it is still the newest one, and that is known from a state
+     * that is young enough. For requests of this node's own, which may wait for a while between the two.
+     */
+    bool isConfigurationUnchanged(std::uint64_t version) const;
     /** Counts a request towards the limit of its server that is sent in any case. */
     void chargeLimit(std::string_view server);
     /** Answers a peer's questions on limits of servers. */
@@ -118,6 +123,7 @@
     void applyServerEvent(const store_watch_event &event, bool mayHaveLapsed);
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
     void onServersChanged();
+    bool isKnownForSend(const edge_snapshot_mirror &mirror, duration bound) const;
     void resolveOutageDoubt();
     void removeExpiredServers();
     std::string zoneOf(std::string_view server) const;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -210,6 +210,7 @@
 {
     newRun->number = m_nextRunNumber++;
     newRun->server = server.id;
+    newRun->configuration = m_fleet.routes().document().version;
     newRun->startedAt = now;
     newRun->lastActivityAt = now;
     m_fleet.backends().onRequestStarted(server.id);
@@ -225,21 +226,21 @@
                       if (grant.isGranted) {
                           self->send(newRun, server, std::move(*pending), limit);
                       } else {
-                          self->handleLimit(newRun);
+                          self->putOff(newRun);
                       }
                   });
 }
 
-/** Puts a run off that found no place at a server with a limit. */
-void job_worker::handleLimit(const std::shared_ptr<run> &deniedRun)
+/** Puts a run off that has not been sent. */
+void job_worker::putOff(const std::shared_ptr<run> &unsentRun)
 {
-    std::erase(m_runs, deniedRun);
-    m_fleet.backends().onRequestEnded(deniedRun->server);
+    std::erase(m_runs, unsentRun);
+    m_fleet.backends().onRequestEnded(unsentRun->server);
     const time_point now = m_context.loop.now();
-    if (deniedRun->isScore) {
-        m_progress.scoringFailed(now, deniedRun->item, run_failure::NotRun, refusalRetryDelay);
+    if (unsentRun->isScore) {
+        m_progress.scoringFailed(now, unsentRun->item, run_failure::NotRun, refusalRetryDelay);
     } else {
-        m_progress.runFailed(now, deniedRun->item, run_failure::NotRun, refusalRetryDelay);
+        m_progress.runFailed(now, unsentRun->item, run_failure::NotRun, refusalRetryDelay);
     }
     advance();
 }
@@ -252,8 +253,8 @@
     options.connectTimeout = std::min(serverConnectTimeout, limit);
     options.silenceTimeout = limit;
     options.deadline = limit;
-    options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt] {
-        return fleet.maySend(id, startedAt);
+    options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt, configuration = newRun->configuration] {
+        return fleet.maySend(id, startedAt) && fleet.isConfigurationUnchanged(configuration);
     };
     const auto guarded = [weak = weak_from_this(), weakRun = std::weak_ptr(newRun)](auto action) {
         const auto self = weak.lock();
@@ -338,6 +339,11 @@
 
 void job_worker::onRunEnded(const std::shared_ptr<run> &endedRun, const http_call_end &end)
 {
+    if (end.isWithdrawn) {
+        logRun(*endedRun, "withdrawn", end.detail);
+        putOff(endedRun);
+        return;
+    }
     std::erase(m_runs, endedRun);
     m_fleet.backends().onRequestEnded(endedRun->server);
     const time_point now = m_context.loop.now();
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -61,6 +61,7 @@
         std::size_t item = 0; ///< Index of the item in the job.
         std::uint64_t number = 0;
         std::string server; ///< Id of the server.
+        std::uint64_t configuration = 0; ///< Version of the configuration by which the run was placed.
         fleet_cache::sent_request sent;
         std::shared_ptr<http_call> call; ///< Null while the run waits for a place at a server with a limit.
         event_stream_reader events;
@@ -85,7 +86,7 @@
     void startScore(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server);
     void launch(time_point now, const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
     void send(const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
-    void handleLimit(const std::shared_ptr<run> &deniedRun);
+    void putOff(const std::shared_ptr<run> &unsentRun);
     void onResponseHead(run &current, const http_response &head);
     void onResponseBody(run &current, std::string_view part);
     void onRunEnded(const std::shared_ptr<run> &endedRun, const http_call_end &end);
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -225,6 +225,10 @@
 void request_relay::onAttemptEnded(const http_call_end &end)
 {
     releaseServer();
+    if (end.isWithdrawn) {
+        startNextAttempt();
+        return;
+    }
     const time_point now = m_context.loop.now();
     if (end.error != error_kind::None) {
         const bool isSilent = !end.hasHead && (end.error == error_kind::ServerSilent || end.error == error_kind::DeadlineExceeded);
--- a/edge/testing/limited_server_test.cpp
+++ b/edge/testing/limited_server_test.cpp
@@ -44,6 +44,7 @@
                 exchange->respond(std::move(response));
                 return;
             }
+            ++itemArrivals;
             exchange->startStream(std::move(response));
             exchange->write("id: 1\ndata: a\n\n");
             exchange->finishStream();
@@ -70,6 +71,7 @@
     }
 
     std::vector<time_point> arrivals;
+    std::size_t itemArrivals = 0;
 
 private:
     node_fixture &m_fixture;
@@ -181,5 +183,25 @@
     EXPECT_EQ(limited.arrivals.size(), before);
 }
 
+/** The route of a job goes while its items wait for places. */
+TEST(limited_server_test, itemThatWaitedForPlaceIsSentByFormerConfiguration)
+{
+    single_server_fixture fixture;
+    fixture.run(500ms); // From here on the node hands out all places of the server.
+    limited_server limited(fixture, fixture.first, "1.2");
+    fixture.requestMany(1);
+    const auto worker = fixture.startJob(8);
+    fixture.run(650ms); // Some wait for a place, and the configuration is old enough to be read again.
+    fixture.putConfiguration(2, { { "r", "/p/", route_kind::Idempotent } });
+    EXPECT_TRUE(fixture.runUntil([&] {
+        fixture.fleet->ensureCurrent([] {});
+        return fixture.fleet->routes().document().version == 2;
+    }));
+    const std::size_t before = limited.itemArrivals;
+    fixture.run(1500ms);
+    EXPECT_EQ(limited.itemArrivals, before);
+    worker->stop();
+}
+
 } // namespace
 } // namespace reedtrail
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -232,6 +232,7 @@
             return;
         }
         if (m_options.maySend && !m_options.maySend()) {
+            m_isWithdrawn = true;
             end(error_kind::NoServer, "no longer to be sent");
             return;
         }
@@ -391,7 +392,7 @@
         }
         const http_call_handlers handlers = std::exchange(m_handlers, {});
         if (handlers.onEnd) {
-            handlers.onEnd({ kind, m_isHandedOver, m_isConnectionRefused, m_hasHead, std::move(detail) });
+            handlers.onEnd({ kind, m_isHandedOver, m_isWithdrawn, m_isConnectionRefused, m_hasHead, std::move(detail) });
         }
     }
 
@@ -416,6 +417,7 @@
     int m_interimResponses = 0;
     bool m_isHeadRequest = false;
     bool m_isHandedOver = false;
+    bool m_isWithdrawn = false;
     bool m_isConnectionRefused = false;
     bool m_hasHead = false;
     bool m_hasEnded = false;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -34,6 +34,7 @@
 {
     error_kind error = error_kind::None; ///< None, NoServer (no connection), ServerFailed, ServerSilent, DeadlineExceeded or Cancelled.
     bool isHandedOver = false; ///< Whether any byte of the request may have reached the server.
+    bool isWithdrawn = false; ///< Whether http_call_options::maySend did not allow the send; says nothing of the server.
     bool isConnectionRefused = false; ///< Whether the machine answered that nothing listens there.
     bool hasHead = false; ///< Whether the status line and header of the response were received.
     std::string detail;
