--- a/fleet/dated_snapshot.cpp
+++ b/fleet/dated_snapshot.cpp
@@ -129,8 +129,7 @@
         }
     }
     for (const auto &[key, removedAt] : m_removals) {
-        const bool mayBeKnown = since > 0 && (reply.isComplete || removedAt > since);
-        if (mayBeKnown && !m_items.contains(key)) {
+        if ((reply.isComplete || removedAt > since) && !m_items.contains(key)) {
             reply.removed.push_back(key);
             reply.removedAt.push_back(removedAt);
         }
--- a/fleet/testing/dated_snapshot_test.cpp
+++ b/fleet/testing/dated_snapshot_test.cpp
@@ -96,7 +96,7 @@
         std::size_t items;
         std::size_t removed;
     };
-    const row rows[] = { { "a receiver without a state", 0, true, 2, 0 },
+    const row rows[] = { { "a receiver without a state, which passes them on", 0, true, 2, 2 },
                          { "a state from before the reader's listing", 9, true, 2, 2 },
                          { "the state of the reader's listing", 10, false, 2, 2 },
                          { "a state between", 16, false, 1, 1 },
@@ -156,13 +156,17 @@
     removal.type = store_watch_event::kind::Delete;
     removal.item = itemOf("b", 15); // Came at 12 and went at 15.
     first.advance(time_point(2s), 20, std::vector{ removal });
-    dated_snapshot second;
-    second.replace(time_point(1s), { std::nullopt, 5, { itemOf("a", 3) } });
-    second.apply(time_point(2s), first.replySince(time_point(2s), 5));
-    dated_snapshot third;
-    third.replace(time_point(1s), { std::nullopt, 13, { itemOf("a", 3), itemOf("b", 12) } });
-    EXPECT_EQ(textOf(third.apply(time_point(2s), second.replySince(time_point(2s), 9))), "-b");
-    EXPECT_EQ(textOf(third.apply(time_point(2s), second.replySince(time_point(2s), 13))), "");
+    for (const store_revision known : { 0U, 5U }) {
+        dated_snapshot second;
+        if (known > 0) {
+            second.replace(time_point(1s), { std::nullopt, known, { itemOf("a", 3) } });
+        }
+        second.apply(time_point(2s), first.replySince(time_point(2s), known));
+        dated_snapshot third;
+        third.replace(time_point(1s), { std::nullopt, 13, { itemOf("a", 3), itemOf("b", 12) } });
+        EXPECT_EQ(textOf(third.apply(time_point(2s), second.replySince(time_point(2s), 9))), "-b") << known;
+        EXPECT_EQ(textOf(third.apply(time_point(2s), second.replySince(time_point(2s), 13))), "") << known;
+    }
 }
 
 TEST(dated_snapshot_test, overlappingChangesAreTakenOnce)
