Broken attempts are logged with the request's digest and what became of the server

Counter reedtrail_attempts_broken_total. No decision rests on it. The body is hashed only after an attempt broke.

--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "edge/request_relay.h"
 
+#include "edge/server_end_probe.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
 
@@ -15,6 +16,7 @@
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
+constexpr duration serverEndTimeout = std::chrono::milliseconds(200); // A machine that is there answers within a round trip, also one under load.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
 } // namespace
@@ -238,9 +240,11 @@
             logLine(log_level::Info, "attempt-not-sent", { { "request", m_call.id }, { "server", m_server.id }, { "reason", end.detail } });
             retryOrRefuse();
         } else if (isStream() && m_hasStreamStarted) {
+            recordBrokenAttempt(end.detail.c_str());
             onStreamEnded(end);
         } else {
             ++m_possibleRuns;
+            recordBrokenAttempt(end.detail.c_str());
             handleSentAttemptFailure(end.detail.c_str());
         }
         return;
@@ -269,6 +273,7 @@
     const bool isOwnAnswer = m_serverAnswer.requestId == m_call.id;
     const bool isSuccess = m_serverAnswer.status >= http_status::ok && m_serverAnswer.status < http_status::firstNonSuccess;
     if (!isOwnAnswer || (isSuccess && m_serverAnswer.signature.empty())) {
+        recordBrokenAttempt("the answer is not the server's to this request");
         handleSentAttemptFailure("the answer is not the server's to this request");
         return;
     }
@@ -283,14 +288,39 @@
     finishWithResponse(std::move(response), "answered");
 }
 
-void request_relay::handleSentAttemptFailure(const char *reason)
+const request_identity &request_relay::identity()
+{
+    if (!m_identity) {
+        const http_request &request = m_exchange->request();
+        m_identity = identify(outlineOf(request.method, request.fields.get("Host"), request.target, request.body), request.body);
+    }
+    return *m_identity;
+}
+
+/** Logs an attempt whose response did not come whole, and finds out whether its server has ended. */
+void request_relay::recordBrokenAttempt(const char *reason)
 {
+    const duration elapsed = m_context.loop.now() - m_attemptStartedAt;
     logLine(log_level::Info,
             "attempt-broken",
             { { "request", m_call.id },
+              { "digest", identity().text() },
               { "server", m_server.id },
               { "reason", reason },
-              { "after-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_context.loop.now() - m_attemptStartedAt).count()) } });
+              { "others", std::to_string(m_fleet.backends().running(m_server.id)) },
+              { "after-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()) } });
+    const auto logPresence = [self = shared_from_this(), server = m_server.id](server_presence presence) {
+        const std::string name(presenceName(presence));
+        self->m_context.metrics.counter("reedtrail_attempts_broken_total", "Attempts whose response broke off", "server=\"" + name + "\"").add();
+        logLine(log_level::Info,
+                "broken-attempt-server",
+                { { "request", self->m_call.id }, { "digest", self->identity().text() }, { "server", server }, { "is", name } });
+    };
+    probeServerEnd(m_context.loop.io(), m_server.address, serverEndTimeout, logPresence);
+}
+
+void request_relay::handleSentAttemptFailure(const char *reason)
+{
     if (isRetrySafe() && m_possibleRuns < m_route.maxAttempts && m_context.loop.now() < m_deadline) {
         startNextAttempt();
         return;
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -9,12 +9,14 @@
 
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
+#include "fleet/request_identity.h"
 #include "net/event_stream.h"
 #include "net/http_server.h"
 #include "platform/caller_wire.h"
 #include "platform/server_wire.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,8 @@
     void forwardEvents(std::string_view part);
     void onStreamEnded(const http_call_end &end);
     void handleSentAttemptFailure(const char *reason);
+    void recordBrokenAttempt(const char *reason);
+    const request_identity &identity();
     void retryOrRefuse();
     bool isRetrySafe() const;
     bool isStream() const;
@@ -56,6 +60,7 @@
     route m_route; ///< Copy of the route at the time of the request; a new configuration does not change it.
     platform::service_call m_call;
     std::string m_service;
+    std::optional<request_identity> m_identity; ///< Set once it is asked for.
     time_point m_startedAt;
     time_point m_deadline;
     std::vector<std::string> m_triedServers;
