A request that crashes servers is sent three times more at most, over all nodes

What callers saw: a request under which servers end was sent to server after server; twelve servers of a service were gone within 0.6 s, and no other request of the service was served for two seconds at a time. Cause: a node forgot a broken attempt with its caller's request, and no node knew of those of others, so each repeat of the caller, with a new id at any node, took maxAttempts servers again. Change: a request is identified by method, host, path and body. When a connection to a server breaks off, the node finds out whether the server has ended, and tells the request's two keepers (rendezvous hashing). From then on all nodes ask before they send that request: one attempt at a time over all nodes, after the third end three retries in all, ten seconds, ten minutes and half an hour later. Shared with all nodes by one message to each zone, by the pings between zones, and by an entry in the store beside the registrations, which every node reads at its start. A request under which nothing ended costs a look-up: no message, no hash. Ruled out: asking a keeper before each send, as limits do (all requests would pay for a few).

--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "edge/batch_job_service.h"
+#include "edge/crash_guard.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "edge/job_forwarder.h"
@@ -21,7 +22,7 @@
 class caller_service : public service
 {
 public:
-    caller_service(edge_context &context, fleet_cache &fleet, batch_job_service &jobs, job_forwarder &forwarder);
+    caller_service(edge_context &context, fleet_cache &fleet, crash_guard &crashes, batch_job_service &jobs, job_forwarder &forwarder);
 
     result<void> start(kernel &process) override;
     /** Marks every further response as the last one on its connection, so that callers reconnect elsewhere. */
@@ -44,6 +45,7 @@
 
     edge_context &m_context;
     fleet_cache &m_fleet;
+    crash_guard &m_crashes;
     batch_job_service &m_jobs;
     job_forwarder &m_forwarder;
     kernel *m_process = nullptr;
--- /dev/null
+++ b/edge/crash_guard.h
@@ -0,0 +1,115 @@
+/**
+ * @file
+ * Connects fleet/crash_client.h with the callers' requests, the other nodes and the store.
+ */
+#pragma once
+
+#include "edge/asio_loop.h"
+#include "edge/edge_context.h"
+#include "edge/server_end_probe.h"
+#include "fleet/crash_client.h"
+#include "kernel/service.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "routing/backend_table.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace reedtrail {
+
+/** Sends crash messages to other nodes; satisfies crash_peers. */
+class crash_peer_client
+{
+public:
+    /** @param router knows the addresses of other nodes */
+    crash_peer_client(store_router &router, http_client &peerClient)
+        : m_router(router)
+        , m_peerClient(peerClient)
+    {
+    }
+
+    void send(const std::string &node, const crash_message &message, std::function<void(peer_ask_end, const crash_reply &)> onEnd);
+
+private:
+    store_router &m_router;
+    http_client &m_peerClient;
+};
+
+/** Keeps callers' requests that crash backend servers away from them. */
+class crash_guard
+{
+public:
+    /** Prefix of the store keys under which such requests stand, below that of the registrations of nodes, which all nodes read. */
+    static constexpr std::string_view keyPart = "crashing/";
+
+    crash_guard(edge_context &context, store_router &router, http_client &peerClient);
+
+    /** Replaces the list of all nodes, by name, this node included. */
+    void setNodes(const std::map<std::string, store_peer> &nodes)
+    {
+        m_client->setNodes(nodes);
+    }
+    /** Tells whether a request is one under which servers have ended. @param body read only if a request with the same outline is one */
+    bool isSuspect(const request_outline &outline, std::string_view body) const;
+    /**
+     * Asks whether a suspect request may be sent now, as crash_client::admit().
+     * @return identifies the asking attempt for release()
+     */
+    std::string admit(const request_identity &identity, std::string_view request, std::function<void(const crash_grant &)> onEnd);
+    /** Handles that an attempt that was granted has ended, or will not be made, and that no server has ended under it. */
+    void release(const request_identity &identity, const std::string &asker)
+    {
+        m_client->release(identity, asker);
+    }
+    /** Handles that nothing listens at the address of a server any more. */
+    void onConnectionRefused(const backend_choice &server)
+    {
+        m_client->noteEnded(server.id, server.startedAt);
+    }
+    /**
+     * Handles that the connection to a server broke off in the middle of a request: finds out whether the server has ended, and records it if so.
+     * @param mayCount whether the server was expected to go on; if not, its end is nobody's doing
+     * @param onEnd called once, never from inside this call; isRecorded: whether the server has ended, and its end counts
+     */
+    void onBroken(
+        const request_identity &identity, std::string_view request, const backend_choice &server, bool mayCount, std::function<void(bool isRecorded)> onEnd);
+    /** Handles that a server has completed a request. */
+    void onSurvived(const request_identity &identity, std::string_view request, const backend_choice &server);
+
+    /** Answers a message of another node. */
+    void serve(const std::shared_ptr<http_exchange> &exchange);
+    /** Handles what the store has under a key below keyPart. @param isRemoved whether the key was removed */
+    void onStored(std::string_view key, const std::string &value, bool isRemoved);
+    /** Returns what a ping and its answer carry: a hash of what all nodes have to know, empty if there is nothing. */
+    std::string stateText() const;
+    /** Handles what the answer of a pinged node carries. */
+    void onPingAnswer(const std::string &node, std::string_view stateText);
+    nlohmann::json dump() const;
+
+private:
+    /** What is known of the entry of a request in the store. */
+    struct stored_state
+    {
+        store_revision revision = 0; ///< At which it was last written or read; 0 if it is absent.
+        bool isWriting = false;
+        bool isDirty = false; ///< Whether something is to be written.
+    };
+    void persist(std::uint64_t digest);
+    void write(std::uint64_t digest);
+    void mergeStoredAndWrite(std::uint64_t digest);
+    void forget(std::uint64_t digest);
+    static std::string keyOf(std::uint64_t digest);
+    void scheduleExpiry();
+
+    edge_context &m_context;
+    crash_peer_client m_peers;
+    std::shared_ptr<crash_client<crash_peer_client, asio_loop>> m_client;
+    std::map<std::uint64_t, stored_state> m_stored; ///< By digest; entries that this node has written.
+    std::uint64_t m_askCount = 0;
+};
+
+} // namespace reedtrail
--- a/edge/failover_store_transport.cpp
+++ b/edge/failover_store_transport.cpp
@@ -187,15 +187,15 @@
     });
 }
 
-void failover_store_transport::ping(const endpoint &peer, std::function<void(bool isReached)> done)
+void failover_store_transport::ping(const endpoint &peer, std::function<void(bool isReached, const http_response &answer)> done)
 {
     http_request request;
     request.target = pingPath;
     http_call_options options;
     options.connectTimeout = pingTimeout;
     options.deadline = pingTimeout;
-    m_client.call(peer, std::move(request), options, [done](const http_call_end &end, const http_response &) {
-        done(end.error == error_kind::None);
+    m_client.call(peer, std::move(request), options, [done](const http_call_end &end, const http_response &answer) {
+        done(end.error == error_kind::None, answer);
     });
 }
 
--- a/edge/failover_store_transport.h
+++ b/edge/failover_store_transport.h
@@ -74,7 +74,7 @@
     /** Probes on the direct path, with a short timeout, whether the store serves this node again. */
     void probeStore();
     /** Pings a peer. @param done called with whether the peer answered in time */
-    void ping(const endpoint &peer, std::function<void(bool isReached)> done);
+    void ping(const endpoint &peer, std::function<void(bool isReached, const http_response &answer)> done);
     store_router &path()
     {
         return m_path;
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -3,6 +3,7 @@
 #include "edge/batch_job_service.h"
 #include "edge/caller_service.h"
 #include "edge/contact_witness_client.h"
+#include "edge/crash_guard.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "edge/job_forwarder.h"
@@ -48,6 +49,7 @@
         , m_snapshotSource(m_loop, m_store, m_transport.path(), m_peerClient, m_context.settings, m_outages, std::hash<std::string>()(m_context.incarnation))
         , m_snapshotServer(m_context)
         , m_limitPeers(m_transport.path(), m_peerClient)
+        , m_crashes(m_context, m_transport.path(), m_peerClient)
         , m_witnesses(m_loop, m_transport.path(), m_peerClient)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
@@ -67,7 +69,7 @@
         auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshotSource, m_snapshotServer, m_limitPeers);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
         auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet, m_snapshotSource, m_snapshotServer);
-        auto callers = std::make_unique<caller_service>(m_context, *fleet, *jobs, m_forwarder);
+        auto callers = std::make_unique<caller_service>(m_context, *fleet, m_crashes, *jobs, m_forwarder);
         m_context.isIsolated = [this] {
             return m_transport.path().isIsolated(m_loop.now());
         };
@@ -83,6 +85,7 @@
         peers->onForwardedCall([callers = callers.get()](std::shared_ptr<http_exchange> exchange) {
             callers->dispatchForwarded(std::move(exchange));
         });
+        peers->setCrashGuard(m_crashes);
         peers->onFirstPeers([fleet = fleet.get()] {
             fleet->beginReading();
         });
@@ -103,6 +106,7 @@
             nodes[settings.node] = { settings.peers.value_or(endpoint{}), settings.zone, settings.processorShare };
             updateJobHosts(nodes);
             fleet->setNodes(nodes, peers->wasRegistered());
+            m_crashes.setNodes(nodes);
             weightLoads->setNodes(nodes);
         });
         m_context.lease->setRenewalCondition([weightLoads = weightLoads.get(), jobs = jobs.get(), peers = peers.get()] {
@@ -256,6 +260,7 @@
     peer_snapshot_source m_snapshotSource;
     snapshot_server m_snapshotServer;
     limit_peer_client m_limitPeers;
+    crash_guard m_crashes;
     contact_witness_client m_witnesses;
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -136,7 +136,10 @@
 void peer_service::pingPeers()
 {
     for (const auto &[name, address] : m_transport.path().pingTargets()) {
-        m_transport.ping(address, [this, name = name](bool isReached) {
+        m_transport.ping(address, [this, name = name](bool isReached, const http_response &answer) {
+            if (isReached && m_crashes != nullptr) {
+                m_crashes->onPingAnswer(name, answer.fields.get(crashStateField));
+            }
             if (m_transport.path().recordPing(m_loop.now(), name, isReached) && !m_isCheckingStore) {
                 logLine(log_level::Info, "peer-silent", { { "peer", name } });
                 pingPeers();
@@ -207,6 +210,12 @@
 void peer_service::applyPeerEvent(const store_watch_event &event)
 {
     const std::string name = event.item.key.substr(nodesPrefix.size());
+    if (name.starts_with(crash_guard::keyPart)) {
+        if (m_crashes != nullptr) {
+            m_crashes->onStored(name, event.item.value, event.type == store_watch_event::kind::Delete);
+        }
+        return;
+    }
     if (name == m_settings.node) {
         m_registeredEntry = event.type == store_watch_event::kind::Put ? event.item.value : "";
         m_wasRegistered = m_wasRegistered || (!m_isRegistering && !m_settings.isFirstStart && !m_registeredEntry.empty());
@@ -241,7 +250,15 @@
     const std::string target(request.fields.get(targetField));
     const long timeoutMs = std::strtol(std::string(request.fields.get(timeoutField)).c_str(), nullptr, 10);
     if (request.path() == pingPath) {
-        exchange->respond(textResponse(http_status::ok, ""));
+        http_response answer = textResponse(http_status::ok, "");
+        if (const std::string state = m_crashes == nullptr ? "" : m_crashes->stateText(); !state.empty()) {
+            answer.fields.set(crashStateField, state);
+        }
+        exchange->respond(std::move(answer));
+        return;
+    }
+    if (request.path() == crashPath && m_crashes != nullptr) {
+        m_crashes->serve(exchange);
         return;
     }
     if (request.path() == snapshotPath) {
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "edge/asio_loop.h"
+#include "edge/crash_guard.h"
 #include "edge/edge_settings.h"
 #include "edge/failover_store_transport.h"
 #include "edge/job_forwarder.h"
@@ -63,6 +64,12 @@
         m_onLimitAsks = std::move(action);
     }
 
+    /** Sets the component that shares suspect requests with peers: by its own messages, with pings, and through entries beside the registrations of nodes. */
+    void setCrashGuard(crash_guard &crashes)
+    {
+        m_crashes = &crashes;
+    }
+
     /** Sets the action that runs once, when the peers have been read for the first time or the store has not answered for a while. */
     void onFirstPeers(std::function<void()> action)
     {
@@ -117,6 +124,7 @@
     std::function<void(std::shared_ptr<http_exchange>)> m_onContactQuestion = &job_forwarder::decline;
     std::function<void(std::shared_ptr<http_exchange>)> m_onLimitAsks = &job_forwarder::decline;
     std::function<void()> m_onFirstPeers;
+    crash_guard *m_crashes = nullptr;
     time_point m_lastWatchRequestAt;
     bool m_isDraining = false;
     bool m_isCheckingStore = false;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -1,6 +1,5 @@
 #include "edge/request_relay.h"
 
-#include "edge/server_end_probe.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
 
@@ -16,15 +15,19 @@
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
-constexpr duration serverEndTimeout = std::chrono::milliseconds(200); // A machine that is there answers within a round trip, also one under load.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
 } // namespace
 
-request_relay::request_relay(
-    edge_context &context, fleet_cache &fleet, std::shared_ptr<http_exchange> exchange, const route &matchedRoute, platform::service_call call)
+request_relay::request_relay(edge_context &context,
+                             fleet_cache &fleet,
+                             crash_guard &crashes,
+                             std::shared_ptr<http_exchange> exchange,
+                             const route &matchedRoute,
+                             platform::service_call call)
     : m_context(context)
     , m_fleet(fleet)
+    , m_crashes(crashes)
     , m_exchange(std::move(exchange))
     , m_route(matchedRoute)
     , m_call(std::move(call))
@@ -32,6 +35,8 @@
 {
     random_source random(context.randomSeed ^ static_cast<std::uint64_t>(context.loop.now().time_since_epoch().count()));
     m_service = chooseService(m_route, random);
+    const http_request &request = m_exchange->request();
+    m_outline = outlineOf(request.method, request.fields.get("Host"), request.target, request.body);
 }
 
 void request_relay::start()
@@ -63,8 +68,31 @@
         self->startNextAttempt();
     });
     if (isCurrent) {
+        admitSuspect();
+    }
+}
+
+/** Goes on at once, unless servers have ended under this request, here or at other nodes. Then its keeper decides. */
+void request_relay::admitSuspect()
+{
+    if (m_hasGrant || !isSuspect()) {
         placeAttempt();
+        return;
     }
+    releaseGrant();
+    m_asker = m_crashes.admit(identity(), m_call.id, [self = shared_from_this()](const crash_grant &grant) {
+        if (self->m_isDone) {
+            return;
+        }
+        if (grant.isGranted) {
+            self->m_hasGrant = true;
+            self->placeAttempt();
+        } else {
+            self->m_asker.clear();
+            const std::uint16_t status = self->m_possibleRuns > 0 ? http_status::badGateway : http_status::unavailable;
+            self->refuse(status, "servers have ended while they ran this request", duration(grant.returnAfterUs));
+        }
+    });
 }
 
 /** Sends the request to the best server known. */
@@ -143,8 +171,8 @@
     options.deadline = isStream() ? timeLeft : attemptTimeout();
     options.silenceTimeout = options.deadline;
     options.connectTimeout = std::min<duration>(options.connectTimeout, options.deadline);
-    options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt] {
-        return fleet.maySend(id, startedAt);
+    options.maySend = [self = shared_from_this(), id = server.id, startedAt = server.startedAt] {
+        return self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
     };
     http_call_handlers handlers;
     const std::uint64_t number = ++m_attemptNumber;
@@ -231,21 +259,25 @@
         startNextAttempt();
         return;
     }
+    m_hasGrant = m_hasGrant && !end.isHandedOver;
     const time_point now = m_context.loop.now();
     if (end.error != error_kind::None) {
         const bool isSilent = !end.hasHead && (end.error == error_kind::ServerSilent || end.error == error_kind::DeadlineExceeded);
         isSilent ? m_fleet.backends().onNoResponse(now, m_server.id) : m_fleet.backends().onFailure(now, m_server.id);
         if (!end.isHandedOver) {
             ++m_notRunAttempts;
+            if (end.isConnectionRefused) {
+                m_crashes.onConnectionRefused(m_server);
+            }
             logLine(log_level::Info, "attempt-not-sent", { { "request", m_call.id }, { "server", m_server.id }, { "reason", end.detail } });
             retryOrRefuse();
-        } else if (isStream() && m_hasStreamStarted) {
-            recordBrokenAttempt(end.detail.c_str());
-            onStreamEnded(end);
         } else {
-            ++m_possibleRuns;
-            recordBrokenAttempt(end.detail.c_str());
-            handleSentAttemptFailure(end.detail.c_str());
+            const bool isStreamBroken = isStream() && m_hasStreamStarted;
+            m_possibleRuns += isStreamBroken ? 0 : 1;
+            const auto next = [self = shared_from_this(), isStreamBroken, end] {
+                isStreamBroken ? self->onStreamEnded(end) : self->handleSentAttemptFailure(end.detail.c_str());
+            };
+            end.error == error_kind::ServerFailed ? handleBrokenAttempt(end.detail.c_str(), next) : next();
         }
         return;
     }
@@ -273,7 +305,6 @@
     const bool isOwnAnswer = m_serverAnswer.requestId == m_call.id;
     const bool isSuccess = m_serverAnswer.status >= http_status::ok && m_serverAnswer.status < http_status::firstNonSuccess;
     if (!isOwnAnswer || (isSuccess && m_serverAnswer.signature.empty())) {
-        recordBrokenAttempt("the answer is not the server's to this request");
         handleSentAttemptFailure("the answer is not the server's to this request");
         return;
     }
@@ -281,6 +312,9 @@
         retryOrRefuse();
         return;
     }
+    if (m_serverAnswer.status < http_status::internalError) {
+        recordSurvival();
+    }
     http_response response;
     response.status = m_serverAnswer.status;
     response.fields = endToEndFields(m_response.fields);
@@ -291,14 +325,42 @@
 const request_identity &request_relay::identity()
 {
     if (!m_identity) {
-        const http_request &request = m_exchange->request();
-        m_identity = identify(outlineOf(request.method, request.fields.get("Host"), request.target, request.body), request.body);
+        m_identity = identify(m_outline, m_exchange->request().body);
     }
     return *m_identity;
 }
 
-/** Logs an attempt whose response did not come whole, and finds out whether its server has ended. */
-void request_relay::recordBrokenAttempt(const char *reason)
+bool request_relay::isSuspect() const
+{
+    return m_crashes.isSuspect(m_outline, m_exchange->request().body);
+}
+
+/** Handles that a server has completed the request. */
+void request_relay::recordSurvival()
+{
+    if (isSuspect()) {
+        m_asker.clear();
+        m_crashes.onSurvived(identity(), m_call.id, m_server);
+    }
+}
+
+/** Tells the keeper that an attempt that it granted is over, if it has not heard of its end. */
+void request_relay::releaseGrant()
+{
+    if (const std::string asker = std::exchange(m_asker, {}); !asker.empty()) {
+        m_crashes.release(identity(), asker);
+    }
+}
+
+/** Tells whether an end of the server may have been caused by a request: servers that leave or are replaced end by themselves. */
+bool request_relay::mayServerEndCount() const
+{
+    const server_entry *entry = m_fleet.directory().find(m_server.id);
+    return entry != nullptr && !entry->isDraining && m_fleet.directory().isUsable(m_server.id, m_server.startedAt);
+}
+
+/** Handles that the connection to the server broke off. @param next runs once it is known whether the server has ended, unless the request is done by then */
+void request_relay::handleBrokenAttempt(const char *reason, std::function<void()> next)
 {
     const duration elapsed = m_context.loop.now() - m_attemptStartedAt;
     logLine(log_level::Info,
@@ -309,14 +371,14 @@
               { "reason", reason },
               { "others", std::to_string(m_fleet.backends().running(m_server.id)) },
               { "after-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()) } });
-    const auto logPresence = [self = shared_from_this(), server = m_server.id](server_presence presence) {
-        const std::string name(presenceName(presence));
-        self->m_context.metrics.counter("reedtrail_attempts_broken_total", "Attempts whose response broke off", "server=\"" + name + "\"").add();
-        logLine(log_level::Info,
-                "broken-attempt-server",
-                { { "request", self->m_call.id }, { "digest", self->identity().text() }, { "server", server }, { "is", name } });
-    };
-    probeServerEnd(m_context.loop.io(), m_server.address, serverEndTimeout, logPresence);
+    m_crashes.onBroken(identity(), m_call.id, m_server, mayServerEndCount(), [self = shared_from_this(), next = std::move(next)](bool isRecorded) {
+        if (isRecorded) {
+            self->m_asker.clear();
+        }
+        if (!self->m_isDone) {
+            next();
+        }
+    });
 }
 
 void request_relay::handleSentAttemptFailure(const char *reason)
@@ -367,6 +429,7 @@
 {
     ++m_possibleRuns;
     if (end.error == error_kind::None && m_events.isBetweenEvents()) {
+        recordSurvival();
         if (!m_hasStreamStarted) {
             http_response response;
             response.status = m_serverAnswer.status;
@@ -427,6 +490,9 @@
     m_isDone = true;
     m_timer.cancel();
     const bool hadOpenAttempt = m_attempt != nullptr;
+    if (!hadOpenAttempt) {
+        releaseGrant(); // What becomes of a server with an open attempt is not known any more, so its keeper must hear nothing.
+    }
     const time_point now = m_context.loop.now();
     if (m_attempt) {
         m_fleet.backends().onRequestEnded(m_server.id);
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "edge/crash_guard.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "fleet/request_identity.h"
@@ -15,6 +16,7 @@
 #include "platform/caller_wire.h"
 #include "platform/server_wire.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,12 +28,18 @@
 class request_relay : public std::enable_shared_from_this<request_relay>
 {
 public:
-    request_relay(edge_context &context, fleet_cache &fleet, std::shared_ptr<http_exchange> exchange, const route &matchedRoute, platform::service_call call);
+    request_relay(edge_context &context,
+                  fleet_cache &fleet,
+                  crash_guard &crashes,
+                  std::shared_ptr<http_exchange> exchange,
+                  const route &matchedRoute,
+                  platform::service_call call);
 
     void start();
 
 private:
     void startNextAttempt();
+    void admitSuspect();
     void placeAttempt();
     void admitAttempt(const backend_choice &server, bool isLastServer);
     duration maxPlaceWait() const;
@@ -44,7 +52,11 @@
     void forwardEvents(std::string_view part);
     void onStreamEnded(const http_call_end &end);
     void handleSentAttemptFailure(const char *reason);
-    void recordBrokenAttempt(const char *reason);
+    void handleBrokenAttempt(const char *reason, std::function<void()> next);
+    bool mayServerEndCount() const;
+    bool isSuspect() const;
+    void recordSurvival();
+    void releaseGrant();
     const request_identity &identity();
     void retryOrRefuse();
     bool isRetrySafe() const;
@@ -56,11 +68,15 @@
 
     edge_context &m_context;
     fleet_cache &m_fleet;
+    crash_guard &m_crashes;
     std::shared_ptr<http_exchange> m_exchange;
     route m_route; ///< Copy of the route at the time of the request; a new configuration does not change it.
     platform::service_call m_call;
     std::string m_service;
+    request_outline m_outline;
     std::optional<request_identity> m_identity; ///< Set once it is asked for.
+    std::string m_asker; ///< Identifies the attempt that a keeper has granted and of which it expects to hear; empty if there is none.
+    bool m_hasGrant = false; ///< Whether the keeper of this suspect request has granted an attempt that has not reached a server yet.
     time_point m_startedAt;
     time_point m_deadline;
     std::vector<std::string> m_triedServers;
--- a/fleet/limit_client.h
+++ b/fleet/limit_client.h
@@ -16,6 +16,7 @@
 
 #include "fleet/event_loop.h"
 #include "fleet/limit_keeper.h"
+#include "fleet/peer_ask.h"
 #include "fleet/server_limits.h"
 
 #include <functional>
@@ -28,12 +29,8 @@
 
 namespace reedtrail {
 
-/** How the question to another node ended. */
-enum class limit_ask_end : std::uint8_t {
-    Answered,
-    Silent, ///< The node may be handing out places.
-    Gone, ///< The node certainly hands out none: nothing listens there, or it declines because it stops.
-};
+/** How the question to a keeper ended. */
+using limit_ask_end = peer_ask_end;
 
 /** Sends questions to other nodes. The handler runs exactly once, never from inside the call. */
 template<class Peers>
--- /dev/null
+++ b/fleet/testing/crash_client_test.cpp
@@ -0,0 +1,78 @@
+// Requests that crash servers, at many nodes, in virtual time.
+
+#include "fleet/testing/crash_simulation.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::crash_counts;
+using testing::crash_form;
+using testing::crash_play;
+using testing::crash_simulation;
+
+constexpr int allowedRetries = 3; // Of a request that has crashed three servers, over all nodes.
+/** Returns how many seeds to play: 40, or what the environment says for runs by hand. */
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("REEDTRAIL_SEEDS");
+    return text == nullptr ? 40 : std::strtoull(text, nullptr, 10);
+}
+
+crash_counts play(std::uint64_t seed, const crash_play &what)
+{
+    return crash_simulation(seed, what).run(90s);
+}
+
+/** Returns the sum of a count over all seeds. */
+template<class Count>
+int sumOver(const crash_play &what, Count count)
+{
+    int sum = 0;
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        sum += count(play(seed, what));
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST(crash_client, allNodesTogetherSendCrashingRequestThreeTimesMore)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        for (const int crashing : { 1, 2, 5 }) {
+            for (const bool hasFaults : { false, true }) {
+                const crash_counts counts = play(seed, { crash_form::Shared, crashing, hasFaults, seed % 2 == 0, {} });
+                EXPECT_LE(counts.largestRetries, allowedRetries) << "seed " << seed << ", " << crashing << " crashing, faults " << hasFaults;
+            }
+        }
+    }
+}
+
+TEST(crash_client, nodesThatCountEachByItselfSendCrashingRequestOften)
+{
+    for (const crash_form form : { crash_form::EachByItself, crash_form::Forgotten }) {
+        EXPECT_GT(play(1, { form, 1, false, false, {} }).largestRetries, allowedRetries);
+    }
+}
+
+TEST(crash_client, nothingIsSentWhileNoServerEnds)
+{
+    const crash_counts counts = play(1, { crash_form::Shared, 0, true, false, {} });
+    EXPECT_EQ(counts.messages, 0);
+    EXPECT_EQ(counts.persists, 0);
+    EXPECT_GT(counts.innocent, 1000);
+}
+
+TEST(crash_client, noInnocentRequestIsRefusedForLossOfManyServers)
+{
+    const int refused = sumOver({ crash_form::Shared, 0, false, true, {} }, [](const crash_counts &counts) {
+        return counts.innocentRefused;
+    });
+    EXPECT_EQ(refused, 0);
+}
+
+} // namespace reedtrail
