--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -37,6 +37,8 @@
     int ends = 0; ///< Servers that have ended.
     int runs = 0; ///< Requests that servers began to run.
     int runsAfterThirdEnd = 0; ///< Of the bodies that crash servers.
+    int items = 0; ///< Items of jobs that servers completed.
+    bool crashesAtItems = false;
 
 private:
     struct crashing_server
@@ -60,13 +62,20 @@
     void serve(std::size_t index, const std::string &id, const std::shared_ptr<http_exchange> &exchange)
     {
         ++runs;
-        if (exchange->request().body.starts_with("crash")) {
+        if (exchange->request().body.starts_with("crash") || (crashesAtItems && exchange->request().path().starts_with("/j/"))) {
             runsAfterThirdEnd += ends >= 3 ? 1 : 0;
             m_fixture.loop.after(timeToCrash, [this, index, id, exchange] {
                 end(index, id);
             });
             return;
         }
+        if (exchange->request().body.starts_with("cut")) {
+            exchange->abort();
+            return;
+        }
+        if (exchange->request().path().starts_with("/j/")) {
+            ++items;
+        }
         m_fixture.loop.after(timeToCrash * 2, [exchange] {
             http_response response;
             response.fields = testing::serverFields(exchange->request());
@@ -106,6 +115,16 @@
     }
 }
 
+/** Waits until the node knows a route for the path. */
+void awaitRoute(node_fixture &fixture, const char *path)
+{
+    fixture.run(1300ms); // The configuration at hand becomes too old, so it is read again.
+    EXPECT_TRUE(fixture.runUntil([&] {
+        fixture.fleet->ensureCurrent([] {});
+        return fixture.fleet->routes().match("h", path) != nullptr;
+    }));
+}
+
 } // namespace
 
 TEST(crashing_request, requestIsSentToServerAfterServerThatEndsUnderIt)
@@ -117,4 +136,132 @@
     EXPECT_LE(servers.runsAfterThirdEnd, allowedRetries);
 }
 
+TEST(crashing_request, suspectRequestIsRefusedAtOnceWithTimeToReturn)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 6);
+    repeat(fixture, "crash", 500ms);
+    const int runs = servers.runs;
+    const time_point start = fixture.loop.now();
+    const auto exchange = fixture.startRequest("crash");
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return exchange->isDone;
+    }));
+    EXPECT_LT(fixture.loop.now() - start, 100ms);
+    EXPECT_EQ(servers.runs, runs);
+    EXPECT_EQ(exchange->response.status, http_status::unavailable) << "not run is true";
+    EXPECT_GE(std::stod(std::string(exchange->response.fields.get("Retry-After"))), 1.0);
+}
+
+/** Requests that were on a server beside one that ends it are sent again, and are no suspects once a server has completed them. */
+TEST(crashing_request, requestBesideCrashingOneIsServed)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 4);
+    std::vector<std::shared_ptr<recorded_exchange>> others;
+    others.reserve(16);
+    for (int i = 0; i < 8; ++i) {
+        others.push_back(fixture.startRequest("note " + std::to_string(i)));
+    }
+    const auto crashing = fixture.startRequest("crash");
+    for (int i = 8; i < 16; ++i) {
+        others.push_back(fixture.startRequest("note " + std::to_string(i)));
+    }
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return crashing->isDone && std::ranges::all_of(others, &recorded_exchange::isDone);
+    }));
+    EXPECT_GE(servers.ends, 2);
+    for (const auto &each : others) {
+        EXPECT_EQ(each->response.status, http_status::ok);
+    }
+    for (int i = 0; i < 16; ++i) {
+        const auto again = fixture.startRequest("note " + std::to_string(i));
+        EXPECT_TRUE(fixture.runUntil([&] {
+            return again->isDone;
+        }));
+        EXPECT_EQ(again->response.status, http_status::ok);
+    }
+}
+
+/** A connection that closes is no end of a server. */
+TEST(crashing_request, requestWhoseConnectionsAreCutIsNoSuspect)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 3);
+    repeat(fixture, "cut", 500ms);
+    EXPECT_GT(servers.runs, 10);
+    EXPECT_EQ(fixture.crashes->dump().at("known"), 0);
+}
+
+/** The end of a server that leaves is nobody's doing. */
+TEST(crashing_request, endOfServerThatLeavesDoesNotCount)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 2);
+    const auto exchange = fixture.startRequest("crash");
+    fixture.run(3ms); // The server has begun to run it.
+    for (const char *server : { "c-1", "c-2" }) {
+        fixture.fleet->recordLeaving(server, "test");
+    }
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return servers.ends >= 1 && exchange->isDone;
+    }));
+    EXPECT_EQ(fixture.crashes->dump().at("known"), 0);
+}
+
+TEST(crashing_request, requestThatMayRunOnceIsNotSentAgainAndRemembered)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 6);
+    fixture.putConfiguration(2, { { "n", "/n/", route_kind::NonIdempotent } });
+    awaitRoute(fixture, "/n/1");
+    for (int i = 0; i < 12; ++i) {
+        const auto exchange = fixture.startRequest("crash", "/n/1");
+        EXPECT_TRUE(fixture.runUntil([&] {
+            return exchange->isDone;
+        }));
+        EXPECT_EQ(exchange->response.status, i < 3 ? http_status::badGateway : http_status::unavailable) << "repeat " << i;
+    }
+    EXPECT_EQ(servers.ends, 3);
+}
+
+TEST(crashing_request, streamIsNotResumedOnServerAfterServer)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 6);
+    fixture.putConfiguration(2, { { "t", "/t/", route_kind::Streaming } });
+    awaitRoute(fixture, "/t/1");
+    for (int i = 0; i < 12; ++i) {
+        const auto exchange = fixture.startRequest("crash", "/t/1");
+        EXPECT_TRUE(fixture.runUntil([&] {
+            return exchange->isDone;
+        }));
+    }
+    EXPECT_EQ(servers.ends, 3);
+}
+
+/** An item under which servers ended is run again until it is completed. */
+TEST(crashing_request, itemIsNeverSuspect)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 3);
+    servers.crashesAtItems = true;
+    const auto job = fixture.startJob(1);
+    const auto advance = [&] {
+        fixture.fleet->ensureCurrent([] {});
+        job->advance();
+    };
+    EXPECT_TRUE(fixture.runUntil([&] {
+        advance();
+        return servers.ends >= 5;
+    }));
+    servers.crashesAtItems = false;
+    EXPECT_TRUE(fixture.runUntil([&] {
+        advance();
+        return servers.items >= 1;
+    }));
+    EXPECT_EQ(fixture.crashes->dump().at("known"), 0);
+    job->stop();
+}
+
 } // namespace reedtrail
--- a/fleet/crash_client.h
+++ b/fleet/crash_client.h
@@ -47,6 +47,7 @@
     duration shareInterval = std::chrono::milliseconds(50); ///< Between two messages of this node to all nodes.
     duration firstEndInterval = std::chrono::seconds(1); ///< Between two requests of which a keeper tells all nodes after one end only.
     duration maxGrantAge = std::chrono::milliseconds(500); ///< A grant that arrives later is void.
+    duration maxDenialAge = std::chrono::seconds(2); ///< For how long a node refuses by itself what a keeper has denied for longer.
     duration endMemory = std::chrono::seconds(5); ///< For how long a server that ended speaks for a loss of many servers.
     duration retryWithoutKeeper = std::chrono::seconds(1); ///< When a caller may come back if no keeper answers.
 };
@@ -110,6 +111,14 @@
     void admit(const request_identity &identity, const std::string &asker, handler onEnd)
     {
         m_table.touch(m_loop.now(), identity.digest);
+        if (const auto denial = m_denials.find(identity.digest); denial != m_denials.end()) {
+            const duration age = m_loop.now() - denial->second.at;
+            if (age <= m_options.maxDenialAge) {
+                end(onEnd, { false, (denial->second.returnAfter - age).count() });
+                return;
+            }
+            m_denials.erase(denial);
+        }
         ask(std::make_shared<pending_ask>(pending_ask{ identity.digest, asker, std::move(onEnd), m_loop.now(), keepersOf(identity.digest), 0 }));
     }
     /** Records that a server ended while it ran a request. */
@@ -189,6 +198,7 @@
     {
         if (m_table.merge(m_loop.now(), record)) {
             m_keeper.onAttemptEnded(m_loop.now(), record.digest);
+            m_denials.erase(record.digest);
             m_actions.onChange(m_table.recordOf(m_loop.now(), record.digest));
         }
     }
@@ -212,6 +222,9 @@
     /** Forgets what has not been seen for long, also in the store. */
     void expire()
     {
+        std::erase_if(m_denials, [&](const auto &each) {
+            return m_loop.now() - each.second.at > m_options.maxDenialAge;
+        });
         for (const std::uint64_t digest : m_table.expire(m_loop.now())) {
             if (isKeeper(digest)) {
                 m_actions.forget(digest);
@@ -262,6 +275,13 @@
         std::size_t next = 0; ///< Index of the keeper that is asked next.
     };
 
+    /** A keeper's answer. */
+    struct denial
+    {
+        time_point at;
+        duration returnAfter{};
+    };
+
     static std::uint64_t instanceHash(std::string_view server, std::int64_t startedAt)
     {
         return stableHash(std::string(server) + "@" + std::to_string(startedAt));
@@ -288,14 +308,14 @@
         if (pending->next >= pending->keepers.size()) {
             const crash_table::row *request = m_table.find(pending->digest);
             const bool isCrashing = request != nullptr && request->isCrashing();
-            end(pending, { !isCrashing, isCrashing ? m_options.retryWithoutKeeper.count() : 0 });
+            end(pending->onEnd, { !isCrashing, isCrashing ? m_options.retryWithoutKeeper.count() : 0 });
             return;
         }
         const bool isSecond = pending->next > 0;
         const std::string keeper = pending->keepers[pending->next++];
         const crash_ask question{ pending->digest, pending->asker, isSecond, false, endsElsewhere(pending->digest) };
         if (keeper == m_ownNode) {
-            m_hasStoppedKeeping ? ask(pending) : end(pending, grantFor(question));
+            m_hasStoppedKeeping ? ask(pending) : end(pending->onEnd, grantFor(question));
             return;
         }
         crash_message message;
@@ -313,14 +333,17 @@
             self->mergeReply(reply);
             crash_grant grant = reply.grants.front();
             grant.isGranted = grant.isGranted && self->m_loop.now() - pending->askedAt <= self->m_options.maxGrantAge;
-            self->end(pending, grant);
+            if (!grant.isGranted && duration(grant.returnAfterUs) > self->m_options.maxDenialAge) {
+                self->m_denials[pending->digest] = { self->m_loop.now(), duration(grant.returnAfterUs) };
+            }
+            self->end(pending->onEnd, grant);
         });
     }
 
-    void end(const std::shared_ptr<pending_ask> &pending, const crash_grant &grant)
+    void end(const handler &onEnd, const crash_grant &grant)
     {
-        m_loop.after(duration::zero(), [pending, grant] {
-            pending->onEnd(grant);
+        m_loop.after(duration::zero(), [onEnd, grant] {
+            onEnd(grant);
         });
     }
 
@@ -356,6 +379,7 @@
     void onNews(std::uint64_t digest)
     {
         m_keeper.onAttemptEnded(m_loop.now(), digest);
+        m_denials.erase(digest);
         m_actions.onChange(m_table.recordOf(m_loop.now(), digest));
         if (!isKeeper(digest)) {
             return;
@@ -472,6 +496,7 @@
     std::map<std::string, std::string, std::less<>> m_zoneOf; ///< Zones of all nodes, by name.
     std::set<std::uint64_t> m_news; ///< Digests of rows that all nodes are to be told.
     std::set<std::uint64_t> m_zoneNews; ///< Those that only the nodes of this zone are to be told.
+    std::map<std::uint64_t, denial> m_denials; ///< By digest; those that hold for a while.
     std::map<std::uint64_t, time_point> m_recentEnds; ///< Servers that this node has lately seen end, by the hash of the instance.
     bool m_isShareScheduled = false;
     bool m_hasStoppedKeeping = false;
--- a/fleet/testing/crash_client_test.cpp
+++ b/fleet/testing/crash_client_test.cpp
@@ -2,8 +2,11 @@
 
 #include "fleet/testing/crash_simulation.h"
 
+#include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace reedtrail {
 namespace {
@@ -75,4 +78,41 @@
     EXPECT_EQ(refused, 0);
 }
 
+TEST(crash_client, othersAreServedMoreWhileRequestCrashesServers)
+{
+    for (const int crashing : { 1, 2, 5 }) {
+        for (const bool hasLosses : { false, true }) {
+            std::map<crash_form, double> served;
+            std::map<crash_form, double> ends;
+            for (const crash_form form : { crash_form::Forgotten, crash_form::EachByItself, crash_form::Shared }) {
+                crash_counts sum;
+                for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+                    const crash_counts counts = play(seed, { form, crashing, false, hasLosses, {} });
+                    sum.innocent += counts.innocent;
+                    sum.innocentServed += counts.innocentServed;
+                    sum.innocentRefused += counts.innocentRefused;
+                    sum.endsUnderCrashing += counts.endsUnderCrashing;
+                    sum.largestRetries = std::max(sum.largestRetries, counts.largestRetries);
+                    sum.messages += counts.messages;
+                }
+                served[form] = static_cast<double>(sum.innocentServed) / sum.innocent;
+                ends[form] = static_cast<double>(sum.endsUnderCrashing) / static_cast<double>(crashing * seedCount());
+                std::printf("crashing %d, losses %d, form %d: ends for each %.1f, most counted retries %d, others served %.4f, refused as suspect %d of %d, "
+                            "messages %.0f\n",
+                            crashing,
+                            hasLosses ? 1 : 0,
+                            static_cast<int>(form),
+                            ends[form],
+                            sum.largestRetries,
+                            served[form],
+                            sum.innocentRefused,
+                            sum.innocent,
+                            static_cast<double>(sum.messages) / static_cast<double>(seedCount()));
+            }
+            EXPECT_GT(served[crash_form::Shared], served[crash_form::Forgotten]);
+            EXPECT_LT(ends[crash_form::Shared], ends[crash_form::EachByItself]);
+        }
+    }
+}
+
 } // namespace reedtrail
