--- a/fleet/testing/crash_simulation.cpp
+++ b/fleet/testing/crash_simulation.cpp
@@ -72,9 +72,9 @@
     });
 }
 
-crash_simulation::crash_simulation(std::uint64_t seed, crash_play play)
+crash_simulation::crash_simulation(std::uint64_t seed, const crash_play &play)
     : m_random(seed)
-    , m_play(std::move(play))
+    , m_play(play)
     , m_servers(serverCount)
 {
     for (int i = 0; i < nodeCount; ++i) {
--- a/fleet/testing/crash_simulation.h
+++ b/fleet/testing/crash_simulation.h
@@ -92,7 +92,7 @@
 public:
     static constexpr duration contactTime = std::chrono::seconds(3); ///< After which the third end counts, and a disturbed node counts again.
 
-    crash_simulation(std::uint64_t seed, crash_play play);
+    crash_simulation(std::uint64_t seed, const crash_play &play);
 
     /** Plays @p length. */
     crash_counts run(duration length);
