A request's body is read once at most to tell whether it is a suspect

Found by reading: each question whether a request is a suspect (before it is placed, at the send, at its end) hashed its body anew if a suspect had the same outline. The identity is kept with the request now.

--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -55,11 +55,6 @@
     scheduleExpiry();
 }
 
-bool crash_guard::isSuspect(const request_outline &outline, std::string_view body) const
-{
-    return m_client->mayBeSuspect(outline) && m_client->isSuspect(identify(outline, body));
-}
-
 std::string crash_guard::admit(const request_identity &identity, std::string_view request, std::function<void(const crash_grant &)> onEnd)
 {
     if (m_context.isDraining) {
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -53,8 +53,16 @@
     {
         m_client->setNodes(nodes);
     }
-    /** Tells whether a request is one under which servers have ended. @param body read only if a request with the same outline is one */
-    bool isSuspect(const request_outline &outline, std::string_view body) const;
+    /** Tells whether a request with this outline may be one under which servers have ended; if so, its identity tells. */
+    bool mayBeSuspect(const request_outline &outline) const
+    {
+        return m_client->mayBeSuspect(outline);
+    }
+    /** Tells whether servers are known to have ended under a request. */
+    bool isSuspect(const request_identity &identity) const
+    {
+        return m_client->isSuspect(identity);
+    }
     /**
      * Asks whether a suspect request may be sent now, as crash_client::admit().
      * @return identifies the asking attempt for release()
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -322,6 +322,7 @@
     finishWithResponse(std::move(response), "answered");
 }
 
+/** Returns the identity of the request, which takes one pass over its body the first time. */
 const request_identity &request_relay::identity()
 {
     if (!m_identity) {
@@ -330,9 +331,10 @@
     return *m_identity;
 }
 
-bool request_relay::isSuspect() const
+/** Tells whether servers have ended under this request. Reads the body only if a suspect has the same outline, and only once. */
+bool request_relay::isSuspect()
 {
-    return m_crashes.isSuspect(m_outline, m_exchange->request().body);
+    return m_crashes.mayBeSuspect(m_outline) && m_crashes.isSuspect(identity());
 }
 
 /** Handles that a server has completed the request. */
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -54,7 +54,7 @@
     void handleSentAttemptFailure(const char *reason);
     void handleBrokenAttempt(const char *reason, std::function<void()> next);
     bool mayServerEndCount() const;
-    bool isSuspect() const;
+    bool isSuspect();
     void recordSurvival();
     void releaseGrant();
     const request_identity &identity();
