--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -198,12 +198,17 @@
 /** Neither a connection that closes, nor an answer that is not the server's, nor none in time is an end of a server. */
 TEST(crashing_request, requestThatFailsOnServersThatGoOnIsNoSuspect)
 {
-    for (const char *body : { "cut", "garble", "hang" }) {
+    const struct
+    {
+        const char *body;
+        int minRuns;
+    } cases[] = { { "cut", 11 }, { "garble", 11 }, { "hang", 3 } };
+    for (const auto &each : cases) {
         node_fixture fixture;
         crashing_servers servers(fixture, 3);
-        repeat(fixture, body, 500ms);
-        EXPECT_GE(servers.runs, 3) << body;
-        EXPECT_EQ(fixture.crashes->dump().at("known"), 0) << body;
+        repeat(fixture, each.body, 500ms);
+        EXPECT_GE(servers.runs, each.minRuns) << each.body;
+        EXPECT_EQ(fixture.crashes->dump().at("known"), 0) << each.body;
     }
 }
 
