--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -75,7 +75,7 @@
         }
         if (exchange->request().body.starts_with("garble")) {
             http_response response;
-            response.fields = { { "Request-Id", "of another request" }, { "Server-Signature", "sig" } };
+            response.fields = testing::serverFields(http_request{ "GET", "/", { { "Request-Id", "of another request" } }, "" });
             response.body = "not the answer";
             exchange->respond(std::move(response));
             return;
