Log lines name the build of servers and of what answered a run or a request

A build is the version of a server's software, which registrations name. Nothing is decided by it yet.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -380,8 +380,10 @@
         return;
     }
     const server_entry *before = m_directory.find(entry->id);
-    if (before == nullptr || before->isDraining != entry->isDraining) {
-        logLine(log_level::Info, entry->isDraining ? "server-draining" : "server-registered", { { "server", entry->id }, { "service", entry->service } });
+    if (before == nullptr || before->isDraining != entry->isDraining || before->startedAt != entry->startedAt || before->build != entry->build) {
+        logLine(log_level::Info,
+                entry->isDraining ? "server-draining" : "server-registered",
+                { { "server", entry->id }, { "service", entry->service }, { "build", entry->build }, { "started", std::to_string(entry->startedAt) } });
     }
     m_directory.put(std::move(*entry));
 }
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -99,6 +99,12 @@
     {
         return m_directory;
     }
+    /** Returns the build of an instance of a server; empty if it is unknown or another instance is registered. */
+    std::string buildOf(std::string_view server, std::int64_t startedAt) const
+    {
+        const server_entry *entry = m_directory.find(server);
+        return entry != nullptr && entry->startedAt == startedAt ? entry->build : "";
+    }
     backend_table &backends()
     {
         return m_backends;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -287,6 +287,7 @@
 {
     current.answer = platform::decodeAnswer(head);
     current.lastActivityAt = m_context.loop.now();
+    current.build = m_fleet.buildOf(current.server, current.sent.startedAt);
     m_fleet.backends().onResponse(current.server);
     if (current.answer.isLeaving) {
         m_fleet.recordLeaving(current.server, current.isScore ? "score" : "item");
@@ -519,8 +520,10 @@
         { { "job", m_job },
           { "item", m_progress.item(endedRun.item).id },
           { "server", endedRun.server },
+          { "build", endedRun.build },
           { "outcome", outcome },
           { "detail", detail },
+          { "run-events", std::to_string(endedRun.eventCount) },
           { "version", std::to_string(endedRun.version) },
           { "events", std::to_string(state.lastEvent) },
           { "server-pace-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_fleet.backends().latency(now, endedRun.server)).count()) },
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -61,6 +61,7 @@
         std::size_t item = 0; ///< Index of the item in the job.
         std::uint64_t number = 0;
         std::string server; ///< Id of the server.
+        std::string build; ///< Build of the server that answered; empty until its answer begins, or if unknown.
         std::uint64_t configuration = 0; ///< Version of the configuration by which the run was placed.
         fleet_cache::sent_request sent;
         std::shared_ptr<http_call> call; ///< Null while the run waits for a place at a server with a limit.
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -162,6 +162,8 @@
     m_response = {};
     m_serverAnswer = {};
     m_events = {};
+    m_build.clear();
+    m_attemptEvents = 0;
     m_attemptStartedAt = m_context.loop.now();
     const duration timeLeft = m_deadline - m_attemptStartedAt;
     const http_request &original = m_exchange->request();
@@ -227,6 +229,7 @@
 {
     m_response = head;
     m_serverAnswer = platform::decodeAnswer(head);
+    m_build = m_fleet.buildOf(m_server.id, m_server.startedAt);
     m_fleet.backends().onResponse(m_server.id);
     if (m_serverAnswer.isLeaving) {
         m_fleet.recordLeaving(m_server.id, "request");
@@ -422,6 +425,7 @@
             head.fields = endToEndFields(m_response.fields);
             m_exchange->startStream(std::move(head));
         }
+        ++m_attemptEvents;
         m_lastEventId = event.id.empty() ? m_lastEventId : event.id;
         m_exchange->write(event.bytes);
     }
@@ -444,7 +448,13 @@
         return;
     }
     if (isRetrySafe() && m_possibleRuns < m_route.maxAttempts) {
-        logLine(log_level::Info, "stream-resumed", { { "request", m_call.id }, { "from", m_server.id }, { "after-event", m_lastEventId } });
+        logLine(log_level::Info,
+                "stream-resumed",
+                { { "request", m_call.id },
+                  { "from", m_server.id },
+                  { "build", m_build },
+                  { "run-events", std::to_string(m_attemptEvents) },
+                  { "after-event", m_lastEventId } });
         startNextAttempt();
         return;
     }
@@ -510,6 +520,8 @@
         { { "request", m_call.id },
           { "route", m_route.name },
           { "server", m_server.id },
+          { "build", m_build },
+          { "resumes", m_call.resumedRequest },
           { "status", std::to_string(status) },
           { "outcome", outcome },
           { "runs", std::to_string(m_possibleRuns) },
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -91,6 +91,8 @@
     platform::server_answer m_serverAnswer;
     event_stream_reader m_events;
     std::string m_lastEventId;
+    std::string m_build; ///< Build of the server that answered the current attempt; empty until its answer begins, or if unknown.
+    std::size_t m_attemptEvents = 0; ///< Events that the current attempt has brought.
     bool m_hasStreamStarted = false;
     bool m_isDone = false;
     boost::asio::steady_timer m_timer;
--- a/fleet/server_directory.h
+++ b/fleet/server_directory.h
@@ -35,6 +35,7 @@
     std::map<std::string, std::uint64_t, std::less<>> modelVersions; ///< Loaded weight version of each model, by the name of the model.
     std::uint64_t ordersAccepted = 0; ///< Load orders that the server has accepted since its start.
     std::int64_t startedAt = 0; ///< Unix time in milliseconds; differs after a restart under the same id. 0 if unknown.
+    std::string build; ///< Version of the server's software, as it names it; empty if unknown. What two builds write does not fit together.
 };
 
 /** The registered backend servers by id, including those in their grace period. */
