Which instance of a server answered is proven, and servers are chosen by build

A registration is older than what it says of its server: one id or address may start again with other software. A contact is certain once a state of the store, asked for after its connection was established, still shows the instance. That costs nothing on connections that have been in use, one read on a new one, and only where something is to go on.

Servers can be chosen by build. New work leaves a quarter of the slots of a build with fewer servers than another to what goes on there. Nothing uses either yet.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -68,6 +68,8 @@
         if (!mayHaveLapsed) {
             m_directory.dropLapsed(m_context.loop.now());
         }
+        m_sightings.onState(*m_serverMirror->askedAt());
+        updateBuilds();
         resolveOutageDoubt();
         onServersChanged();
     };
@@ -371,11 +373,17 @@
     if (event.type == store_watch_event::kind::Delete) {
         const std::string id = event.item.key.substr(platform::serversPrefix.size());
         logLine(log_level::Info, "server-unregistered", { { "server", id }, { "may-have-lapsed", mayHaveLapsed ? "yes" : "no" } });
+        if (const server_entry *gone = m_directory.find(id)) {
+            m_sightings.onGone(id, gone->startedAt);
+        }
         m_directory.remove(m_context.loop.now(), id, mayHaveLapsed ? std::optional(m_serverMirror->lapseEnd()) : std::nullopt);
         return;
     }
     std::optional<server_entry> entry = decodeServerEntry(event.item);
     if (!entry) {
+        if (const server_entry *gone = m_directory.find(event.item.key.substr(platform::serversPrefix.size()))) {
+            m_sightings.onGone(gone->id, gone->startedAt);
+        }
         m_directory.remove(m_context.loop.now(), event.item.key.substr(platform::serversPrefix.size()), std::nullopt);
         return;
     }
@@ -385,9 +393,43 @@
                 entry->isDraining ? "server-draining" : "server-registered",
                 { { "server", entry->id }, { "service", entry->service }, { "build", entry->build }, { "started", std::to_string(entry->startedAt) } });
     }
+    if (before != nullptr && before->startedAt != entry->startedAt) {
+        m_sightings.onGone(entry->id, before->startedAt);
+    }
+    m_sightings.onShown(entry->id, entry->startedAt);
     m_directory.put(std::move(*entry));
 }
 
+void fleet_cache::updateBuilds()
+{
+    for (const std::string &service : m_builds.update(m_context.loop.now(), m_directory.all())) {
+        logLine(log_level::Info, "service-builds-mixed", { { "service", service } });
+        for (const auto &listener : m_mixedListeners) {
+            listener(service);
+        }
+    }
+}
+
+contact_proof fleet_cache::proofOf(const server_contact &contact) const
+{
+    const server_entry *entry = m_directory.find(contact.server);
+    return m_sightings.proofOf(contact, entry != nullptr && entry->startedAt == contact.startedAt);
+}
+
+void fleet_cache::proveContact(const server_contact &contact, std::function<void(contact_proof)> onEnd)
+{
+    if (const contact_proof proof = proofOf(contact); proof != contact_proof::Pending) {
+        onEnd(proof);
+        return;
+    }
+    const duration age = m_context.loop.now() - contact.connectedAt;
+    m_context.loop.after(std::max(duration::zero(), server_sightings::registrationTime - age), [this, contact, onEnd = std::move(onEnd)] {
+        m_serverMirror->readNew([this, contact, onEnd] {
+            onEnd(proofOf(contact));
+        });
+    });
+}
+
 void fleet_cache::onServersChanged()
 {
     removeExpiredServers();
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -13,6 +13,8 @@
 #include "fleet/route_table.h"
 #include "fleet/server_directory.h"
 #include "fleet/server_limits.h"
+#include "fleet/server_sightings.h"
+#include "fleet/service_builds.h"
 #include "kernel/service.h"
 #include "routing/backend_table.h"
 
@@ -109,6 +111,24 @@
     {
         return m_backends;
     }
+    const service_builds &builds() const
+    {
+        return m_builds;
+    }
+    /** Tells whether the instance that a contact names is certainly the one that answered. */
+    contact_proof proofOf(const server_contact &contact) const;
+    /** Reads the registrations again if that is what proofOf() waits for. @param onEnd called once, from inside this call if the proof is not pending */
+    void proveContact(const server_contact &contact, std::function<void(contact_proof)> onEnd);
+    /** Reads the registrations again. @param onEnd called later, also if the store does not answer */
+    void readServersAgain(std::function<void()> onEnd)
+    {
+        m_serverMirror->readNew(std::move(onEnd));
+    }
+    /** Adds an action that receives each service whose servers have begun to have several builds. */
+    void onMixedBuilds(std::function<void(const std::string &service)> action)
+    {
+        m_mixedListeners.push_back(std::move(action));
+    }
     /** Asks other nodes since when the store has answered them, as contact_witness_client::ask(). */
     using contact_witness = std::function<void(std::function<void(std::optional<time_point>)> onAnswer)>;
     /** Sets the way to ask other nodes; without it, this node has only its own contacts to go by. */
@@ -129,6 +149,7 @@
     void applyServerEvent(const store_watch_event &event, bool mayHaveLapsed);
     std::optional<server_entry> decodeServerEntry(const store_key_value &item) const;
     void onServersChanged();
+    void updateBuilds();
     bool isKnownForSend(const edge_snapshot_mirror &mirror, duration bound) const;
     void resolveOutageDoubt();
     void removeExpiredServers();
@@ -144,6 +165,9 @@
     route_table m_routes;
     server_directory m_directory;
     backend_table m_backends;
+    server_sightings m_sightings;
+    service_builds m_builds;
+    std::vector<std::function<void(const std::string &)>> m_mixedListeners;
     std::shared_ptr<edge_limit_client> m_limitClient;
     limited_traffic m_limitedTraffic;
     bool m_isLimitReportScheduled = false;
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -131,6 +131,15 @@
     return found;
 }
 
+std::vector<const server_entry *> server_directory::all() const
+{
+    std::vector<const server_entry *> found;
+    for (const auto &[id, entryRow] : m_rows) {
+        found.push_back(&entryRow.entry);
+    }
+    return found;
+}
+
 bool server_directory::isUsable(std::string_view id, std::int64_t startedAt) const
 {
     const auto found = m_rows.find(id);
--- a/fleet/server_directory.h
+++ b/fleet/server_directory.h
@@ -71,6 +71,8 @@
     std::vector<const server_entry *> usable(std::string_view service) const;
     /** Returns the servers of all services that are not about to end, ordered by id. */
     std::vector<const server_entry *> allUsable() const;
+    /** Returns all servers, also those about to end and those in their grace period, ordered by id. */
+    std::vector<const server_entry *> all() const;
     /** Tells whether this instance of a server is registered and not about to end. */
     bool isUsable(std::string_view id, std::int64_t startedAt) const;
     /** Returns the server with this id, draining or not, or null if there is none. */
--- /dev/null
+++ b/fleet/service_builds.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * Which builds, versions of their software, the servers of each service have, and since when a service has had one only. Makes no I/O calls.
+ *
+ * Almost always a service has one build, and then nothing has to be told to other nodes about its streams. During a release it has two, rarely more.
+ */
+#pragma once
+
+#include "base/time.h"
+#include "fleet/server_directory.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace reedtrail {
+
+/** The builds of the servers of each service. */
+class service_builds
+{
+public:
+    /** The only build of a service. */
+    struct sole_build
+    {
+        std::string build;
+        time_point since; ///< Since when this process has seen no other one.
+    };
+
+    /** Takes the servers of a state. @param servers all that are registered, also those that drain @return the services that have begun to have several builds
+     */
+    std::vector<std::string> update(time_point now, std::span<const server_entry *const> servers);
+    /** Tells whether the service has, or had since the last state, servers of several builds or of an unknown one. */
+    bool isMixed(std::string_view service) const;
+    /** Returns the only known build of a service; nothing if it has several, an unknown one, or no servers. */
+    std::optional<sole_build> sole(std::string_view service) const;
+
+private:
+    struct state
+    {
+        std::set<std::string> builds;
+        time_point since;
+    };
+    static bool isMixed(const state &each)
+    {
+        return each.builds.size() > 1 || each.builds.contains("");
+    }
+
+    std::map<std::string, state, std::less<>> m_services;
+};
+
+} // namespace reedtrail
--- a/fleet/snapshot_mirror.h
+++ b/fleet/snapshot_mirror.h
@@ -67,6 +67,7 @@
     duration holdTime = std::chrono::milliseconds(400); ///< Longest wait of a decision.
     duration failureMemory = std::chrono::milliseconds(1400); ///< Decisions do not wait for this long after the begin of a read that failed.
     duration retryDelay = std::chrono::milliseconds(250); ///< Between two reads after a failure.
+    duration newReadDelay = std::chrono::milliseconds(10); ///< Until a new read is tried again while another one is under way.
     duration overlap = std::chrono::seconds(2); ///< Twice as long as a store is known to hide changes.
     duration maxBaseAge = std::chrono::seconds(12); ///< All keys are read if the state asked from is older; the store keeps 20 s of history.
 };
@@ -114,6 +115,7 @@
     {
         m_isStopped = true;
         m_waiting.clear();
+        m_newReaders.clear();
         m_askers.clear();
     }
 
@@ -147,6 +149,17 @@
         return false;
     }
 
+    /** Returns when the store was asked for the current state; nothing before the first one. */
+    std::optional<time_point> askedAt() const
+    {
+        return m_snapshot.isPresent() ? std::optional(m_snapshot.askedAt()) : std::nullopt;
+    }
+    /** Reads a state for which the store is asked from now on. @param whenRead called later, also if the read fails or is overdue */
+    void readNew(std::function<void()> whenRead)
+    {
+        readNew(std::move(whenRead), m_loop.now() + m_options.holdTime);
+    }
+
     /**
      * Answers a peer's query from a state that is at most as old as the query allows; reads the store first if necessary, but asks no further peer.
      * @param onReply called with the reply, or with nothing if the store does not answer
@@ -229,6 +242,27 @@
         return !m_failedAt || now - *m_failedAt >= m_options.retryDelay;
     }
 
+    /** Reads a new state once no read is under way, which may have begun too early, and gives up at @p end. */
+    void readNew(std::function<void()> whenRead, time_point end)
+    {
+        const time_point now = m_loop.now();
+        if (!m_isListing && mayRetry(now)) {
+            m_newReaders.push_back(std::move(whenRead));
+            listStore();
+            return;
+        }
+        m_loop.after(m_options.newReadDelay, guarded([whenRead = std::move(whenRead), end](snapshot_mirror &self) {
+                         self.m_loop.now() < end ? self.readNew(whenRead, end) : whenRead();
+                     }));
+    }
+
+    void releaseNewReaders()
+    {
+        for (const auto &whenRead : std::exchange(m_newReaders, {})) {
+            whenRead();
+        }
+    }
+
     /** Begins a read unless one is under way or one has just failed. */
     void refresh()
     {
@@ -395,6 +429,7 @@
         if (isSuccess) {
             rejectAskers();
             endRead(true);
+            releaseNewReaders();
         } else {
             handleReadFailure(askedAt);
         }
@@ -409,6 +444,7 @@
         if (!m_isAskingReader) {
             endRead(false);
         }
+        releaseNewReaders();
     }
 
     void recordFailure(time_point askedAt)
@@ -494,6 +530,7 @@
     snapshot_mirror_handlers m_handlers;
     dated_snapshot m_snapshot;
     std::vector<std::function<void()>> m_waiting; ///< Decisions that wait for the read under way.
+    std::vector<std::function<void()>> m_newReaders; ///< Those that wait for the read of the store under way.
     std::vector<asker> m_askers; ///< Peers that wait for the read of the store.
     std::optional<time_point> m_failedAt; ///< When the last read that failed began; empty after a success.
     duration m_lapseGrace{}; ///< Of the state at hand, from the moment at which the store was asked for it.
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -40,6 +40,7 @@
 {
     std::unique_ptr<tcp::socket> socket;
     clock_type::time_point usableUntil;
+    clock_type::time_point establishedAt;
 };
 
 void enableKeepAliveProbes(tcp::socket &socket)
@@ -121,6 +122,11 @@
         end(error_kind::Cancelled, "cancelled");
     }
 
+    duration connectionAge() const override
+    {
+        return m_establishedAt ? std::chrono::duration_cast<duration>(clock_type::now() - *m_establishedAt) : duration::zero();
+    }
+
 private:
     void buildMessage(http_request request)
     {
@@ -165,6 +171,7 @@
                 self->end(error_kind::NoServer, "connection refused: " + error.message());
                 return;
             }
+            self->m_establishedAt = clock_type::now();
             beast::error_code ignored;
             self->m_socket->set_option(tcp::no_delay(true), ignored);
             if (const auto pool = self->m_pool.lock(); pool && pool->options.probesQuietConnections) {
@@ -220,6 +227,7 @@
             idleAtEndpoint.pop_back();
             if (clock_type::now() < candidate.usableUntil && isReusable(*candidate.socket)) {
                 m_socket = std::move(candidate.socket);
+                m_establishedAt = candidate.establishedAt;
                 return true;
             }
         }
@@ -356,7 +364,7 @@
             if (const std::optional<int> serverTimeout = keepAliveSeconds(m_parser->get()[http::field::keep_alive])) {
                 idleLimit = std::min<clock_type::duration>(idleLimit, std::chrono::seconds(*serverTimeout) - keepAliveMargin);
             }
-            idleAtEndpoint.push_back({ std::move(m_socket), clock_type::now() + idleLimit });
+            idleAtEndpoint.push_back({ std::move(m_socket), clock_type::now() + idleLimit, m_establishedAt.value_or(clock_type::now()) });
         }
     }
 
@@ -407,6 +415,7 @@
     asio::steady_timer m_silenceTimer;
     asio::steady_timer m_deadlineTimer;
     std::unique_ptr<tcp::socket> m_socket;
+    std::optional<clock_type::time_point> m_establishedAt; ///< Of the connection in use.
     std::shared_ptr<asio::ssl::context> m_context;
     std::optional<asio::ssl::stream<tcp::socket &>> m_tls;
     http::request<http::string_body> m_message;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -64,6 +64,8 @@
     virtual ~http_call() = default;
     /** Cancels the call and resets its connection. onEnd runs with Cancelled unless the call has already ended. */
     virtual void cancel() = 0;
+    /** Returns how long ago the connection of the call was established, before the call if it is reused; zero while there is none. */
+    virtual duration connectionAge() const = 0;
 };
 
 /** Limits and connection settings of a client. */
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -27,6 +27,7 @@
         server.address = entry->address;
         server.service = entry->service;
         server.zone = entry->zone;
+        server.build = entry->build;
         server.slots = std::max(1U, entry->slots);
         server.startedAt = entry->startedAt;
         server.isRegistered = true;
@@ -38,6 +39,38 @@
     std::erase_if(m_servers, [](const auto &server) {
         return !server.second.isRegistered && server.second.running == 0;
     });
+    findSmallerBuilds();
+}
+
+/** Marks the servers whose build has fewer servers than another one of the service, so that what goes on there finds a place. */
+void backend_table::findSmallerBuilds()
+{
+    std::map<std::string_view, std::map<std::string_view, std::size_t>> counts;
+    for (const auto &[id, server] : m_servers) {
+        if (server.isRegistered) {
+            ++counts[server.service][server.build];
+        }
+    }
+    for (auto &[id, server] : m_servers) {
+        const auto &builds = counts[server.service];
+        const auto own = builds.find(server.build);
+        server.isOfSmallerBuild = own != builds.end() && std::ranges::any_of(builds, [&](const auto &each) {
+                                      return each.second > own->second;
+                                  });
+    }
+}
+
+double backend_table::slotsFor(const server_state &server, const backend_criteria &criteria) const
+{
+    const bool leavesRoom = server.isOfSmallerBuild && criteria.build.empty();
+    return leavesRoom ? std::max(1.0, std::floor(server.slots * (1 - m_options.continuationShare))) : server.slots;
+}
+
+bool backend_table::hasEligible(const backend_criteria &criteria) const
+{
+    return std::ranges::any_of(m_servers, [&](const auto &each) {
+        return isEligible(each.second, criteria);
+    });
 }
 
 std::optional<backend_choice> backend_table::choose(time_point now, const backend_criteria &criteria)
@@ -52,7 +85,7 @@
         }
         const double time = expectedTime(now, id, server, criteria, typical) * m_random.uniform(1, 1 + m_options.tieBreakJitter);
         if (!best || time < bestTime) {
-            best = backend_choice{ id, server.address, server.startedAt };
+            best = backend_choice{ id, server.address, server.startedAt, server.build };
             bestTime = time;
         }
     }
@@ -69,7 +102,7 @@
 /** Tells whether the server offers the service and has the model in a sufficient version, regardless of its load and backoff. */
 bool backend_table::isEligible(const server_state &server, const backend_criteria &criteria) const
 {
-    if (!server.isRegistered || server.service != criteria.service) {
+    if (!server.isRegistered || server.service != criteria.service || (!criteria.build.empty() && server.build != criteria.build)) {
         return false;
     }
     const auto version = server.versions.find(criteria.model);
@@ -108,7 +141,7 @@
             return false;
         }
     }
-    return criteria.mayQueue || load(now, server) < server.slots;
+    return criteria.mayQueue || load(now, server) < slotsFor(server, criteria);
 }
 
 double backend_table::load(time_point now, const server_state &server) const
@@ -125,7 +158,7 @@
         latency = isLasting ? remembered : typical;
     }
     const double newLoad = load(now, server) + 1;
-    const double waiting = std::max(0.0, newLoad / server.slots - 1) * m_options.queueWeight;
+    const double waiting = std::max(0.0, newLoad / slotsFor(server, criteria) - 1) * m_options.queueWeight;
     double time = latency * (slowdown(server, newLoad) + waiting);
     time *= id == criteria.preferred ? 1 - m_options.preferredDiscount : 1;
     time *= server.zone == m_options.ownZone ? 1 : 1 + m_options.otherZonePenalty;
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -52,6 +52,7 @@
     duration suspicionDuration = std::chrono::milliseconds(3000); ///< Counted from the last unresponsive server. When a zone is cut off, the registrations
                                                                   ///< of its servers lapse 3.6 s later.
     duration loadLifetime = std::chrono::milliseconds(500); ///< Age up to which a server's reported load is used.
+    double continuationShare = 0.25; ///< Share of the slots of a build with fewer servers than another that new work leaves to what goes on there.
 };
 
 /** Requirements and preferences of one request. */
@@ -60,6 +61,7 @@
     std::string_view service;
     std::string_view model; ///< Required model; any server of the service qualifies if empty.
     std::uint64_t minVersion = 0; ///< Lowest acceptable version of the model.
+    std::string_view build; ///< Required build, if the request goes on with what a server of that build began; any qualifies if empty.
     std::string_view preferred; ///< Id of a server that has part of the work in its cache; may be empty.
     std::span<const std::string> excluded; ///< Ids of servers that have already been tried.
     bool mayQueue = false; ///< Whether a server without a free slot is acceptable.
@@ -73,6 +75,7 @@
     std::string id;
     endpoint address;
     std::int64_t startedAt = 0; ///< Identifies the instance, as server_entry::startedAt.
+    std::string build; ///< As server_entry::build.
 };
 
 /** State of all registered backend servers, as this node sees them. */
@@ -108,6 +111,8 @@
     bool isWorthMoving(time_point now, std::string_view id, const backend_criteria &criteria) const;
     /** Returns how many servers of the service are registered. */
     std::size_t registeredCount(std::string_view service) const;
+    /** Tells whether a server is registered that fits the criteria, whether or not it may take the request now. */
+    bool hasEligible(const backend_criteria &criteria) const;
 
     /** Records that this node sent a request to the server. */
     void onRequestStarted(std::string_view id);
@@ -147,6 +152,8 @@
         endpoint address;
         std::string service;
         std::string zone;
+        std::string build;
+        bool isOfSmallerBuild = false; ///< Another build of the service has more servers.
         std::uint32_t slots = 1; ///< Requests that the server runs concurrently.
         std::map<std::string, std::uint64_t, std::less<>> versions; ///< Highest known version of each model.
         std::map<std::string, time_point, std::less<>> modelProbeTimes; ///< For each refused model, when one request may probe the server again.
@@ -169,6 +176,9 @@
     };
     bool isSuspect(time_point now, const server_state &server) const;
     bool isEligible(const server_state &server, const backend_criteria &criteria) const;
+    void findSmallerBuilds();
+    /** Returns the requests that the server may run at once of those that fit the criteria. */
+    double slotsFor(const server_state &server, const backend_criteria &criteria) const;
     bool hasEligibleInTrustedZone(time_point now, const backend_criteria &criteria) const;
     bool mayTake(time_point now, std::string_view id, const server_state &server, const backend_criteria &criteria) const;
     /** Returns the predicted number of requests on the server. */
