Texts of items go on only at servers of the build that began them

Cause: nothing asked who had begun a text.

A text now bears the build that began it, also as a stored draft; an incomplete draft without one, as earlier releases wrote them, is not used. A run goes on with it only at a server of that build, and its events are held back until the instance that makes them is certain.

--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -115,12 +115,25 @@
 {
     m_groupServer[m_groupOf[index]] = server;
     m_states[index].server = std::move(server);
+    m_states[index].runBuild.clear();
+    m_states[index].doesRunFit = m_states[index].lastEvent == 0;
     moveTo(now, index, item_stage::Running);
 }
 
+bool job_progress::runAnswered(std::size_t index, std::string_view build)
+{
+    item_state &state = m_states[index];
+    state.runBuild = build;
+    state.doesRunFit = state.lastEvent == 0 || (!build.empty() && build == state.build);
+    return state.doesRunFit;
+}
+
 bool job_progress::addEvent(std::size_t index, std::uint64_t event, std::string_view data, std::uint64_t version)
 {
     item_state &state = m_states[index];
+    if (!state.doesRunFit) {
+        return false;
+    }
     const bool isNewVersion = state.versions.empty() || state.versions.back() != version;
     if (event != state.lastEvent + 1 || version < m_spec.minVersion || (isNewVersion && m_options.isSingleVersion && !state.versions.empty())) {
         return false;
@@ -129,9 +142,12 @@
         restartText(state);
         return false;
     }
-    if (state.lastEvent > 0) {
+    if (state.lastEvent == 0) {
+        state.build = state.runBuild;
+    } else {
         state.text += '\n';
     }
+    state.continuableSince = timeNever;
     state.text += data;
     state.lastEvent = event;
     state.consecutiveBreaks = 0;
@@ -170,9 +186,22 @@
     }
 }
 
+void job_progress::restartText(std::size_t index)
+{
+    restartText(m_states[index]);
+}
+
+void job_progress::awaitBuild(time_point now, std::size_t index, duration retryDelay)
+{
+    m_states[index].continuableSince = std::min(m_states[index].continuableSince, now);
+    m_states[index].notBefore = now + retryDelay;
+}
+
 void job_progress::restartText(item_state &state)
 {
     state.text.clear();
+    state.build.clear();
+    state.continuableSince = timeNever;
     state.lastEvent = 0;
     state.versions.clear();
 }
@@ -203,7 +232,8 @@
     moveTo(now, index, item_stage::AwaitingScore);
 }
 
-std::vector<item_draft> job_progress::drafts(std::uint64_t minimumEvents, std::size_t maximumBytes) const
+std::vector<item_draft>
+job_progress::drafts(std::uint64_t minimumEvents, std::size_t maximumBytes, const std::function<bool(std::size_t)> &isOriginCertain) const
 {
     std::vector<std::size_t> candidates;
     for (std::size_t i = 0; i < m_states.size(); ++i) {
@@ -218,12 +248,15 @@
     std::size_t bytes = 0;
     for (const std::size_t index : candidates) {
         const item_state &state = m_states[index];
+        const bool isTextComplete = state.stage == item_stage::AwaitingScore || state.stage == item_stage::Scoring;
+        if (!isTextComplete && (state.build.empty() || !isOriginCertain(index))) {
+            continue;
+        }
         bytes += state.text.size();
         if (bytes > maximumBytes) {
             break;
         }
-        const bool isTextComplete = state.stage == item_stage::AwaitingScore || state.stage == item_stage::Scoring;
-        kept.push_back({ m_spec.items[index].id, state.text, state.lastEvent, state.versions, isTextComplete });
+        kept.push_back({ m_spec.items[index].id, state.text, state.lastEvent, state.versions, isTextComplete, state.build });
     }
     return kept;
 }
@@ -235,7 +268,8 @@
         const bool isUsable = !draft.versions.empty() && draft.lastEvent > 0 && std::ranges::all_of(draft.versions, [this](std::uint64_t version) {
             return version >= m_spec.minVersion;
         });
-        if (found == m_indexOf.end() || !isUsable || m_options.isSingleVersion) {
+        const bool canGoOn = draft.isTextComplete || !draft.build.empty();
+        if (found == m_indexOf.end() || !isUsable || !canGoOn || m_options.isSingleVersion) {
             continue;
         }
         item_state &state = m_states[found->second];
@@ -245,6 +279,7 @@
         state.text = draft.text;
         state.lastEvent = draft.lastEvent;
         state.versions = draft.versions;
+        state.build = draft.build;
         if (draft.isTextComplete) {
             textEnded(state.stageSince, found->second);
         }
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -15,11 +15,14 @@
  * - Groups carried over from an earlier step are never deferred: most of them are the longest of all, and the trainer waits for them regardless of which
  *   other groups are complete.
  * - An item that already has part of its text resumes before new items start.
+ *
+ * A text goes on only with runs of the build, version of a server's software, that began it: what two builds write does not fit together.
  */
 #pragma once
 
 #include "batch/job_types.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -57,6 +60,10 @@
     std::string text; ///< Data of the events received so far, separated by line feeds.
     std::uint64_t lastEvent = 0; ///< Id of the last accepted event; 0 if there is none.
     std::vector<std::uint64_t> versions; ///< Weight versions that generated the events, in the order of their first event.
+    std::string build; ///< Build of the servers that generated the events; empty if there are none, or if it is unknown.
+    std::string runBuild; ///< Build of the server that answers the current run; empty until then, or if it is unknown.
+    bool doesRunFit = true; ///< Whether the current run may add events: it begins the text, or its build began it.
+    time_point continuableSince = timeNever; ///< Since when the text waits for a server of its build; timeNever while it does not.
     std::string score; ///< The scorer's signature; empty until the text is scored.
     std::string server; ///< Id of the server that runs the item, or ran it last.
     int failures = 0; ///< Failures of the current step, generating or scoring.
@@ -95,8 +102,21 @@
 
     /** Marks an item as running on @p server. */
     void started(time_point now, std::size_t index, std::string server);
-    /** Appends an event of a run to its text. @return false if the event is out of order or of an unacceptable version; the run must be cancelled then */
+    /**
+     * Notes the build of the server that answers the current run of an item.
+     * @param build empty if it is unknown; then the run can only begin a text
+     * @return false if the run can't go on with the text, which another build began; it must be cancelled then
+     */
+    bool runAnswered(std::size_t index, std::string_view build);
+    /**
+     * Appends an event of a run to its text.
+     * @return false if the event is out of order, of an unacceptable version, or of a run that can't go on with the text; the run must be cancelled then
+     */
     bool addEvent(std::size_t index, std::uint64_t event, std::string_view data, std::uint64_t version);
+    /** Drops the text of an item that waits to run, so that it is begun anew. */
+    void restartText(std::size_t index);
+    /** Puts off the next run of an item that waits for a server of its build. */
+    void awaitBuild(time_point now, std::size_t index, duration retryDelay);
     /** Marks the text of an item as complete. */
     void textEnded(time_point now, std::size_t index);
     /** Marks a run as ended before its text was complete. @param retryDelay time until the item may run again */
@@ -107,9 +127,13 @@
     void scored(time_point now, std::size_t index, std::string score);
     /** Marks an attempt to score an item as failed. @param retryDelay time until the item may be scored again */
     void scoringFailed(time_point now, std::size_t index, run_failure failure, duration retryDelay);
-    /** Returns the unrecorded texts with at least @p minimumEvents events, longest first, up to a total of @p maximumBytes; none if isSingleVersion is set. */
-    std::vector<item_draft> drafts(std::uint64_t minimumEvents, std::size_t maximumBytes) const;
-    /** Resumes items from the drafts of a previous owner. Drafts that do not match the job are ignored. */
+    /**
+     * Returns the unrecorded texts with at least @p minimumEvents events, longest first, up to a total of @p maximumBytes; none if isSingleVersion is set, and
+     * no incomplete ones of an unknown build.
+     * @param isOriginCertain tells whether it is certain which build began the text of an item
+     */
+    std::vector<item_draft> drafts(std::uint64_t minimumEvents, std::size_t maximumBytes, const std::function<bool(std::size_t)> &isOriginCertain) const;
+    /** Resumes items from the drafts of a previous owner. Drafts that do not match the job, and incomplete ones of an unknown build, are ignored. */
     void restore(std::span<const item_draft> drafts);
     /** Returns the server that an item of the same group was last sent to; empty if there is none. */
     std::string_view groupServer(std::size_t index) const;
--- a/batch/job_store.cpp
+++ b/batch/job_store.cpp
@@ -226,7 +226,7 @@
 {
     nlohmann::json list = nlohmann::json::array();
     for (const item_draft &draft : drafts) {
-        list.push_back({ draft.id, draft.text, draft.lastEvent, draft.versions, draft.isTextComplete });
+        list.push_back({ draft.id, draft.text, draft.lastEvent, draft.versions, draft.isTextComplete, draft.build });
     }
     return encodeCbor(list);
 }
@@ -240,7 +240,8 @@
                                row.at(1).get<std::string>(),
                                row.at(2).get<std::uint64_t>(),
                                row.at(3).get<std::vector<std::uint64_t>>(),
-                               row.at(4).get<bool>() });
+                               row.at(4).get<bool>(),
+                               row.size() > 5 ? row.at(5).get<std::string>() : std::string() }); // Earlier releases do not write the build.
         }
     } catch (const nlohmann::json::exception &error) {
         logLine(log_level::Error, "drafts-unreadable", { { "bytes", std::to_string(bytes.size()) }, { "reason", error.what() } });
--- a/batch/job_types.h
+++ b/batch/job_types.h
@@ -66,6 +66,7 @@
     std::uint64_t lastEvent = 0; ///< Id of the last event in the text.
     std::vector<std::uint64_t> versions; ///< Weight versions that generated the events, in the order of their first event.
     bool isTextComplete = false; ///< The text is complete and only the score is missing.
+    std::string build; ///< Build, version of the software, of the servers that generated the events; empty if unknown.
 };
 
 /** The recorded outcome of an item. */
--- a/batch/testing/job_progress_test.cpp
+++ b/batch/testing/job_progress_test.cpp
@@ -166,21 +166,27 @@
     EXPECT_EQ(progress.nextToRun(start), 2U);
 }
 
+bool isCertain(std::size_t)
+{
+    return true;
+}
+
 TEST(job_progress_test, draftsResumeAtNextOwner)
 {
     job_progress before(makeJob(1, 4, 1), {}, start);
     for (std::size_t index = 0; index < 3; ++index) {
         before.started(start, index, "s");
+        ASSERT_TRUE(before.runAnswered(index, "v1"));
         for (std::uint64_t event = 1; event <= 10 * (index + 1); ++event) {
             ASSERT_TRUE(before.addEvent(index, event, "x", 4));
         }
     }
     before.textEnded(start, 2);
-    const std::vector<item_draft> drafts = before.drafts(15, 1U << 20U);
+    const std::vector<item_draft> drafts = before.drafts(15, 1U << 20U, isCertain);
     ASSERT_EQ(drafts.size(), 2U) << "a text of ten events is below the minimum";
     EXPECT_EQ(drafts[0].lastEvent, 30U);
     EXPECT_TRUE(drafts[0].isTextComplete);
-    EXPECT_EQ(before.drafts(15, 60).size(), 1U) << "drafts must fit into the size limit";
+    EXPECT_EQ(before.drafts(15, 60, isCertain).size(), 1U) << "drafts must fit into the size limit";
 
     job_progress after(makeJob(1, 4, 1), {}, start);
     after.noteRecorded(std::vector<item_result>{ { "g0-0", true, "t", { 4 }, "s" } });
@@ -189,10 +195,65 @@
     EXPECT_EQ(after.state(1).lastEvent, 20U);
     EXPECT_EQ(after.nextToScore(start), 2U);
     after.started(start, 1, "s");
+    ASSERT_TRUE(after.runAnswered(1, "v1"));
     EXPECT_FALSE(after.addEvent(1, 20, "x", 4));
     EXPECT_TRUE(after.addEvent(1, 21, "x", 4));
 }
 
+/** Which runs may go on with a text that another run began. */
+TEST(job_progress_test, textGoesOnOnlyAtBuildThatBeganIt)
+{
+    struct row
+    {
+        std::string began;
+        std::string next;
+        bool goesOn = false;
+    };
+    const row rows[] = { { "v1", "v1", true }, { "v1", "v2", false }, { "", "v1", false }, { "v1", "", false }, { "", "", false } };
+    for (const row &each : rows) {
+        SCOPED_TRACE(each.began + " to " + each.next);
+        job_progress progress(makeJob(1, 1, 1), {}, start);
+        progress.started(start, 0, "s");
+        EXPECT_TRUE(progress.runAnswered(0, each.began)) << "any run may begin a text";
+        EXPECT_TRUE(progress.addEvent(0, 1, "one", 3));
+        EXPECT_TRUE(progress.addEvent(0, 2, "two", 3));
+        progress.runFailed(start, 0, run_failure::Broken, 0ms);
+        progress.started(start, 0, "s");
+        EXPECT_FALSE(progress.addEvent(0, 3, "three", 3)) << "nobody has answered yet";
+        EXPECT_EQ(progress.runAnswered(0, each.next), each.goesOn);
+        EXPECT_EQ(progress.addEvent(0, 3, "three", 3), each.goesOn);
+        progress.runFailed(start, 0, run_failure::Broken, 0ms);
+        progress.restartText(0);
+        progress.started(start, 0, "s");
+        EXPECT_TRUE(progress.runAnswered(0, each.next));
+        EXPECT_TRUE(progress.addEvent(0, 1, "new", 3));
+        EXPECT_EQ(progress.state(0).text, "new") << "nothing of the old text is left";
+        EXPECT_EQ(progress.state(0).build, each.next);
+    }
+}
+
+/** A draft that names no build, as earlier releases wrote them, or whose begin is not certain. */
+TEST(job_progress_test, draftsOfUnknownBuildAreOnlyUsedIfComplete)
+{
+    job_progress before(makeJob(1, 4, 1), {}, start);
+    for (std::size_t index = 0; index < 4; ++index) {
+        before.started(start, index, "s");
+        ASSERT_TRUE(before.runAnswered(index, index == 0 ? "" : "v1"));
+        ASSERT_TRUE(before.addEvent(index, 1, "x", 4));
+    }
+    before.textEnded(start, 3);
+    const std::vector<item_draft> kept = before.drafts(1, 1U << 20U, [](std::size_t index) {
+        return index != 1;
+    });
+    ASSERT_EQ(kept.size(), 2U) << "neither the text of an unknown build nor the one whose begin is not certain";
+    job_progress after(makeJob(1, 4, 1), {}, start);
+    after.restore(std::vector<item_draft>{ { "g0-0", "x", 1, { 4 }, false, "" }, { "g0-1", "x", 1, { 4 }, true, "" }, { "g0-2", "x", 1, { 4 }, false, "v1" } });
+    EXPECT_EQ(after.state(0).lastEvent, 0U);
+    EXPECT_EQ(after.nextToScore(start), 1U) << "a complete text needs no server of any build";
+    EXPECT_EQ(after.state(2).lastEvent, 1U);
+    EXPECT_EQ(after.state(2).build, "v1");
+}
+
 TEST(job_progress_test, draftsBelowMinimumVersionAreIgnored)
 {
     job_progress progress(makeJob(1, 1, 1), {}, start);
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -25,6 +25,9 @@
 constexpr duration maxItemPlaceWait = std::chrono::milliseconds(1000); // For a place at a server with a limit; the next pass may know a better server.
 constexpr duration maxScorePlaceWait = std::chrono::milliseconds(500);
 constexpr duration refusalRetryDelay = std::chrono::milliseconds(30); // Another server is tried next; this limits the request rate when all servers refuse.
+constexpr int maxBreaksWithoutEvent = 2; // Runs of a text, at servers of its build that had failed before.
+constexpr duration minBuildWait = std::chrono::milliseconds(200); // Covers the proof of what began the text, and reading its prompt again.
+constexpr duration maxBuildWait = std::chrono::milliseconds(1500); // Of a text for a free server of its build.
 constexpr duration brokenRunRetryDelay = std::chrono::milliseconds(10);
 constexpr duration failureRetryDelay = std::chrono::milliseconds(100);
 constexpr duration maxRecordDelay = std::chrono::milliseconds(600); // Results of incomplete groups only help a new owner after a takeover, so they wait to be
@@ -146,6 +149,9 @@
     random_source random(m_context.randomSeed + m_nextRunNumber);
     while (const std::optional<std::size_t> index = m_progress.nextToRun(now)) {
         const std::string &service = chooseService(*matchedRoute, random);
+        if (m_progress.state(*index).lastEvent > 0 && startContinuation(now, *index, *matchedRoute, service)) {
+            continue;
+        }
         const std::optional<backend_choice> server = m_fleet.backends().choose(now, selectionCriteria(*index, service));
         if (!server) {
             return;
@@ -154,6 +160,69 @@
     }
 }
 
+/**
+ * Goes on with the text of an item on a server of the build that began it, or puts it off while that is worth waiting for. Otherwise drops the text.
+ * @return whether the item is dealt with; if not, it has no text any more
+ */
+bool job_worker::startContinuation(time_point now, std::size_t index, const route &matchedRoute, std::string_view service)
+{
+    const item_state &state = m_progress.state(index);
+    const std::string build = state.build;
+    backend_criteria criteria = continuationCriteria(index, service);
+    const bool canGoOn = !build.empty() && m_fleet.backends().hasEligible(criteria);
+    const bool mayBecomeCertain = !m_unprovenOrigins.contains(index) || m_fleet.proofOf(m_unprovenOrigins.at(index)) != contact_proof::Impossible;
+    const duration timeToRepeat = state.lastEvent * m_fleet.backends().meanLatency(now, service);
+    const bool isWorthWaiting = state.continuableSince == timeNever || now - state.continuableSince < std::clamp(timeToRepeat, minBuildWait, maxBuildWait);
+    const bool isOriginKnown = isOriginCertain(index);
+    if (canGoOn && isOriginKnown) {
+        // A server that has failed is the last resort, unless it fails again without an event.
+        criteria.ignoresBackoff = !isWorthWaiting && state.consecutiveBreaks < maxBreaksWithoutEvent;
+        if (const std::optional<backend_choice> server = m_fleet.backends().choose(now, criteria)) {
+            startItem(now, index, matchedRoute, *server);
+            return true;
+        }
+    }
+    if (canGoOn && mayBecomeCertain && isWorthWaiting) {
+        m_progress.awaitBuild(now, index, refusalRetryDelay);
+        return true;
+    }
+    logLine(log_level::Info,
+            "text-restarted",
+            { { "job", m_job },
+              { "item", m_progress.item(index).id },
+              { "build", build },
+              { "events", std::to_string(state.lastEvent) },
+              { "reason",
+                !canGoOn            ? "no server of its build"
+                    : isOriginKnown ? "no server of its build takes it in time"
+                                    : "begun by unproven instance" } });
+    m_context.metrics.counter("reedtrail_texts_restarted_total", "Texts of items that are begun anew because no server of their build could go on").add();
+    m_progress.restartText(index);
+    m_unprovenOrigins.erase(index);
+    return false;
+}
+
+/** Tells whether it is certain what began the text of an item. If not, finds out. */
+bool job_worker::isOriginCertain(std::size_t index)
+{
+    const auto found = m_unprovenOrigins.find(index);
+    if (found == m_unprovenOrigins.end()) {
+        return true;
+    }
+    if (m_fleet.proofOf(found->second) == contact_proof::Certain) {
+        m_unprovenOrigins.erase(found);
+        return true;
+    }
+    if (m_originsBeingProven.insert(index).second) {
+        m_fleet.proveContact(found->second, [weak = weak_from_this(), index](contact_proof) {
+            if (const auto self = weak.lock()) {
+                self->m_originsBeingProven.erase(index);
+            }
+        });
+    }
+    return false;
+}
+
 backend_criteria job_worker::selectionCriteria(std::size_t index, std::string_view service) const
 {
     backend_criteria criteria;
@@ -164,6 +233,14 @@
     return criteria;
 }
 
+/** Returns the criteria of a server that goes on with the text of an item. */
+backend_criteria job_worker::continuationCriteria(std::size_t index, std::string_view service) const
+{
+    backend_criteria criteria = selectionCriteria(index, service);
+    criteria.build = m_progress.state(index).build;
+    return criteria;
+}
+
 void job_worker::startItem(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server)
 {
     const auto newRun = std::make_shared<run>();
@@ -266,7 +343,7 @@
     http_call_handlers handlers;
     handlers.onHead = [guarded](const http_response &head) {
         guarded([&](job_worker &self, const std::shared_ptr<run> &current) {
-            self.onResponseHead(*current, head);
+            self.onResponseHead(current, head);
         });
     };
     handlers.onBody = [guarded](std::string_view part) {
@@ -283,8 +360,9 @@
     newRun->call = m_context.serverClient.start(server.address, std::move(request), options, std::move(handlers));
 }
 
-void job_worker::onResponseHead(run &current, const http_response &head)
+void job_worker::onResponseHead(const std::shared_ptr<run> &answeredRun, const http_response &head)
 {
+    run &current = *answeredRun;
     current.answer = platform::decodeAnswer(head);
     current.lastActivityAt = m_context.loop.now();
     current.build = m_fleet.buildOf(current.server, current.sent.startedAt);
@@ -305,15 +383,64 @@
         m_fleet.backends().onVersion(current.server, m_progress.spec().model, current.version);
         m_fleet.backends().onAccepted(current.server, m_progress.spec().model);
     }
+    if (current.isScore || current.answer.status != http_status::ok || current.isInvalidResponse) {
+        return;
+    }
+    current.contact = { current.server, current.sent.startedAt, current.lastActivityAt - current.call->connectionAge() };
+    if (!m_progress.runAnswered(current.item, current.build)) {
+        current.isInvalidResponse = true;
+        abortRun(current, "another build began the text");
+    } else if (m_progress.state(current.item).lastEvent > 0) {
+        proveContinuation(answeredRun);
+    } else if (m_fleet.proofOf(current.contact) == contact_proof::Certain) {
+        m_unprovenOrigins.erase(current.item);
+    } else {
+        m_unprovenOrigins[current.item] = current.contact;
+    }
+}
+
+/** Holds the events of a run back until it is certain which instance makes them, and thus that they fit to the text. */
+void job_worker::proveContinuation(const std::shared_ptr<run> &current)
+{
+    current->isHeld = true;
+    m_fleet.proveContact(current->contact, [weak = weak_from_this(), weakRun = std::weak_ptr(current)](contact_proof proof) {
+        const auto self = weak.lock();
+        const auto held = weakRun.lock();
+        if (!self || !held || self->m_isStopped) {
+            return;
+        }
+        held->isHeld = false;
+        if (proof == contact_proof::Certain) {
+            self->takeEvents(*held, std::exchange(held->heldBytes, {}));
+        } else {
+            held->isInvalidResponse = true;
+            if (!held->heldEnd) {
+                self->abortRun(*held, "the instance that goes on with the text is not certain");
+            }
+        }
+        if (held->heldEnd) {
+            self->onRunEnded(held, *std::exchange(held->heldEnd, std::nullopt));
+        }
+    });
 }
 
 void job_worker::onResponseBody(run &current, std::string_view part)
 {
-    const time_point now = m_context.loop.now();
     m_fleet.backends().onResponse(current.server);
     if (current.isScore || current.answer.status != http_status::ok || current.isInvalidResponse) {
         return;
     }
+    if (current.isHeld) {
+        current.lastActivityAt = m_context.loop.now();
+        current.heldBytes.append(part);
+        return;
+    }
+    takeEvents(current, part);
+}
+
+void job_worker::takeEvents(run &current, std::string_view part)
+{
+    const time_point now = m_context.loop.now();
     for (const server_event &event : current.events.feed(part)) {
         if (const auto version = platform::eventVersion(event)) {
             current.version = *version;
@@ -345,6 +472,10 @@
         putOff(endedRun);
         return;
     }
+    if (endedRun->isHeld) {
+        endedRun->heldEnd = end;
+        return;
+    }
     std::erase(m_runs, endedRun);
     m_fleet.backends().onRequestEnded(endedRun->server);
     const time_point now = m_context.loop.now();
@@ -437,7 +568,7 @@
 {
     std::vector<std::shared_ptr<run>> silentRuns;
     for (const auto &current : m_runs) {
-        if (current->isScore || !current->call) {
+        if (current->isScore || !current->call || current->heldEnd) {
             continue;
         }
         const duration latency = m_fleet.backends().latency(now, current->server);
@@ -462,9 +593,8 @@
     }
     std::shared_ptr<run> slowRun;
     for (const auto &current : m_runs) {
-        const bool hasKnownLatency = !current->isScore && current->eventCount >= minEventsBeforeMove;
-        if (hasKnownLatency
-            && m_fleet.backends().isWorthMoving(now, current->server, selectionCriteria(current->item, matchedRoute->services.front().service))) {
+        const bool mayMove = !current->isScore && current->eventCount >= minEventsBeforeMove && !m_progress.state(current->item).build.empty();
+        if (mayMove && m_fleet.backends().isWorthMoving(now, current->server, continuationCriteria(current->item, matchedRoute->services.front().service))) {
             slowRun = current;
             break;
         }
@@ -506,7 +636,12 @@
 std::string job_worker::encodeDraftsToKeep(time_point now)
 {
     m_lastDraftsKeptAt = now;
-    const std::vector<item_draft> drafts = m_progress.drafts(minDraftEvents, maxDraftBytes);
+    std::erase_if(m_unprovenOrigins, [this](const auto &each) {
+        return m_fleet.proofOf(each.second) == contact_proof::Certain;
+    });
+    const std::vector<item_draft> drafts = m_progress.drafts(minDraftEvents, maxDraftBytes, [this](std::size_t index) {
+        return !m_unprovenOrigins.contains(index);
+    });
     return drafts.empty() ? std::string() : encodeDrafts(drafts);
 }
 
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -11,7 +11,10 @@
 #include "platform/server_wire.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,6 +68,10 @@
         std::uint64_t configuration = 0; ///< Version of the configuration by which the run was placed.
         fleet_cache::sent_request sent;
         std::shared_ptr<http_call> call; ///< Null while the run waits for a place at a server with a limit.
+        server_contact contact; ///< On which the run is answered.
+        bool isHeld = false; ///< The bytes of a run that goes on with a text wait for the proof of what made them.
+        std::string heldBytes;
+        std::optional<http_call_end> heldEnd; ///< Handled after heldBytes.
         event_stream_reader events;
         platform::server_answer answer;
         std::uint64_t version = 0; ///< Weight version that the server reported last; 0 if it reported none.
@@ -83,13 +90,17 @@
     bool isFleetCurrent();
     void startItems(time_point now);
     void startScores(time_point now);
+    bool startContinuation(time_point now, std::size_t index, const route &matchedRoute, std::string_view service);
+    bool isOriginCertain(std::size_t index);
     void startItem(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server);
     void startScore(time_point now, std::size_t index, const route &matchedRoute, const backend_choice &server);
     void launch(time_point now, const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
     void send(const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
     void putOff(const std::shared_ptr<run> &unsentRun);
-    void onResponseHead(run &current, const http_response &head);
+    void onResponseHead(const std::shared_ptr<run> &answeredRun, const http_response &head);
     void onResponseBody(run &current, std::string_view part);
+    void proveContinuation(const std::shared_ptr<run> &current);
+    void takeEvents(run &current, std::string_view part);
     void onRunEnded(const std::shared_ptr<run> &endedRun, const http_call_end &end);
     void handleItemRunEnd(time_point now, run &endedRun, const http_call_end &end);
     void handleScoreRunEnd(time_point now, run &endedRun, const http_call_end &end);
@@ -98,6 +109,7 @@
     void abortSilentRuns(time_point now);
     void moveRunFromSlowServer(time_point now);
     backend_criteria selectionCriteria(std::size_t index, std::string_view service) const;
+    backend_criteria continuationCriteria(std::size_t index, std::string_view service) const;
     void recordDueResults(time_point now);
     std::string encodeDraftsToKeep(time_point now);
     void logRun(const run &endedRun, const char *outcome, const std::string &detail) const;
@@ -109,6 +121,8 @@
     job_progress m_progress;
     recorder m_recorder;
     std::vector<std::shared_ptr<run>> m_runs;
+    std::map<std::size_t, server_contact> m_unprovenOrigins; ///< Of texts, by index of the item: contacts that began them and are not certain yet.
+    std::set<std::size_t> m_originsBeingProven;
     std::uint64_t m_nextRunNumber = 1;
     time_point m_lastRecordedAt;
     time_point m_lastDraftsKeptAt;
