Streams of callers go on only at servers of the build that began them

What callers would get: within one answer, and over their attempts, events of servers of two software versions.

Cause: a broken stream went on at any server of the service, and Last-Event-Id was passed on to any server without a question who had begun the stream (Resumes was unknown).

The build that began a stream is entered under the id of the request that brought its first event before that event leaves the node. A stream of which nobody knows the begin is refused at once (503, not run).

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -16,10 +16,12 @@
 
 } // namespace
 
-caller_service::caller_service(edge_context &context, fleet_cache &fleet, crash_guard &crashes, batch_job_service &jobs, job_forwarder &forwarder)
+caller_service::caller_service(
+    edge_context &context, fleet_cache &fleet, crash_guard &crashes, stream_origins &origins, batch_job_service &jobs, job_forwarder &forwarder)
     : m_context(context)
     , m_fleet(fleet)
     , m_crashes(crashes)
+    , m_origins(origins)
     , m_jobs(jobs)
     , m_forwarder(forwarder)
 {
@@ -54,6 +56,7 @@
     return { { "connections", m_callerServer->connections() },
              { "inFlight", m_callerServer->exchangesInFlight() },
              { "draining", m_context.isDraining },
+             { "knownStreams", m_origins.size() },
              { "suspectRequests", m_crashes.dump() } };
 }
 
@@ -166,7 +169,7 @@
         refuse(exchange, http_status::notFound, "no route for this host and path", duration::zero());
         return;
     }
-    std::make_shared<request_relay>(m_context, m_fleet, m_crashes, std::move(exchange), *matchedRoute, std::move(call))->start();
+    std::make_shared<request_relay>(m_context, m_fleet, m_crashes, m_origins, std::move(exchange), *matchedRoute, std::move(call))->start();
 }
 
 void caller_service::refuse(const std::shared_ptr<http_exchange> &exchange, std::uint16_t status, const char *reason, duration retryAfter)
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -9,6 +9,7 @@
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "edge/job_forwarder.h"
+#include "edge/stream_origins.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
 
@@ -22,7 +23,7 @@
 class caller_service : public service
 {
 public:
-    caller_service(edge_context &context, fleet_cache &fleet, crash_guard &crashes, batch_job_service &jobs, job_forwarder &forwarder);
+    caller_service(edge_context &context, fleet_cache &fleet, crash_guard &crashes, stream_origins &origins, batch_job_service &jobs, job_forwarder &forwarder);
 
     result<void> start(kernel &process) override;
     /** Marks every further response as the last one on its connection, so that callers reconnect elsewhere. */
@@ -46,6 +47,7 @@
     edge_context &m_context;
     fleet_cache &m_fleet;
     crash_guard &m_crashes;
+    stream_origins &m_origins;
     batch_job_service &m_jobs;
     job_forwarder &m_forwarder;
     kernel *m_process = nullptr;
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -69,7 +69,8 @@
         auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshotSource, m_snapshotServer, m_limitPeers);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
         auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet, m_snapshotSource, m_snapshotServer);
-        auto callers = std::make_unique<caller_service>(m_context, *fleet, m_crashes, *jobs, m_forwarder);
+        const auto origins = std::make_unique<stream_origins>(m_context, *fleet, m_transport.path(), m_peerClient);
+        auto callers = std::make_unique<caller_service>(m_context, *fleet, m_crashes, *origins, *jobs, m_forwarder);
         m_context.isIsolated = [this] {
             return m_transport.path().isIsolated(m_loop.now());
         };
@@ -92,6 +93,9 @@
         peers->onLimitAsks([fleet = fleet.get()](const std::shared_ptr<http_exchange> &exchange) {
             fleet->serveLimitAsks(exchange);
         });
+        peers->onStreamMessages([origins = origins.get()](const std::shared_ptr<http_exchange> &exchange) {
+            origins->serve(exchange);
+        });
         peers->onContactQuestion([this](const std::shared_ptr<http_exchange> &exchange) {
             contact_witness_client::serve(exchange, m_outages, m_loop.now());
         });
@@ -101,12 +105,14 @@
         m_limitPeers.setNodeListAge([peers = peers.get()] {
             return peers->nodeListAge();
         });
-        peers->onPeersChanged([this, fleet = fleet.get(), peers = peers.get(), weightLoads = weightLoads.get()](std::map<std::string, store_peer> nodes) {
+        peers->onPeersChanged([this, fleet = fleet.get(), peers = peers.get(), weightLoads = weightLoads.get(), origins = origins.get()](
+                                  std::map<std::string, store_peer> nodes) {
             const edge_settings &settings = m_context.settings;
             nodes[settings.node] = { settings.peers.value_or(endpoint{}), settings.zone, settings.processorShare };
             updateJobHosts(nodes);
             fleet->setNodes(nodes, peers->wasRegistered());
             m_crashes.setNodes(nodes);
+            origins->setNodes(nodes);
             weightLoads->setNodes(nodes);
         });
         m_context.lease->setRenewalCondition([weightLoads = weightLoads.get(), jobs = jobs.get(), peers = peers.get()] {
--- a/edge/peer_protocol.h
+++ b/edge/peer_protocol.h
@@ -32,6 +32,8 @@
 inline constexpr std::string_view crashPath = "/crash"; ///< Requests under which servers ended; bodies are crash_message and crash_reply.
 inline constexpr std::string_view crashStateField = "Reedtrail-Crash-State"; ///< In a ping's answer: a hash of what all nodes have to know of such requests.
 
+inline constexpr std::string_view streamPath = "/stream"; ///< Origins of callers' streams; bodies are stream_message and stream_reply.
+
 inline constexpr std::string_view followPath = "/follow"; ///< Watch request to the hub of the zone's reader.
 inline constexpr std::string_view prefixField = "Reedtrail-Prefix"; ///< Watched key prefix.
 inline constexpr std::string_view afterField = "Reedtrail-After"; ///< Revision after which changes are requested.
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -273,6 +273,10 @@
         m_onLimitAsks(std::move(exchange));
         return;
     }
+    if (request.path() == streamPath) {
+        m_onStreamMessages(std::move(exchange));
+        return;
+    }
     if (request.path() == followPath) {
         serveWatchRequest(std::move(exchange));
         return;
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -64,6 +64,12 @@
         m_onLimitAsks = std::move(action);
     }
 
+    /** Sets the handler of peers' messages on origins of callers' streams. */
+    void onStreamMessages(std::function<void(std::shared_ptr<http_exchange>)> action)
+    {
+        m_onStreamMessages = std::move(action);
+    }
+
     /** Sets the component that shares suspect requests with peers: by its own messages, with pings, and through entries beside the registrations of nodes. */
     void setCrashGuard(crash_guard &crashes)
     {
@@ -123,6 +129,7 @@
     std::function<void(std::shared_ptr<http_exchange>)> m_onForwardedCall = &job_forwarder::decline;
     std::function<void(std::shared_ptr<http_exchange>)> m_onContactQuestion = &job_forwarder::decline;
     std::function<void(std::shared_ptr<http_exchange>)> m_onLimitAsks = &job_forwarder::decline;
+    std::function<void(std::shared_ptr<http_exchange>)> m_onStreamMessages = &job_forwarder::decline;
     std::function<void()> m_onFirstPeers;
     crash_guard *m_crashes = nullptr;
     time_point m_lastWatchRequestAt;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -15,6 +15,7 @@
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
+constexpr duration takeUpTime = std::chrono::seconds(5); // After the deadline of its request; callers take a stream up within two seconds.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
 } // namespace
@@ -22,12 +23,14 @@
 request_relay::request_relay(edge_context &context,
                              fleet_cache &fleet,
                              crash_guard &crashes,
+                             stream_origins &origins,
                              std::shared_ptr<http_exchange> exchange,
                              const route &matchedRoute,
                              platform::service_call call)
     : m_context(context)
     , m_fleet(fleet)
     , m_crashes(crashes)
+    , m_origins(origins)
     , m_exchange(std::move(exchange))
     , m_route(matchedRoute)
     , m_call(std::move(call))
@@ -56,6 +59,92 @@
             self->refuse(http_status::gatewayTimeout, "time limit of the request reached", duration::zero());
         }
     });
+    isTakenUp() ? takeUpStream() : startNextAttempt();
+}
+
+/** Tells whether the caller goes on with a stream of an earlier request. */
+bool request_relay::isTakenUp() const
+{
+    return isStream() && (!m_call.lastEventId.empty() || !m_call.resumedRequest.empty() || m_call.isResumeMalformed);
+}
+
+/** Finds out what began the stream that the caller takes up. */
+void request_relay::takeUpStream()
+{
+    if (!m_route.isResumable || m_call.isResumeMalformed || m_call.lastEventId.empty()) {
+        refuse(http_status::badRequest, "the request names no stream that can be taken up", duration::zero());
+        return;
+    }
+    const duration maximumAge = (m_route.timeout > duration::zero() ? m_route.timeout : defaultTimeout) + takeUpTime;
+    m_origins.find(m_call.resumedRequest, m_service, maximumAge, [self = shared_from_this()](const found_origin &found) {
+        if (!self->m_isDone) {
+            self->judgeOrigin(found);
+        }
+    });
+}
+
+/** Decides whether what is known of the stream's begin is certain, and is that of this caller's request. */
+void request_relay::judgeOrigin(const found_origin &found)
+{
+    const stream_origin &origin = found.origin;
+    if (found.source == origin_source::Unknown) {
+        endOriginSearch(found, "unknown");
+        return;
+    }
+    if (found.source == origin_source::SoleBuild) {
+        // Registrations read from now on show each server at which the stream may have begun.
+        m_fleet.readServersAgain([self = shared_from_this(), found] {
+            const auto sole = self->m_fleet.builds().sole(found.origin.service);
+            const bool isOnlyService = self->m_route.services.size() == 1;
+            self->endOriginSearch(found, sole && sole->build == found.origin.build && isOnlyService ? nullptr : "several builds");
+        });
+        return;
+    }
+    const bool isRouted = std::ranges::any_of(m_route.services, [&](const weighted_service &each) {
+        return each.service == origin.service;
+    });
+    if (origin.request != identity().digest || !isRouted) {
+        endOriginSearch(found, isRouted ? "other request" : "other service");
+    } else if (origin.build.empty()) {
+        endOriginSearch(found, "begun by unknown build");
+    } else if (origin.isProven) {
+        endOriginSearch(found, nullptr);
+    } else {
+        m_fleet.proveContact({ origin.server, origin.startedAt, found.connectedAt }, [self = shared_from_this(), found](contact_proof proof) {
+            self->endOriginSearch(found, proof == contact_proof::Certain ? nullptr : "begun by unproven instance");
+        });
+    }
+}
+
+/** Goes on with the stream, or refuses it. @param obstacle why its begin is not known; null if it is */
+void request_relay::endOriginSearch(const found_origin &found, const char *obstacle)
+{
+    if (m_isDone) {
+        return;
+    }
+    logLine(log_level::Info,
+            "stream-taken-up",
+            { { "request", m_call.id },
+              { "resumes", m_call.resumedRequest },
+              { "after-event", m_call.lastEventId },
+              { "source", std::string(originSourceName(found.source)) },
+              { "from", found.node },
+              { "build", found.origin.build },
+              { "begun-at", found.origin.server },
+              { "obstacle", obstacle == nullptr ? "" : obstacle } });
+    m_context.metrics
+        .counter("reedtrail_streams_taken_up_total",
+                 "Streams that callers take up, by what is known of their begin",
+                 "source=\"" + std::string(originSourceName(found.source)) + "\",known=\"" + (obstacle == nullptr ? "yes" : "no") + "\"")
+        .add();
+    if (obstacle != nullptr) {
+        refuse(http_status::unavailable, "it is not known which server software began the stream", duration::zero());
+        return;
+    }
+    m_service = found.origin.service;
+    m_origin = found.origin;
+    m_origin->request = identity().digest;
+    m_origin->isProven = true;
     startNextAttempt();
 }
 
@@ -103,6 +192,13 @@
     criteria.model = m_call.model;
     criteria.excluded = m_triedServers;
     criteria.mayQueue = true;
+    if (m_origin) {
+        criteria.build = m_origin->build;
+        if (criteria.build.empty() || !m_fleet.backends().hasEligible(criteria)) {
+            refuse(http_status::unavailable, "no server of the build that began the stream", duration::zero());
+            return;
+        }
+    }
     const time_point now = m_context.loop.now();
     std::optional<backend_choice> server = m_fleet.backends().choose(now, criteria);
     if (!server) {
@@ -164,17 +260,21 @@
     m_events = {};
     m_build.clear();
     m_attemptEvents = 0;
+    m_isHeld = false;
+    m_heldBytes.clear();
+    m_heldEnd.reset();
     m_attemptStartedAt = m_context.loop.now();
     const duration timeLeft = m_deadline - m_attemptStartedAt;
     const http_request &original = m_exchange->request();
     http_request request =
-        m_hasStreamStarted ? platform::resumeRequest(original, timeLeft, server.id, m_lastEventId) : platform::forwardedRequest(original, timeLeft, server.id);
+        m_origin ? platform::resumeRequest(original, timeLeft, server.id, m_lastEventId) : platform::forwardedRequest(original, timeLeft, server.id);
     http_call_options options;
     options.deadline = isStream() ? timeLeft : attemptTimeout();
     options.silenceTimeout = options.deadline;
     options.connectTimeout = std::min<duration>(options.connectTimeout, options.deadline);
     options.maySend = [self = shared_from_this(), id = server.id, startedAt = server.startedAt] {
-        return self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
+        const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
+        return isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
     };
     http_call_handlers handlers;
     const std::uint64_t number = ++m_attemptNumber;
@@ -230,6 +330,7 @@
     m_response = head;
     m_serverAnswer = platform::decodeAnswer(head);
     m_build = m_fleet.buildOf(m_server.id, m_server.startedAt);
+    m_contact = { m_server.id, m_server.startedAt, m_context.loop.now() - m_attempt->connectionAge() };
     m_fleet.backends().onResponse(m_server.id);
     if (m_serverAnswer.isLeaving) {
         m_fleet.recordLeaving(m_server.id, "request");
@@ -238,12 +339,55 @@
     if (m_serverAnswer.serverLoad) {
         m_fleet.backends().onLoad(m_context.loop.now(), m_server.id, m_serverAnswer.serverLoad->running, m_serverAnswer.serverLoad->waiting);
     }
+    if (isStream() && m_serverAnswer.status == http_status::ok && m_origin) {
+        proveContinuation();
+    }
+}
+
+/** Holds the events of this attempt back until it is certain which instance makes them, and thus that they fit to what the caller has. */
+void request_relay::proveContinuation()
+{
+    m_isHeld = true;
+    m_fleet.proveContact(m_contact, [self = shared_from_this(), number = m_attemptNumber](contact_proof proof) {
+        if (self->m_isDone || self->m_attemptNumber != number) {
+            return;
+        }
+        if (proof != contact_proof::Certain || self->m_build != self->m_origin->build) {
+            self->m_context.loop.after(duration::zero(), [self, number] { // A call must not be cancelled by its own handler.
+                if (!self->m_isDone && self->m_attemptNumber == number) {
+                    self->dropAttempt("the build that would go on with the stream is not certain");
+                }
+            });
+            return;
+        }
+        self->m_isHeld = false;
+        if (const std::string bytes = std::exchange(self->m_heldBytes, {}); !bytes.empty()) {
+            self->forwardEvents(bytes);
+        }
+        if (self->m_heldEnd && !self->m_isDone) {
+            self->onStreamEnded(*std::exchange(self->m_heldEnd, std::nullopt));
+        }
+    });
+}
+
+/** Ends an attempt of which nothing has been passed on, and tries another server. */
+void request_relay::dropAttempt(const char *reason)
+{
+    logLine(log_level::Info, "attempt-dropped", { { "request", m_call.id }, { "server", m_server.id }, { "build", m_build }, { "reason", reason } });
+    ++m_attemptNumber;
+    if (m_attempt) {
+        const auto attempt = m_attempt;
+        releaseServer();
+        attempt->cancel();
+    }
+    ++m_possibleRuns;
+    handleSentAttemptFailure(reason);
 }
 
 void request_relay::onResponseBody(std::string_view part)
 {
     if (isStream() && m_serverAnswer.status == http_status::ok) {
-        forwardEvents(part);
+        receiveEvents(part);
     } else {
         m_response.body.append(part);
     }
@@ -275,9 +419,12 @@
             logLine(log_level::Info, "attempt-not-sent", { { "request", m_call.id }, { "server", m_server.id }, { "reason", end.detail } });
             retryOrRefuse();
         } else {
-            const bool isStreamBroken = isStream() && m_hasStreamStarted;
+            const bool isStreamBroken = isStream() && (m_hasStreamStarted || m_isHeld);
             m_possibleRuns += isStreamBroken ? 0 : 1;
-            const auto next = [self = shared_from_this(), isStreamBroken, end] {
+            const auto next = [self = shared_from_this(), number = m_attemptNumber, isStreamBroken, end] {
+                if (self->m_attemptNumber != number) {
+                    return;
+                }
                 isStreamBroken ? self->onStreamEnded(end) : self->handleSentAttemptFailure(end.detail.c_str());
             };
             end.error == error_kind::ServerFailed ? handleBrokenAttempt(end.detail.c_str(), next) : next();
@@ -415,15 +562,46 @@
     });
 }
 
+void request_relay::receiveEvents(std::string_view part)
+{
+    if (m_isHeld) {
+        m_heldBytes.append(part);
+    } else {
+        forwardEvents(part);
+    }
+}
+
+/** Begins the answer with the first event that is passed on, and enters what began the stream before the event leaves. */
+void request_relay::beginStream()
+{
+    m_hasStreamStarted = true;
+    if (m_route.isResumable) {
+        if (!m_origin) {
+            const bool isProven = m_fleet.proofOf(m_contact) == contact_proof::Certain;
+            const duration age = m_context.loop.now() - m_contact.connectedAt;
+            m_origin = stream_origin{ identity().digest, m_service, m_build, m_contact.server, m_contact.startedAt, isProven, age.count() };
+            m_originContact = m_contact;
+        }
+        m_origins.record(m_call.resumedRequest.empty() ? m_call.id : m_call.resumedRequest, *m_origin, timeToTakeUp());
+    }
+    http_response head;
+    head.status = m_serverAnswer.status;
+    head.fields = endToEndFields(m_response.fields);
+    m_exchange->startStream(std::move(head));
+}
+
+/** Returns for how long the caller may take the stream up. */
+duration request_relay::timeToTakeUp() const
+{
+    const duration callerTimeout = m_call.timeLeft > duration::zero() ? m_call.timeLeft : defaultTimeout;
+    return m_startedAt + callerTimeout - m_context.loop.now() + takeUpTime;
+}
+
 void request_relay::forwardEvents(std::string_view part)
 {
     for (const server_event &event : m_events.feed(part)) {
         if (!m_hasStreamStarted) {
-            m_hasStreamStarted = true;
-            http_response head;
-            head.status = m_serverAnswer.status;
-            head.fields = endToEndFields(m_response.fields);
-            m_exchange->startStream(std::move(head));
+            beginStream();
         }
         ++m_attemptEvents;
         m_lastEventId = event.id.empty() ? m_lastEventId : event.id;
@@ -433,6 +611,10 @@
 
 void request_relay::onStreamEnded(const http_call_end &end)
 {
+    if (m_isHeld) {
+        m_heldEnd = end;
+        return;
+    }
     ++m_possibleRuns;
     if (end.error == error_kind::None && m_events.isBetweenEvents()) {
         recordSurvival();
@@ -455,7 +637,7 @@
                   { "build", m_build },
                   { "run-events", std::to_string(m_attemptEvents) },
                   { "after-event", m_lastEventId } });
-        startNextAttempt();
+        continueStream();
         return;
     }
     if (m_hasStreamStarted) {
@@ -466,6 +648,26 @@
     }
 }
 
+/** Goes on with a stream that broke off, once it is certain what began it. */
+void request_relay::continueStream()
+{
+    if (!m_origin || m_origin->isProven) {
+        startNextAttempt();
+        return;
+    }
+    m_fleet.proveContact(m_originContact, [self = shared_from_this()](contact_proof proof) {
+        if (self->m_isDone) {
+            return;
+        }
+        if (proof == contact_proof::Certain) {
+            self->m_origin->isProven = true;
+            self->startNextAttempt();
+        } else {
+            self->refuse(http_status::badGateway, "it is not certain which server software began the stream", duration::zero());
+        }
+    });
+}
+
 void request_relay::finishWithResponse(http_response response, const char *outcome)
 {
     const std::uint16_t status = response.status;
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -4,12 +4,16 @@
  *
  * Whether a failed attempt may be retried depends on whether any byte of the request was handed to a connection, and on the kind of the request's route. Only a
  * server's explicit refusal, or a connection that was never established, proves that the request has not run.
+ *
+ * A stream goes on only at a server of the build that began it, within one answer and over the attempts of its caller. What began it is entered with the
+ * stream (edge/stream_origins.h) before its first event leaves this node. Events of a later run are held back until the instance that made them is certain.
  */
 #pragma once
 
 #include "edge/crash_guard.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
+#include "edge/stream_origins.h"
 #include "fleet/request_identity.h"
 #include "net/event_stream.h"
 #include "net/http_server.h"
@@ -31,6 +35,7 @@
     request_relay(edge_context &context,
                   fleet_cache &fleet,
                   crash_guard &crashes,
+                  stream_origins &origins,
                   std::shared_ptr<http_exchange> exchange,
                   const route &matchedRoute,
                   platform::service_call call);
@@ -38,6 +43,10 @@
     void start();
 
 private:
+    void takeUpStream();
+    void judgeOrigin(const found_origin &found);
+    void endOriginSearch(const found_origin &found, const char *obstacle);
+    bool isTakenUp() const;
     void startNextAttempt();
     void admitSuspect();
     void placeAttempt();
@@ -49,8 +58,14 @@
     void onResponseBody(std::string_view part);
     void onAttemptEnded(const http_call_end &end);
     void handleResponse();
+    void proveContinuation();
+    void dropAttempt(const char *reason);
+    void receiveEvents(std::string_view part);
     void forwardEvents(std::string_view part);
+    void beginStream();
     void onStreamEnded(const http_call_end &end);
+    void continueStream();
+    duration timeToTakeUp() const;
     void handleSentAttemptFailure(const char *reason);
     void handleBrokenAttempt(const char *reason, std::function<void()> next);
     bool mayServerEndCount() const;
@@ -69,6 +84,7 @@
     edge_context &m_context;
     fleet_cache &m_fleet;
     crash_guard &m_crashes;
+    stream_origins &m_origins;
     std::shared_ptr<http_exchange> m_exchange;
     route m_route; ///< Copy of the route at the time of the request; a new configuration does not change it.
     platform::service_call m_call;
@@ -91,6 +107,12 @@
     platform::server_answer m_serverAnswer;
     event_stream_reader m_events;
     std::string m_lastEventId;
+    std::optional<stream_origin> m_origin; ///< What began the stream; set once it is known.
+    server_contact m_originContact; ///< On which it was begun, if this node relayed its first event.
+    server_contact m_contact; ///< On which the current attempt is answered.
+    bool m_isHeld = false; ///< The current attempt's events wait for the proof of what made them.
+    std::string m_heldBytes; ///< Of the current attempt.
+    std::optional<http_call_end> m_heldEnd; ///< End of the current attempt, handled after m_heldBytes.
     std::string m_build; ///< Build of the server that answered the current attempt; empty until its answer begins, or if unknown.
     std::size_t m_attemptEvents = 0; ///< Events that the current attempt has brought.
     bool m_hasStreamStarted = false;
