A node that has seen one build for a short time only still enters streams with keepers

After a release has ended, or after its own start, a node can't say that a stream began at the only build it sees, so until then it sends the entries to keepers. At the first start of a deployment nothing is older than the first state. Inherited texts are logged with their build.

--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -433,6 +433,15 @@
     entry->worker->noteRecorded(view.results());
     const std::vector<item_draft> drafts =
         entry->session->inheritedDrafts().empty() ? std::vector<item_draft>() : decodeDrafts(entry->session->inheritedDrafts());
+    for (const item_draft &each : drafts) {
+        logLine(log_level::Info,
+                "text-inherited",
+                { { "job", entry->job },
+                  { "item", each.id },
+                  { "build", each.build },
+                  { "events", std::to_string(each.lastEvent) },
+                  { "complete", each.isTextComplete ? "yes" : "no" } });
+    }
     entry->worker->restore(drafts);
     logLine(log_level::Info,
             "job-started",
--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -36,6 +36,9 @@
     , m_limitClient(std::make_shared<edge_limit_client>(limitPeers, context.loop, context.settings.node))
     , m_random(context.randomSeed)
 {
+    if (context.settings.isFirstStart) {
+        m_builds.setFirstStart();
+    }
     m_backends.setConnectionQuery([this](const endpoint &address) {
         return m_context.serverClient.hasIdle(address);
     });
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -15,7 +15,7 @@
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
-constexpr duration takeUpTime = std::chrono::seconds(5); // After the deadline of its request; callers take a stream up within two seconds.
+constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
 } // namespace
--- a/fleet/service_builds.cpp
+++ b/fleet/service_builds.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace reedtrail {
+namespace {
+
+constexpr duration longestStream = std::chrono::hours(24); // Longer than any stream lasts.
+
+} // namespace
 
 std::vector<std::string> service_builds::update(time_point now, std::span<const server_entry *const> servers)
 {
@@ -11,8 +16,10 @@
         current[each->service].insert(each->build);
     }
     std::vector<std::string> newlyMixed;
+    const bool hasAlwaysBeenSo = m_isFirstStart && !std::exchange(m_hasState, true);
+    const time_point firstSeen = hasAlwaysBeenSo ? now - longestStream : now;
     for (auto &[service, builds] : current) {
-        const auto [known, isNew] = m_services.try_emplace(service, state{ builds, now });
+        const auto [known, isNew] = m_services.try_emplace(service, state{ builds, firstSeen });
         const bool wasMixed = !isNew && isMixed(known->second);
         if (known->second.builds != builds) {
             known->second = { std::move(builds), now };
--- a/fleet/service_builds.h
+++ b/fleet/service_builds.h
@@ -30,6 +30,11 @@
         time_point since; ///< Since when this process has seen no other one.
     };
 
+    /** Called at the first start of the whole deployment, when no stream is older than this process: what the first state shows has always been so. */
+    void setFirstStart()
+    {
+        m_isFirstStart = true;
+    }
     /** Takes the servers of a state. @param servers all that are registered, also those that drain @return the services that have begun to have several builds
      */
     std::vector<std::string> update(time_point now, std::span<const server_entry *const> servers);
@@ -50,6 +55,8 @@
     }
 
     std::map<std::string, state, std::less<>> m_services;
+    bool m_isFirstStart = false;
+    bool m_hasState = false;
 };
 
 } // namespace reedtrail
--- a/fleet/stream_origin_client.h
+++ b/fleet/stream_origin_client.h
@@ -4,9 +4,9 @@
  *
  * What two builds write does not fit together, so a stream goes on only at the build that began it. That is never inferred from what a node believes at the
  * time: it is entered under the id of the request that brought the first event, before that event leaves the node. While a service has servers of several
- * builds, the entry is also sent to the stream's keepers, nodes of different zones that rendezvous hashing finds from its id. Nobody waits for them: an entry
- * that does not arrive costs the caller its stream, never a stream of two builds. While a service has one build, nothing is sent; the entries of its streams
- * follow when a second one registers.
+ * builds, and until it has had one for a while, the entry is also sent to the stream's keepers, nodes of different zones that rendezvous hashing finds from its
+ * id. Nobody waits for them: an entry that does not arrive costs the caller its stream, never a stream of two builds. While a service has one build, nothing is
+ * sent; the entries of its streams follow when a second one registers.
  *
  * A stream of which neither this node nor a keeper has an entry began at the only build of its service, if this node sees no other one and a keeper has seen
  * none for longer than a stream lasts. Otherwise its origin is unknown, and it is refused.
@@ -48,6 +48,7 @@
 struct stream_origin_options
 {
     std::size_t keepers = 3; ///< Nodes that keep the origin of a stream, in as many zones as there are.
+    duration soleBuildTime = std::chrono::seconds(30); ///< Nothing is sent once a service has had one build for as long as most streams last.
     std::size_t recordsInMessage = 200; ///< Of the streams that are entered when a second build registers.
     std::size_t tableCapacity = stream_origin_table::defaultCapacity;
 };
@@ -122,7 +123,8 @@
     {
         const time_point now = m_loop.now();
         m_table.put(now, stream, origin, keep);
-        if (!m_builds.isMixed(origin.service)) {
+        const std::optional<service_builds::sole_build> sole = m_builds.sole(origin.service);
+        if (sole && now - sole->since >= m_options.soleBuildTime) {
             return;
         }
         stream_message message;
--- /dev/null
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -0,0 +1,362 @@
+// Nodes of three zones in virtual time that share which build began which stream, while servers of two builds come and go and nodes fail.
+
+#include "base/random.h"
+#include "fleet/stream_origin_client.h"
+#include "harness/virtual_time.h"
+
+#include <gtest/gtest.h>
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int nodeCount = 9;
+constexpr duration streamLife = 6s;
+const std::string service = "s";
+
+/** What is played. */
+struct play
+{
+    std::size_t keepers = 3;
+    std::uint64_t seed = 1;
+    double killedShare = 0.35; ///< Of the nodes, at once, four times.
+    bool hasRelease = true; ///< Servers of a second build come at 8 s; those of the first are gone at 24 s.
+    double frozenShare = 0; ///< Of the nodes that are not killed: they neither send nor receive for two seconds.
+};
+
+/** What was seen. */
+struct counts
+{
+    int begun = 0;
+    int takenUp = 0;
+    int known = 0;
+    int wrong = 0; ///< The build that a node named is not the one that began the stream.
+    int messages = 0;
+};
+
+class simulation;
+
+/** Carries messages between nodes that are alive; satisfies stream_origin_peers. */
+struct simulated_peers
+{
+    void send(const std::string &node, const stream_message &message, std::function<void(peer_ask_end, const stream_reply &)> onEnd);
+    simulation *world = nullptr;
+    int ownNode = 0;
+};
+
+struct simulated_node
+{
+    service_builds builds;
+    simulated_peers peers;
+    std::shared_ptr<stream_origin_client<simulated_peers, harness::virtual_time>> client;
+    int incarnation = 0;
+    bool isUp = true;
+    time_point frozenUntil;
+};
+
+class simulation
+{
+public:
+    explicit simulation(const play &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        for (int i = 0; i < nodeCount; ++i) {
+            m_list["node-" + std::to_string(i)] = { {}, "zone-" + std::to_string(i % 3), 1.0 };
+        }
+        for (int i = 0; i < nodeCount; ++i) {
+            start(i);
+        }
+        scheduleStates();
+        m_time.at(time_point(7s), [this] {
+            beginStream();
+        });
+        for (const duration at : { 11s, 16s, 21s, 27s }) {
+            m_time.at(time_point(at), [this] {
+                failNodes();
+            });
+        }
+    }
+
+    counts run()
+    {
+        m_time.runUntil(time_point(32s));
+        return m_counts;
+    }
+
+    harness::virtual_time &time()
+    {
+        return m_time;
+    }
+    /** Delivers a message after a way between zones, if both ends are there. */
+    void deliver(int from, int to, const stream_message &message, const std::function<void(peer_ask_end, const stream_reply &)> &onEnd)
+    {
+        ++m_counts.messages;
+        const int incarnation = m_nodes[from].incarnation;
+        const auto answer = [this, from, incarnation, onEnd](peer_ask_end end, const stream_reply &reply) {
+            if (m_nodes[from].isUp && m_nodes[from].incarnation == incarnation) {
+                onEnd(end, reply);
+            }
+        };
+        m_time.after(way(), [this, to, message, answer] {
+            simulated_node &node = m_nodes[to];
+            if (!node.isUp || m_time.now() < node.frozenUntil) {
+                m_time.after(node.isUp ? duration(150ms) : way(), [node = &node, answer] {
+                    answer(node->isUp ? peer_ask_end::Silent : peer_ask_end::Gone, {});
+                });
+                return;
+            }
+            m_time.after(way(), [answer, reply = node.client->serve(message)] {
+                answer(peer_ask_end::Answered, reply);
+            });
+        });
+    }
+    int indexOf(const std::string &node) const
+    {
+        return node.back() - '0';
+    }
+
+private:
+    duration way()
+    {
+        return duration(1000 + static_cast<std::int64_t>(m_random.below(1500)));
+    }
+    /** Returns the builds whose servers are registered. */
+    std::vector<std::string> currentBuilds() const
+    {
+        const time_point now = m_time.now();
+        if (!m_options.hasRelease || now < time_point(8s)) {
+            return { "v1" };
+        }
+        return now < time_point(24s) ? std::vector<std::string>{ "v1", "v2" } : std::vector<std::string>{ "v2" };
+    }
+    void start(int index)
+    {
+        simulated_node &node = m_nodes[index];
+        ++node.incarnation;
+        node.isUp = true;
+        node.builds = service_builds();
+        if (m_time.now() == time_point()) {
+            node.builds.setFirstStart();
+        }
+        node.peers = { this, index };
+        stream_origin_options options;
+        options.keepers = m_options.keepers;
+        node.client = std::make_shared<stream_origin_client<simulated_peers, harness::virtual_time>>(
+            node.peers, m_time, "node-" + std::to_string(index), node.builds, options);
+        node.client->setNodes(m_list);
+        readState(index);
+    }
+    void readState(int index)
+    {
+        std::vector<server_entry> entries;
+        for (const std::string &build : currentBuilds()) {
+            server_entry entry;
+            entry.id = "i-" + build;
+            entry.service = service;
+            entry.build = build;
+            entries.push_back(entry);
+        }
+        std::vector<const server_entry *> pointers;
+        for (const server_entry &entry : entries) {
+            pointers.push_back(&entry);
+        }
+        for (const std::string &mixed : m_nodes[index].builds.update(m_time.now(), pointers)) {
+            m_nodes[index].client->onMixedBuilds(mixed);
+        }
+    }
+    /** Each node reads the registrations about every 600 ms. */
+    void scheduleStates()
+    {
+        for (int i = 0; i < nodeCount; ++i) {
+            if (m_nodes[i].isUp && m_time.now() >= m_nodes[i].frozenUntil) {
+                readState(i);
+            }
+        }
+        m_time.after(duration(400000 + static_cast<std::int64_t>(m_random.below(400000))), [this] {
+            scheduleStates();
+        });
+    }
+    int anyNode()
+    {
+        int index = 0;
+        do {
+            index = static_cast<int>(m_random.below(nodeCount));
+        } while (!m_nodes[index].isUp || m_time.now() < m_nodes[index].frozenUntil);
+        return index;
+    }
+    /** A stream begins at a server that its node knows. It breaks off if its node fails before it ends. */
+    void beginStream()
+    {
+        const int index = anyNode();
+        simulated_node &node = m_nodes[index];
+        readState(index); // A node uses a server only after it has read its registration.
+        const std::vector<std::string> builds = currentBuilds();
+        const std::string build = builds[m_random.below(builds.size())];
+        const std::string id = "r" + std::to_string(++m_counts.begun);
+        stream_origin origin;
+        origin.service = service;
+        origin.build = build;
+        origin.isProven = true;
+        node.client->record(id, origin, streamLife);
+        m_open[index].push_back({ id, build, m_time.now() + duration(500000 + static_cast<std::int64_t>(m_random.below(4000000))) });
+        m_time.after(duration(static_cast<std::int64_t>(m_random.exponential(8000))), [this] {
+            beginStream();
+        });
+    }
+    void failNodes()
+    {
+        for (int i = 0; i < nodeCount; ++i) {
+            if (m_random.chance(m_options.killedShare)) {
+                kill(i);
+            } else if (m_random.chance(m_options.frozenShare)) {
+                m_nodes[i].frozenUntil = m_time.now() + duration(2s);
+            }
+        }
+    }
+    void kill(int index)
+    {
+        m_nodes[index].isUp = false;
+        for (const open_stream &stream : std::exchange(m_open[index], {})) {
+            if (stream.endsAt > m_time.now()) {
+                m_time.after(duration(20000 + static_cast<std::int64_t>(m_random.below(300000))), [this, stream] {
+                    takeUp(stream.id, stream.build);
+                });
+            }
+        }
+        m_time.after(500ms, [this, index] {
+            start(index);
+        });
+    }
+    void takeUp(const std::string &id, const std::string &build)
+    {
+        ++m_counts.takenUp;
+        const int index = anyNode();
+        m_nodes[index].client->find(id, service, streamLife, [this, index, build](const found_origin &found) {
+            const auto sole = m_nodes[index].builds.sole(service);
+            const std::vector<std::string> current = currentBuilds();
+            // What is inferred from a sole build is read from the store once more (request_relay::judgeOrigin).
+            const bool isAccepted = found.source != origin_source::SoleBuild || (sole && current.size() == 1 && current.front() == sole->build);
+            if (found.source != origin_source::Unknown && isAccepted) {
+                ++m_counts.known;
+                m_counts.wrong += found.origin.build != build ? 1 : 0;
+            }
+        });
+    }
+
+    struct open_stream
+    {
+        std::string id;
+        std::string build;
+        time_point endsAt;
+    };
+    play m_options;
+    random_source m_random;
+    harness::virtual_time m_time;
+    std::map<std::string, store_peer> m_list;
+    std::array<simulated_node, nodeCount> m_nodes;
+    std::array<std::vector<open_stream>, nodeCount> m_open;
+    counts m_counts;
+};
+
+void simulated_peers::send(const std::string &node, const stream_message &message, std::function<void(peer_ask_end, const stream_reply &)> onEnd)
+{
+    world->deliver(ownNode, world->indexOf(node), message, onEnd);
+}
+
+counts playSeeds(play options, std::uint64_t seeds)
+{
+    counts sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        options.seed = seed;
+        const counts one = simulation(options).run();
+        sum.begun += one.begun;
+        sum.takenUp += one.takenUp;
+        sum.known += one.known;
+        sum.wrong += one.wrong;
+        sum.messages += one.messages;
+    }
+    return sum;
+}
+
+double shareKnown(const counts &seen)
+{
+    return seen.takenUp == 0 ? 1 : static_cast<double>(seen.known) / seen.takenUp;
+}
+
+/** A third of the nodes are killed at once, four times, during and after a release. */
+TEST(stream_origin_client_test, streamsOfKilledNodesAreTakenUpAtBuildThatBeganThem)
+{
+    for (const double frozenShare : { 0.0, 0.3 }) {
+        const counts seen = playSeeds({ .frozenShare = frozenShare }, 40);
+        EXPECT_EQ(seen.wrong, 0);
+        EXPECT_GT(seen.takenUp, 1000);
+        EXPECT_GT(shareKnown(seen), 0.5) << "new streams all begin here, and half of their share must go on";
+        std::printf("frozen %.1f: %d of %d streams known, %.2f messages for a stream\n",
+                    frozenShare,
+                    seen.known,
+                    seen.takenUp,
+                    static_cast<double>(seen.messages) / seen.begun);
+    }
+}
+
+/** Fewer keepers lose more streams, but never take one up at another build. */
+TEST(stream_origin_client_test, moreKeepersKnowMoreStreams)
+{
+    double before = -1;
+    for (const std::size_t keepers : { 0U, 1U, 2U, 3U }) {
+        const counts seen = playSeeds({ .keepers = keepers }, 40);
+        EXPECT_EQ(seen.wrong, 0) << keepers;
+        EXPECT_GT(shareKnown(seen), before) << keepers;
+        before = shareKnown(seen);
+        std::printf("%zu keepers: %.3f of the streams known, %.2f messages for a stream\n", keepers, before, static_cast<double>(seen.messages) / seen.begun);
+    }
+}
+
+TEST(stream_origin_client_test, nothingIsSentWhileServiceHasOneBuild)
+{
+    const counts calm = playSeeds({ .killedShare = 0, .hasRelease = false }, 5);
+    EXPECT_EQ(calm.messages, 0);
+    const counts seen = playSeeds({ .hasRelease = false }, 20);
+    EXPECT_EQ(seen.wrong, 0);
+    EXPECT_LT(seen.messages, 3 * seen.begun) << "only questions, and the streams of nodes that have just started";
+    EXPECT_GT(shareKnown(seen), 0.5);
+    std::printf("one build: %d of %d streams known\n", seen.known, seen.takenUp);
+}
+
+stream_origin originOf(const std::string &build)
+{
+    stream_origin origin;
+    origin.service = service;
+    origin.build = build;
+    return origin;
+}
+
+TEST(stream_origin_table_test, whatBeganStreamNeverChanges)
+{
+    stream_origin_table table(4);
+    const time_point now(1s);
+    table.put(now, "a", originOf("v1"), 2s);
+    table.put(now, "a", originOf("v2"), 4s);
+    EXPECT_EQ(table.find(now, "a")->origin.build, "v1");
+    EXPECT_NE(table.find(now + 3s, "a"), nullptr) << "it is kept for longer";
+    EXPECT_EQ(table.find(now + 4s, "a"), nullptr);
+}
+
+/** The table is bounded; what is asked for in vain enters nothing. */
+TEST(stream_origin_table_test, fullTableDropsRowThatEndsFirst)
+{
+    stream_origin_table table(3);
+    const time_point now(1s);
+    table.put(now, "long", originOf("v1"), 9s);
+    for (int i = 0; i < 1000; ++i) {
+        table.put(now, "short-" + std::to_string(i), originOf("v1"), 2s);
+        EXPECT_EQ(table.find(now, "unknown-" + std::to_string(i)), nullptr);
+        EXPECT_LE(table.size(), 3U);
+    }
+    EXPECT_NE(table.find(now, "long"), nullptr);
+}
+
+} // namespace
+} // namespace reedtrail
