Tests of streams and texts among servers of several builds

Over real connections: a caller's stream goes on at the build that began it, also after several attempts; claims that name no known stream are refused with one answer and enter nothing; a server that has started again under its id with other software, as beginner and as the one that goes on; a text is begun anew once no server of its build is left; stored texts with and without a build.

--- a/edge/testing/mixed_builds_test.cpp
+++ b/edge/testing/mixed_builds_test.cpp
@@ -17,7 +17,8 @@
 /** A node with a server of build v1 and one of v2. */
 struct mixed_fixture : node_fixture
 {
-    mixed_fixture()
+    explicit mixed_fixture(http_client_options clientOptions = {})
+        : node_fixture(std::move(clientOptions))
     {
         attach(first, firstEngine);
         attach(second, secondEngine);
@@ -97,6 +98,21 @@
         return firstEngine.askedAfter.empty() ? secondEngine : firstEngine;
     }
 
+    /** Returns an origin of the stream that stream() asks for. */
+    static stream_origin originAt(const std::string &build, const std::string &prompt = "prompt")
+    {
+        stream_origin origin;
+        origin.request = identify(outlineOf("POST", "h", "/t/1", prompt), prompt).digest;
+        origin.service = "s";
+        origin.build = build;
+        origin.isProven = true;
+        return origin;
+    }
+    std::size_t runs() const
+    {
+        return firstEngine.askedAfter.size() + secondEngine.askedAfter.size();
+    }
+
     build_engine firstEngine{ loop, "v1" };
     build_engine secondEngine{ loop, "v2" };
     std::string keptDrafts;
@@ -141,6 +157,54 @@
     EXPECT_TRUE(text == wholeText("v1") || text == wholeText("v2")) << text;
 }
 
+/** The server breaks an item's run off and is gone. The text is made anew by the other build, without a rest of the old one. */
+TEST(mixed_builds_test, textIsBegunAnewOnceNoServerOfItsBuildIsLeft)
+{
+    mixed_fixture fixture;
+    fixture.firstEngine.eventsBeforeCut = fixture.secondEngine.eventsBeforeCut = 3;
+    std::vector<std::string> texts;
+    const auto worker = fixture.startItem(texts);
+    worker->advance();
+    ASSERT_TRUE(fixture.runUntil([&] {
+        return worker->progress().state(0).lastEvent == 3;
+    }));
+    const bool hasFirstBegun = !fixture.firstEngine.askedAfter.empty();
+    build_engine &other = hasFirstBegun ? fixture.secondEngine : fixture.firstEngine;
+    other.eventsBeforeCut = 0;
+    fixture.removeServer(hasFirstBegun ? "i-1" : "i-2");
+    fixture.awaitNewState();
+    EXPECT_TRUE(fixture.runUntil([&] {
+        worker->advance();
+        return !texts.empty();
+    }));
+    worker->stop();
+    ASSERT_EQ(texts.size(), 1U);
+    EXPECT_EQ(texts.front(), wholeText(other.build));
+}
+
+/** The owner of a job stores the partial text with its build, and its successor goes on at that build only. */
+TEST(mixed_builds_test, successorGoesOnAtBuildOfStoredText)
+{
+    for (const std::string build : { "v1", "v2", "" }) {
+        SCOPED_TRACE(build);
+        mixed_fixture fixture;
+        std::vector<std::string> texts;
+        const auto worker = fixture.startItem(texts);
+        worker->restore(std::vector<item_draft>{ { "item-1", build + "\n" + build, 2, { 6 }, false, build } });
+        EXPECT_TRUE(fixture.runUntil([&] {
+            worker->advance();
+            return !texts.empty();
+        }));
+        worker->stop();
+        ASSERT_EQ(texts.size(), 1U);
+        EXPECT_TRUE(texts.front() == wholeText("v1") || texts.front() == wholeText("v2")) << texts.front();
+        EXPECT_EQ(fixture.continuedRuns(), build.empty() ? 0U : 1U) << "a text of an unknown build is begun anew";
+        if (!build.empty()) {
+            EXPECT_EQ(texts.front(), wholeText(build));
+        }
+    }
+}
+
 /** A caller takes up a stream that a server of build v1 began, and only a server of v2 is left. */
 TEST(mixed_builds_test, clientsStreamIsContinuedOnServerOfOtherBuild)
 {
@@ -150,5 +214,115 @@
     EXPECT_EQ(fixture.continuedRuns(), 0U);
 }
 
+/** Callers take a stream up at any time; it goes on at the build that began it, whichever server that is. */
+TEST(mixed_builds_test, callersStreamGoesOnAtBuildThatBeganIt)
+{
+    for (const std::string build : { "v1", "v2" }) {
+        SCOPED_TRACE(build);
+        mixed_fixture fixture;
+        fixture.origins->record("begun", mixed_fixture::originAt(build), 5s);
+        const auto exchange = fixture.stream({ { "Last-Event-Id", "2" }, { "Resumes", "begun" } });
+        EXPECT_EQ(exchange->response.status, http_status::ok);
+        EXPECT_EQ(buildsIn(exchange->response.body), std::set<std::string>{ build });
+        EXPECT_EQ(exchange->response.body.find("id: 3\n"), 0U) << exchange->response.body;
+        EXPECT_FALSE(exchange->isAborted);
+    }
+}
+
+/** A stream that this node relayed is known under the id of the attempt that brought its first event, also after several attempts. */
+TEST(mixed_builds_test, streamIsTakenUpAfterSeveralAttempts)
+{
+    mixed_fixture fixture;
+    fixture.firstEngine.eventsBeforeCut = fixture.secondEngine.eventsBeforeCut = 1;
+    const auto first = fixture.stream({ { "Request-Id", "a1" } });
+    ASSERT_TRUE(first->isAborted);
+    const std::set<std::string> builds = buildsIn(first->response.body);
+    ASSERT_EQ(builds.size(), 1U);
+    const auto second = fixture.stream({ { "Request-Id", "a2" }, { "Last-Event-Id", "3" }, { "Resumes", "a1" } });
+    EXPECT_EQ(buildsIn(second->response.body), builds);
+    const auto third = fixture.stream({ { "Request-Id", "a3" }, { "Last-Event-Id", "5" }, { "Resumes", "a1" } });
+    EXPECT_EQ(buildsIn(third->response.body), builds);
+}
+
+/** Claims that name no stream, or another one, get one clear answer, and no server is asked. */
+TEST(mixed_builds_test, claimsThatNameNoKnownStreamAreRefusedAtOnce)
+{
+    struct row
+    {
+        const char *what;
+        http_fields fields;
+        std::uint16_t status;
+    };
+    const row rows[] = {
+        { "unknown", { { "Last-Event-Id", "2" }, { "Resumes", "nobody" } }, http_status::unavailable },
+        { "of another request", { { "Last-Event-Id", "2" }, { "Resumes", "other" } }, http_status::unavailable },
+        { "of another service", { { "Last-Event-Id", "2" }, { "Resumes", "elsewhere" } }, http_status::unavailable },
+        { "begun by an unknown build", { { "Last-Event-Id", "2" }, { "Resumes", "unknown-build" } }, http_status::unavailable },
+        { "begun by a build without servers", { { "Last-Event-Id", "2" }, { "Resumes", "v0" } }, http_status::unavailable },
+        { "begun by an instance that is not known", { { "Last-Event-Id", "2" }, { "Resumes", "unproven" } }, http_status::unavailable },
+        { "no claim", { { "Last-Event-Id", "2" } }, http_status::unavailable },
+        { "no event", { { "Resumes", "begun" } }, http_status::badRequest },
+        { "named twice", { { "Last-Event-Id", "2" }, { "Resumes", "begun" }, { "Resumes", "begun" } }, http_status::badRequest },
+        { "two events", { { "Last-Event-Id", "2" }, { "Last-Event-Id", "3" }, { "Resumes", "begun" } }, http_status::badRequest },
+        { "very long", { { "Last-Event-Id", "2" }, { "Resumes", std::string(5000, 'x') } }, http_status::badRequest },
+        { "garbage", { { "Last-Event-Id", "2" }, { "Resumes", "a\x01 b" } }, http_status::badRequest },
+    };
+    mixed_fixture fixture;
+    fixture.origins->record("begun", mixed_fixture::originAt("v1"), 60s);
+    fixture.origins->record("other", mixed_fixture::originAt("v1", "another prompt"), 60s);
+    fixture.origins->record("unknown-build", mixed_fixture::originAt(""), 60s);
+    fixture.origins->record("v0", mixed_fixture::originAt("v0"), 60s);
+    stream_origin elsewhere = mixed_fixture::originAt("v1");
+    elsewhere.service = "another service";
+    fixture.origins->record("elsewhere", elsewhere, 60s);
+    stream_origin unproven = mixed_fixture::originAt("v1");
+    unproven.isProven = false;
+    unproven.server = "i-9";
+    unproven.startedAt = 100;
+    fixture.origins->record("unproven", unproven, 60s);
+    const std::size_t known = fixture.origins->size();
+    for (const row &each : rows) {
+        SCOPED_TRACE(each.what);
+        const auto exchange = fixture.stream(each.fields);
+        EXPECT_EQ(exchange->response.status, each.status);
+        EXPECT_NE(exchange->response.body.find("error"), std::string::npos);
+        EXPECT_EQ(fixture.runs(), 0U);
+    }
+    EXPECT_EQ(fixture.origins->size(), known) << "a claim enters nothing";
+    EXPECT_EQ(fixture.stream({ { "Last-Event-Id", "2" }, { "Resumes", "begun" } })->response.status, http_status::ok);
+}
+
+/** The server has started again under its id, with other software, and its registration is not read yet. What it begins is not known to be of any build. */
+TEST(mixed_builds_test, streamOfRestartedServerIsNotTakenForThatOfItsOldBuild)
+{
+    mixed_fixture fixture({ .idleTimeout = 0ms }); // Each request opens a connection.
+    fixture.fleet->recordLeaving("i-2", "test");
+    fixture.enter("i-3", fixture.second.address, "ready", 100, "v1");
+    EXPECT_EQ(fixture.stream({ { "Request-Id", "warm" } })->response.status, http_status::ok) << "the registrations are read";
+    // From here on i-1 is v3, and breaks its stream off. What goes on at v1, i-3, would not fit.
+    fixture.firstEngine.build = "v3";
+    fixture.firstEngine.eventsBeforeCut = 2;
+    fixture.secondEngine.build = "v1";
+    fixture.secondEngine.eventsBeforeCut = 2;
+    fixture.enter(fixture.first.id, fixture.first.address, "ready", 900, "v3");
+    for (int i = 0; i < 6; ++i) {
+        const auto exchange = fixture.stream({ { "Request-Id", "r" + std::to_string(i) } });
+        EXPECT_LE(buildsIn(exchange->response.body).size(), 1U) << exchange->response.body;
+    }
+}
+
+/** The server that would go on has started again with other software. Its events are held back until the registrations are read, and never passed on. */
+TEST(mixed_builds_test, eventsOfRestartedServerAreNotPassedOn)
+{
+    mixed_fixture fixture({ .idleTimeout = 0ms }); // Each request opens a connection.
+    fixture.origins->record("begun", mixed_fixture::originAt("v2"), 5s);
+    EXPECT_EQ(fixture.stream({ { "Request-Id", "warm" } })->response.status, http_status::ok) << "the registrations are read";
+    fixture.secondEngine.build = "v3";
+    fixture.enter(fixture.second.id, fixture.second.address, "ready", 900, "v3");
+    const auto exchange = fixture.stream({ { "Last-Event-Id", "2" }, { "Resumes", "begun" } });
+    EXPECT_EQ(buildsIn(exchange->response.body), std::set<std::string>{}) << exchange->response.body;
+    EXPECT_GE(exchange->response.status, 500);
+}
+
 } // namespace
 } // namespace reedtrail
--- a/routing/testing/backend_table_test.cpp
+++ b/routing/testing/backend_table_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 
 namespace reedtrail {
@@ -379,6 +380,44 @@
     EXPECT_EQ(choose(makeCriteria(7)), "s2") << "no server outside the suspect zones has the version";
 }
 
+/** What goes on with a stream or a text goes to servers of its build only, however full or slow they are. */
+TEST_F(backend_table_test, continuationGoesToServersOfItsBuildOnly)
+{
+    entries[0].build = "v1";
+    entries[1].build = entries[2].build = "v2";
+    refresh();
+    backend_criteria criteria = makeCriteria();
+    criteria.build = "v1";
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(choose(criteria), "s0");
+        table.onRequestStarted("s0");
+    }
+    EXPECT_EQ(choose(criteria), "") << "it is full";
+    EXPECT_TRUE(table.hasEligible(criteria));
+    criteria.mayQueue = true;
+    EXPECT_EQ(choose(criteria), "s0");
+    criteria.build = "v3";
+    EXPECT_EQ(choose(criteria), "");
+    EXPECT_FALSE(table.hasEligible(criteria));
+}
+
+/** During a release new work takes three of the four slots of the build with fewer servers; the last one is for what goes on there. */
+TEST_F(backend_table_test, newWorkLeavesRoomForContinuationsOfSmallerBuild)
+{
+    entries[0].build = "v1";
+    entries[1].build = entries[2].build = "v2";
+    refresh();
+    std::map<std::string, int> taken;
+    for (std::string server = choose(makeCriteria()); !server.empty(); server = choose(makeCriteria())) {
+        table.onRequestStarted(server);
+        ++taken[server];
+    }
+    EXPECT_EQ(taken, (std::map<std::string, int>{ { "s0", 3 }, { "s1", 4 }, { "s2", 4 } })) << "neither build is left without new work";
+    backend_criteria continuation = makeCriteria();
+    continuation.build = "v1";
+    EXPECT_EQ(choose(continuation), "s0");
+}
+
 TEST_F(backend_table_test, doesNotChooseExcludedOrUnregisteredServers)
 {
     const std::vector<std::string> tried{ "s0" };
