One read of the registrations serves all that ask for a new state

After a reset of many connections each text that goes on asked for a read of its own, one after the other: found by reading the code, no play showed it. Those that ask while a read is under way now share the next one.

--- a/fleet/snapshot_mirror.h
+++ b/fleet/snapshot_mirror.h
@@ -67,7 +67,6 @@
     duration holdTime = std::chrono::milliseconds(400); ///< Longest wait of a decision.
     duration failureMemory = std::chrono::milliseconds(1400); ///< Decisions do not wait for this long after the begin of a read that failed.
     duration retryDelay = std::chrono::milliseconds(250); ///< Between two reads after a failure.
-    duration newReadDelay = std::chrono::milliseconds(10); ///< Until a new read is tried again while another one is under way.
     duration overlap = std::chrono::seconds(2); ///< Twice as long as a store is known to hide changes.
     duration maxBaseAge = std::chrono::seconds(12); ///< All keys are read if the state asked from is older; the store keeps 20 s of history.
 };
@@ -116,6 +115,7 @@
         m_isStopped = true;
         m_waiting.clear();
         m_newReaders.clear();
+        m_nextReaders.clear();
         m_askers.clear();
     }
 
@@ -154,10 +154,24 @@
     {
         return m_snapshot.isPresent() ? std::optional(m_snapshot.askedAt()) : std::nullopt;
     }
-    /** Reads a state for which the store is asked from now on. @param whenRead called later, also if the read fails or is overdue */
+    /**
+     * Reads a state for which the store is asked from now on. One read serves all that ask while another one is under way.
+     * @param whenRead called later, also if the read fails or is overdue
+     */
     void readNew(std::function<void()> whenRead)
     {
-        readNew(std::move(whenRead), m_loop.now() + m_options.holdTime);
+        m_nextReaders.push_back(std::move(whenRead));
+        if (m_isListing) {
+            return; // That read may have begun too early.
+        }
+        if (mayRetry(m_loop.now())) {
+            startNextRead();
+        } else if (!std::exchange(m_isNextReadDue, true)) {
+            m_loop.after(m_options.retryDelay, guarded([](snapshot_mirror &self) {
+                             self.m_isNextReadDue = false;
+                             self.startNextRead();
+                         }));
+        }
     }
 
     /**
@@ -242,23 +256,17 @@
         return !m_failedAt || now - *m_failedAt >= m_options.retryDelay;
     }
 
-    /** Reads a new state once no read is under way, which may have begun too early, and gives up at @p end. */
-    void readNew(std::function<void()> whenRead, time_point end)
+    void startNextRead()
     {
-        const time_point now = m_loop.now();
-        if (!m_isListing && mayRetry(now)) {
-            m_newReaders.push_back(std::move(whenRead));
+        if (!m_nextReaders.empty() && !m_isListing) {
+            m_newReaders = std::exchange(m_nextReaders, {});
             listStore();
-            return;
         }
-        m_loop.after(m_options.newReadDelay, guarded([whenRead = std::move(whenRead), end](snapshot_mirror &self) {
-                         self.m_loop.now() < end ? self.readNew(whenRead, end) : whenRead();
-                     }));
     }
 
-    void releaseNewReaders()
+    void releaseReaders(std::vector<std::function<void()>> &readers)
     {
-        for (const auto &whenRead : std::exchange(m_newReaders, {})) {
+        for (const auto &whenRead : std::exchange(readers, {})) {
             whenRead();
         }
     }
@@ -371,6 +379,7 @@
         m_loop.after(m_options.holdTime, guarded([askedAt, number = ++m_listNumber](snapshot_mirror &self) {
                          if (self.m_isListing && self.m_listNumber == number) {
                              self.handleReadFailure(askedAt);
+                             self.releaseReaders(self.m_nextReaders);
                          }
                      }));
         const std::optional<base_state> from = m_options.isPrefix ? base() : std::nullopt;
@@ -429,10 +438,11 @@
         if (isSuccess) {
             rejectAskers();
             endRead(true);
-            releaseNewReaders();
+            releaseReaders(m_newReaders);
         } else {
             handleReadFailure(askedAt);
         }
+        startNextRead();
     }
 
     /** Handles a read of the store, begun at @p askedAt, that has failed or is overdue. No other one begins while it is under way. */
@@ -444,7 +454,7 @@
         if (!m_isAskingReader) {
             endRead(false);
         }
-        releaseNewReaders();
+        releaseReaders(m_newReaders);
     }
 
     void recordFailure(time_point askedAt)
@@ -531,6 +541,8 @@
     dated_snapshot m_snapshot;
     std::vector<std::function<void()>> m_waiting; ///< Decisions that wait for the read under way.
     std::vector<std::function<void()>> m_newReaders; ///< Those that wait for the read of the store under way.
+    std::vector<std::function<void()>> m_nextReaders; ///< Those that wait for a read after it.
+    bool m_isNextReadDue = false; ///< The next read is to begin after a failure.
     std::vector<asker> m_askers; ///< Peers that wait for the read of the store.
     std::optional<time_point> m_failedAt; ///< When the last read that failed began; empty after a success.
     duration m_lapseGrace{}; ///< Of the state at hand, from the moment at which the store was asked for it.
--- a/fleet/testing/snapshot_mirror_test.cpp
+++ b/fleet/testing/snapshot_mirror_test.cpp
@@ -130,6 +130,46 @@
     EXPECT_EQ(fixture.made, 8);
 }
 
+/** Many ask for a new state while a read is under way that began before. */
+TEST(snapshot_mirror_test, oneReadServesAllThatAskForNewState)
+{
+    mirror_fixture fixture;
+    int told = 0;
+    const auto ask = [&] {
+        fixture.mirror->readNew([&] {
+            ++told;
+        });
+    };
+    ask();
+    EXPECT_EQ(fixture.openReads(), 1U);
+    for (int i = 0; i < 50; ++i) {
+        ask();
+    }
+    EXPECT_EQ(fixture.openReads(), 1U) << "the next read begins after this one";
+    fixture.answerRead(11);
+    EXPECT_EQ(told, 1);
+    EXPECT_EQ(fixture.openReads(), 1U);
+    fixture.answerRead(12);
+    EXPECT_EQ(told, 51);
+    EXPECT_EQ(fixture.openReads(), 0U);
+}
+
+/** The store does not answer. Those that ask for a new state are told in time. */
+TEST(snapshot_mirror_test, overdueReadReleasesThoseThatAskForNewState)
+{
+    mirror_fixture fixture;
+    int told = 0;
+    for (int i = 0; i < 3; ++i) {
+        fixture.mirror->readNew([&] {
+            ++told;
+        });
+    }
+    fixture.world.runUntil(fixture.world.now() + fixture.options.holdTime);
+    EXPECT_EQ(told, 3);
+    fixture.failRead();
+    EXPECT_EQ(fixture.openReads(), 0U);
+}
+
 TEST(snapshot_mirror_test, steadyDecisionsNeverWait)
 {
     mirror_fixture fixture;
