--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -15,6 +15,7 @@
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
+constexpr duration retryAfterWithoutProof = std::chrono::milliseconds(300); // Retry-After while the store can't be read; callers give up after two seconds.
 constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
@@ -111,13 +112,21 @@
         endOriginSearch(found, nullptr);
     } else {
         m_fleet.proveContact({ origin.server, origin.startedAt, found.connectedAt }, [self = shared_from_this(), found](contact_proof proof) {
+            if (proof == contact_proof::Pending) {
+                self->endOriginSearch(found, "the store does not tell which instance began it", retryAfterWithoutProof);
+                return;
+            }
             self->endOriginSearch(found, proof == contact_proof::Certain ? nullptr : "begun by unproven instance");
         });
     }
 }
 
-/** Goes on with the stream, or refuses it. @param obstacle why its begin is not known; null if it is */
-void request_relay::endOriginSearch(const found_origin &found, const char *obstacle)
+/**
+ * Goes on with the stream, or refuses it.
+ * @param obstacle why its begin is not known; null if it is
+ * @param retryAfter when it may be known; zero if there is no such time
+ */
+void request_relay::endOriginSearch(const found_origin &found, const char *obstacle, duration retryAfter)
 {
     if (m_isDone) {
         return;
@@ -138,7 +147,7 @@
                  "source=\"" + std::string(originSourceName(found.source)) + "\",known=\"" + (obstacle == nullptr ? "yes" : "no") + "\"")
         .add();
     if (obstacle != nullptr) {
-        refuse(http_status::unavailable, "it is not known which server software began the stream", duration::zero());
+        refuse(http_status::unavailable, "it is not known which server software began the stream", retryAfter);
         return;
     }
     m_service = found.origin.service;
--- a/edge/testing/mixed_builds_test.cpp
+++ b/edge/testing/mixed_builds_test.cpp
@@ -292,6 +292,26 @@
     EXPECT_EQ(fixture.stream({ { "Last-Event-Id", "2" }, { "Resumes", "begun" } })->response.status, http_status::ok);
 }
 
+/** The store does not answer, so what began a stream on a new connection is not known now, but may be soon. */
+TEST(mixed_builds_test, streamIsTakenUpOnceStoreTellsWhatBeganIt)
+{
+    mixed_fixture fixture;
+    ASSERT_EQ(fixture.stream({ { "Request-Id", "warm" } })->response.status, http_status::ok) << "the registrations are read";
+    stream_origin origin = mixed_fixture::originAt("v1");
+    origin.isProven = false;
+    origin.server = "i-1";
+    origin.startedAt = 100;
+    fixture.origins->record("begun", origin, 60s);
+    fixture.transport.isCut = true;
+    const http_fields claim{ { "Last-Event-Id", "2" }, { "Resumes", "begun" } };
+    const auto refused = fixture.stream(claim);
+    EXPECT_EQ(refused->response.status, http_status::unavailable);
+    EXPECT_NE(refused->response.fields.get("Retry-After"), "");
+    fixture.transport.isCut = false;
+    fixture.run(300ms);
+    EXPECT_EQ(buildsIn(fixture.stream(claim)->response.body), std::set<std::string>{ "v1" });
+}
+
 /** The server has started again under its id, with other software, and its registration is not read yet. What it begins is not known to be of any build. */
 TEST(mixed_builds_test, streamOfRestartedServerIsNotTakenForThatOfItsOldBuild)
 {
