--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -186,17 +186,13 @@
         m_progress.awaitBuild(now, index, refusalRetryDelay);
         return true;
     }
-    logLine(log_level::Info,
-            "text-restarted",
-            { { "job", m_job },
-              { "item", m_progress.item(index).id },
-              { "build", build },
-              { "events", std::to_string(state.lastEvent) },
-              { "reason",
-                !canGoOn            ? "no server of its build"
-                    : isOriginKnown ? "no server of its build takes it in time"
-                                    : "begun by unproven instance" } });
-    m_context.metrics.counter("reedtrail_texts_restarted_total", "Texts of items that are begun anew because no server of their build could go on").add();
+    const char *reason = !canGoOn ? "no server of its build" : isOriginKnown ? "no server of its build takes it in time" : "begun by unproven instance";
+    logLine(
+        log_level::Info,
+        "text-restarted",
+        { { "job", m_job }, { "item", m_progress.item(index).id }, { "build", build }, { "events", std::to_string(state.lastEvent) }, { "reason", reason } });
+    m_context.metrics.counter("reedtrail_texts_restarted_total", "Texts of items that are begun anew, by reason", std::string("reason=\"") + reason + "\"")
+        .add();
     m_progress.restartText(index);
     m_unprovenOrigins.erase(index);
     return false;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -646,9 +646,11 @@
                   { "build", m_build },
                   { "run-events", std::to_string(m_attemptEvents) },
                   { "after-event", m_lastEventId } });
+        countBreak("continued");
         continueStream();
         return;
     }
+    countBreak("given-up");
     if (m_hasStreamStarted) {
         m_exchange->abort();
         finish("stream-broken", http_status::badGateway);
@@ -657,6 +659,12 @@
     }
 }
 
+/** Counts a stream that a server broke off. @param then what this node does next */
+void request_relay::countBreak(const char *then)
+{
+    m_context.metrics.counter("reedtrail_stream_breaks_total", "Streams that a server broke off, by what followed", std::string("then=\"") + then + "\"").add();
+}
+
 /** Goes on with a stream that broke off, once it is certain what began it. */
 void request_relay::continueStream()
 {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -64,6 +64,7 @@
     void forwardEvents(std::string_view part);
     void beginStream();
     void onStreamEnded(const http_call_end &end);
+    void countBreak(const char *then);
     void continueStream();
     duration timeToTakeUp() const;
     void handleSentAttemptFailure(const char *reason);
