--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -147,7 +147,7 @@
     } else {
         state.text += '\n';
     }
-    state.continuableSince = timeNever;
+    state.awaitsBuildSince = timeNever;
     state.text += data;
     state.lastEvent = event;
     state.consecutiveBreaks = 0;
@@ -193,7 +193,7 @@
 
 void job_progress::awaitBuild(time_point now, std::size_t index, duration retryDelay)
 {
-    m_states[index].continuableSince = std::min(m_states[index].continuableSince, now);
+    m_states[index].awaitsBuildSince = std::min(m_states[index].awaitsBuildSince, now);
     m_states[index].notBefore = now + retryDelay;
 }
 
@@ -201,7 +201,7 @@
 {
     state.text.clear();
     state.build.clear();
-    state.continuableSince = timeNever;
+    state.awaitsBuildSince = timeNever;
     state.lastEvent = 0;
     state.versions.clear();
 }
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -63,7 +63,7 @@
     std::string build; ///< Build of the servers that generated the events; empty if there are none, or if it is unknown.
     std::string runBuild; ///< Build of the server that answers the current run; empty until then, or if it is unknown.
     bool doesRunFit = true; ///< Whether the current run may add events: it begins the text, or its build began it.
-    time_point continuableSince = timeNever; ///< Since when the text waits for a server of its build; timeNever while it does not.
+    time_point awaitsBuildSince = timeNever; ///< Since when the text waits for a server of its build; timeNever while it does not.
     std::string score; ///< The scorer's signature; empty until the text is scored.
     std::string server; ///< Id of the server that runs the item, or ran it last.
     int failures = 0; ///< Failures of the current step, generating or scoring.
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -4,6 +4,7 @@
 #include "edge/job_worker.h"
 
 #include "batch/job_store.h"
+#include "batch/text_continuation.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
 
@@ -25,9 +26,6 @@
 constexpr duration maxItemPlaceWait = std::chrono::milliseconds(1000); // For a place at a server with a limit; the next pass may know a better server.
 constexpr duration maxScorePlaceWait = std::chrono::milliseconds(500);
 constexpr duration refusalRetryDelay = std::chrono::milliseconds(30); // Another server is tried next; this limits the request rate when all servers refuse.
-constexpr int maxBreaksWithoutEvent = 2; // Runs of a text, at servers of its build that had failed before.
-constexpr duration minBuildWait = std::chrono::milliseconds(200); // Covers the proof of what began the text, and reading its prompt again.
-constexpr duration maxBuildWait = std::chrono::milliseconds(1500); // Of a text for a free server of its build.
 constexpr duration brokenRunRetryDelay = std::chrono::milliseconds(10);
 constexpr duration failureRetryDelay = std::chrono::milliseconds(100);
 constexpr duration maxRecordDelay = std::chrono::milliseconds(600); // Results of incomplete groups only help a new owner after a takeover, so they wait to be
@@ -167,31 +165,34 @@
 bool job_worker::startContinuation(time_point now, std::size_t index, const route &matchedRoute, std::string_view service)
 {
     const item_state &state = m_progress.state(index);
-    const std::string build = state.build;
     backend_criteria criteria = continuationCriteria(index, service);
-    const bool canGoOn = !build.empty() && m_fleet.backends().hasEligible(criteria);
-    const bool mayBecomeCertain = !m_unprovenOrigins.contains(index) || m_fleet.proofOf(m_unprovenOrigins.at(index)) != contact_proof::Impossible;
-    const duration timeToRepeat = state.lastEvent * m_fleet.backends().meanLatency(now, service);
-    const bool isWorthWaiting = state.continuableSince == timeNever || now - state.continuableSince < std::clamp(timeToRepeat, minBuildWait, maxBuildWait);
-    const bool isOriginKnown = isOriginCertain(index);
-    if (canGoOn && isOriginKnown) {
-        // A server that has failed is the last resort, unless it fails again without an event.
-        criteria.ignoresBackoff = !isWorthWaiting && state.consecutiveBreaks < maxBreaksWithoutEvent;
+    text_continuation text;
+    text.hasServerOfBuild = !state.build.empty() && m_fleet.backends().hasEligible(criteria);
+    text.isOriginCertain = isOriginCertain(index);
+    text.mayOriginBecomeCertain = text.isOriginCertain || m_fleet.proofOf(m_unprovenOrigins.at(index)) == contact_proof::Pending;
+    text.waited = state.awaitsBuildSince == timeNever ? duration::zero() : now - state.awaitsBuildSince;
+    text.timeToRepeat = state.lastEvent * m_fleet.backends().meanLatency(now, service);
+    text.breaksWithoutEvent = state.consecutiveBreaks;
+    if (text.mayStart()) {
+        criteria.ignoresBackoff = text.mayUseFailedServer();
         if (const std::optional<backend_choice> server = m_fleet.backends().choose(now, criteria)) {
             startItem(now, index, matchedRoute, *server);
             return true;
         }
     }
-    if (canGoOn && mayBecomeCertain && isWorthWaiting) {
+    if (text.shouldWait()) {
         m_progress.awaitBuild(now, index, refusalRetryDelay);
         return true;
     }
-    const char *reason = !canGoOn ? "no server of its build" : isOriginKnown ? "no server of its build takes it in time" : "begun by unproven instance";
-    logLine(
-        log_level::Info,
-        "text-restarted",
-        { { "job", m_job }, { "item", m_progress.item(index).id }, { "build", build }, { "events", std::to_string(state.lastEvent) }, { "reason", reason } });
-    m_context.metrics.counter("reedtrail_texts_restarted_total", "Texts of items that are begun anew, by reason", std::string("reason=\"") + reason + "\"")
+    logLine(log_level::Info,
+            "text-restarted",
+            { { "job", m_job },
+              { "item", m_progress.item(index).id },
+              { "build", state.build },
+              { "events", std::to_string(state.lastEvent) },
+              { "reason", text.restartReason() } });
+    m_context.metrics
+        .counter("reedtrail_texts_restarted_total", "Texts of items that are begun anew, by reason", std::string("reason=\"") + text.restartReason() + "\"")
         .add();
     m_progress.restartText(index);
     m_unprovenOrigins.erase(index);
