Test of a server that leaves says so before the server ends, however slow the machine

Trace: the test gave the server 3 ms to begin, and when the process was not scheduled for 15 ms the server had ended before it was said to leave; its end then counts rightly. The word now comes while the server begins to run the request.

--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/testing/node_fixture.h"
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -39,6 +40,7 @@
     int runsAfterThirdEnd = 0; ///< Of the bodies that crash servers.
     int items = 0; ///< Items of jobs that servers completed.
     bool crashesAtItems = false;
+    std::function<void()> onRun = [] {}; ///< Runs when a server begins to run a request.
 
 private:
     struct crashing_server
@@ -62,6 +64,7 @@
     void serve(std::size_t index, const std::string &id, const std::shared_ptr<http_exchange> &exchange)
     {
         ++runs;
+        onRun();
         if (exchange->request().body.starts_with("crash") || (crashesAtItems && exchange->request().path().starts_with("/j/"))) {
             runsAfterThirdEnd += ends >= 3 ? 1 : 0;
             m_fixture.loop.after(timeToCrash, [this, index, id, exchange] {
@@ -234,11 +237,12 @@
 {
     node_fixture fixture;
     crashing_servers servers(fixture, 2);
+    servers.onRun = [&fixture] {
+        for (const char *server : { "c-1", "c-2" }) {
+            fixture.fleet->recordLeaving(server, "test");
+        }
+    };
     const auto exchange = fixture.startRequest("crash");
-    fixture.run(3ms); // The server has begun to run it.
-    for (const char *server : { "c-1", "c-2" }) {
-        fixture.fleet->recordLeaving(server, "test");
-    }
     EXPECT_TRUE(fixture.runUntil([&] {
         return servers.ends >= 1 && exchange->isDone;
     }));
