A server that ends under a request and is back at once is seen to have ended

A request that crashes servers whose address still accepts connections (a start within milliseconds, a socket held by a supervisor) was never suspect and took server after server.

Cause: an end was told by a refused connection only. A broken attempt at a server that still listens is now remembered for five seconds; a registration that shows a later instance under its id or at its address makes it an end.

serversThatEndAndAreBackAtOnceAreNotSeenToEnd fails without it (not suspect after nine ends) and passes with it.

--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -88,12 +88,28 @@
         const bool isRecorded = presence == server_presence::Ended && mayCount;
         if (isRecorded) {
             m_client->recordEnd(identity, server.id, server.startedAt);
+        } else if (presence == server_presence::Listening && mayCount) {
+            m_brokenAttempts.add({ identity, request, server.id, server.address, server.startedAt, m_context.loop.now() });
         }
         onEnd(isRecorded);
     };
     probeServerEnd(m_context.loop.io(), server.address, serverEndTimeout, onPresence);
 }
 
+void crash_guard::onServersChanged(const server_directory &servers)
+{
+    if (m_brokenAttempts.isEmpty()) {
+        return;
+    }
+    for (const broken_attempts::attempt &each : m_brokenAttempts.takeEnded(m_context.loop.now(), servers)) {
+        m_context.metrics.counter("reedtrail_attempts_broken_total", "Attempts whose response broke off", "server=\"replaced\"").add();
+        logLine(log_level::Info,
+                "broken-attempt-server",
+                { { "request", each.request }, { "digest", each.identity.text() }, { "server", each.server }, { "is", "replaced" }, { "counts", "yes" } });
+        m_client->recordEnd(each.identity, each.server, each.startedAt);
+    }
+}
+
 void crash_guard::onSurvived(const request_identity &identity, std::string_view request, const backend_choice &server)
 {
     logLine(log_level::Info, "suspect-survived", { { "request", std::string(request) }, { "digest", identity.text() }, { "server", server.id } });
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -7,6 +7,7 @@
 #include "edge/asio_loop.h"
 #include "edge/edge_context.h"
 #include "edge/server_end_probe.h"
+#include "fleet/broken_attempts.h"
 #include "fleet/crash_client.h"
 #include "kernel/service.h"
 #include "net/http_client.h"
@@ -85,6 +86,8 @@
      */
     void onBroken(
         const request_identity &identity, std::string_view request, const backend_choice &server, bool mayCount, std::function<void(bool isRecorded)> onEnd);
+    /** Handles that the registrations of servers have changed: some may show that a server has ended whose address still accepts connections. */
+    void onServersChanged(const server_directory &servers);
     /** Handles that a server has completed a request. */
     void onSurvived(const request_identity &identity, std::string_view request, const backend_choice &server);
 
@@ -118,6 +121,7 @@
     std::shared_ptr<crash_client<crash_peer_client, asio_loop>> m_client;
     std::map<std::uint64_t, stored_state> m_stored; ///< By digest; entries that this node has written.
     std::uint64_t m_askCount = 0;
+    broken_attempts m_brokenAttempts; ///< Whose server may have ended.
 };
 
 } // namespace reedtrail
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -87,6 +87,9 @@
             callers->dispatchForwarded(std::move(exchange));
         });
         peers->setCrashGuard(m_crashes);
+        fleet->onChange([this, fleet = fleet.get()] {
+            m_crashes.onServersChanged(fleet->directory());
+        });
         peers->onFirstPeers([fleet = fleet.get()] {
             fleet->beginReading();
         });
--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -304,4 +304,35 @@
     job->stop();
 }
 
+/** The servers end under the request and are back at once, so that their addresses never refuse a connection. Their registrations show it. */
+TEST(crashing_request_test, serversThatEndAndAreBackAtOnceAreNotSeenToEnd)
+{
+    node_fixture fixture;
+    std::int64_t startedAt = 100;
+    int sent = 0;
+    for (testing::test_server *server : { &fixture.first, &fixture.second }) {
+        server->script = [&fixture, &startedAt, &sent, server](const std::shared_ptr<http_exchange> &exchange) {
+            ++sent;
+            exchange->abort();
+            fixture.enter(server->id, server->address, "ready", ++startedAt);
+        };
+    }
+    const request_identity identity = identify(outlineOf("POST", "h", "/p/1", "ends"), "ends");
+    for (int i = 0; i < 3; ++i) {
+        const auto exchange = fixture.startRequest("ends");
+        EXPECT_TRUE(fixture.runUntil([&] {
+            return exchange->isDone;
+        }));
+        fixture.run(1300ms); // The registrations are read again before the next request.
+    }
+    EXPECT_EQ(fixture.request(), http_status::badGateway) << "another request reads the registrations";
+    EXPECT_TRUE(fixture.crashes->isSuspect(identity));
+    const int before = sent;
+    const auto exchange = fixture.startRequest("ends");
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return exchange->isDone;
+    }));
+    EXPECT_LE(sent - before, allowedRetries);
+}
+
 } // namespace reedtrail
--- /dev/null
+++ b/fleet/broken_attempts.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * Attempts that a server broke off and after which its address still accepted connections. Makes no I/O calls.
+ *
+ * A server that ends under a request and is back within milliseconds, or whose socket somebody else holds, is not seen to have ended by a connection to its
+ * address. Its registration tells later: it shows another instance, under the same id or at the same address.
+ */
+#pragma once
+
+#include "base/time.h"
+#include "fleet/request_identity.h"
+#include "fleet/server_directory.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace reedtrail {
+
+/** Remembers broken attempts until a registration shows whether their server has ended. */
+class broken_attempts
+{
+public:
+    static constexpr duration memory = std::chrono::seconds(5); ///< Covers a restart, and the time until its registration is read.
+    static constexpr std::size_t maxAttempts = 256; ///< The oldest one is forgotten first.
+
+    /** One attempt. */
+    struct attempt
+    {
+        request_identity identity;
+        std::string request; ///< Id of the caller's request, for the log.
+        std::string server;
+        endpoint address;
+        std::int64_t startedAt = 0; ///< Of the server's instance, as server_entry::startedAt.
+        time_point brokenAt;
+    };
+
+    void add(attempt broken)
+    {
+        if (m_attempts.size() == maxAttempts) {
+            m_attempts.erase(m_attempts.begin());
+        }
+        m_attempts.push_back(std::move(broken));
+    }
+    /** Removes and returns the attempts whose server has been replaced by a later instance. */
+    std::vector<attempt> takeEnded(time_point now, const server_directory &servers)
+    {
+        std::vector<attempt> ended;
+        std::erase_if(m_attempts, [&](attempt &each) {
+            if (now - each.brokenAt > memory) {
+                return true;
+            }
+            const bool isReplaced = std::ranges::any_of(servers.all(), [&](const server_entry *entry) {
+                return entry->startedAt > each.startedAt && (entry->id == each.server || entry->address == each.address);
+            });
+            if (isReplaced) {
+                ended.push_back(std::move(each));
+            }
+            return isReplaced;
+        });
+        return ended;
+    }
+    bool isEmpty() const
+    {
+        return m_attempts.empty();
+    }
+
+private:
+    std::vector<attempt> m_attempts;
+};
+
+} // namespace reedtrail
