--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/testing/node_fixture.h"
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -39,6 +40,7 @@
     int runsAfterThirdEnd = 0; ///< Of the bodies that crash servers.
     int items = 0; ///< Items of jobs that servers completed.
     bool crashesAtItems = false;
+    std::function<void()> onRun = [] {}; ///< Runs when a server begins to run a request.
 
 private:
     struct crashing_server
@@ -62,6 +64,7 @@
     void serve(std::size_t index, const std::string &id, const std::shared_ptr<http_exchange> &exchange)
     {
         ++runs;
+        onRun();
         if (exchange->request().body.starts_with("crash") || (crashesAtItems && exchange->request().path().starts_with("/j/"))) {
             runsAfterThirdEnd += ends >= 3 ? 1 : 0;
             m_fixture.loop.after(timeToCrash, [this, index, id, exchange] {
@@ -234,11 +237,12 @@
 {
     node_fixture fixture;
     crashing_servers servers(fixture, 2);
+    servers.onRun = [&fixture] {
+        for (const char *server : { "c-1", "c-2" }) {
+            fixture.fleet->recordLeaving(server, "test");
+        }
+    };
     const auto exchange = fixture.startRequest("crash");
-    fixture.run(3ms); // The server has begun to run it.
-    for (const char *server : { "c-1", "c-2" }) {
-        fixture.fleet->recordLeaving(server, "test");
-    }
     EXPECT_TRUE(fixture.runUntil([&] {
         return servers.ends >= 1 && exchange->isDone;
     }));
@@ -300,4 +304,35 @@
     job->stop();
 }
 
+/** The servers end under the request and are back at once, so that their addresses never refuse a connection. Their registrations show it. */
+TEST(crashing_request_test, serversThatEndAndAreBackAtOnceAreNotSeenToEnd)
+{
+    node_fixture fixture;
+    std::int64_t startedAt = 100;
+    int sent = 0;
+    for (testing::test_server *server : { &fixture.first, &fixture.second }) {
+        server->script = [&fixture, &startedAt, &sent, server](const std::shared_ptr<http_exchange> &exchange) {
+            ++sent;
+            exchange->abort();
+            fixture.enter(server->id, server->address, "ready", ++startedAt);
+        };
+    }
+    const request_identity identity = identify(outlineOf("POST", "h", "/p/1", "ends"), "ends");
+    for (int i = 0; i < 3; ++i) {
+        const auto exchange = fixture.startRequest("ends");
+        EXPECT_TRUE(fixture.runUntil([&] {
+            return exchange->isDone;
+        }));
+        fixture.run(1300ms); // The registrations are read again before the next request.
+    }
+    EXPECT_EQ(fixture.request(), http_status::badGateway) << "another request reads the registrations";
+    EXPECT_TRUE(fixture.crashes->isSuspect(identity));
+    const int before = sent;
+    const auto exchange = fixture.startRequest("ends");
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return exchange->isDone;
+    }));
+    EXPECT_LE(sent - before, allowedRetries);
+}
+
 } // namespace reedtrail
