--- a/fleet/testing/server_sightings_test.cpp
+++ b/fleet/testing/server_sightings_test.cpp
@@ -82,6 +82,7 @@
 {
     std::vector<server_entry> entries(names.size());
     std::vector<const server_entry *> pointers;
+    pointers.reserve(names.size());
     for (std::size_t i = 0; i < names.size(); ++i) {
         entries[i].service = "s";
         entries[i].build = names[i];
--- a/fleet/testing/stream_origin_client_test.cpp
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -159,6 +159,7 @@
             entries.push_back(entry);
         }
         std::vector<const server_entry *> pointers;
+        pointers.reserve(entries.size());
         for (const server_entry &entry : entries) {
             pointers.push_back(&entry);
         }
@@ -193,7 +194,7 @@
         simulated_node &node = m_nodes[index];
         readState(index); // A node uses a server only after it has read its registration.
         const std::vector<std::string> builds = currentBuilds();
-        const std::string build = builds[m_random.below(builds.size())];
+        const std::string &build = builds[m_random.below(builds.size())];
         const std::string id = "r" + std::to_string(++m_counts.begun);
         stream_origin origin;
         origin.service = service;
