A stream that is answered after its deadline is not entered, and none is kept for longer than ten minutes

Found by reading: a node that was stopped (SIGSTOP, a frozen machine) beyond the deadline of a request in a mixed service, and then read the first event before the deadline's timer ran, looked up a row that it had not kept and crashed. A caller that names a deadline in years would have had its rows kept for as long, while those of others were dropped from a full table.

streamAnsweredAfterItsDeadlineCrashesNode ended the test program before and passes now. The head comment names the type that find() returns.

--- a/fleet/stream_origin_client.h
+++ b/fleet/stream_origin_client.h
@@ -2,18 +2,18 @@
  * @file
  * Which build, version of a server's software, began a caller's stream, known at all nodes at which the caller may take the stream up again.
  *
- * What two builds write does not fit together, so a stream goes on only at the build that began it. That is never inferred from what a node believes at the
- * time: it is entered under the id of the request that brought the first event, before that event leaves the node. While a service has servers of several
- * builds, and until it has had one for a while, the entry is also sent to the stream's keepers, nodes of different zones that rendezvous hashing finds from its
- * id. Nobody waits for them: an entry that does not arrive costs the caller its stream, never a stream of two builds. While a service has one build, nothing is
- * sent; the entries of its streams follow when a second one registers.
+ * What two builds write does not fit together, so a stream goes on only at the build that began it, which is entered under the id of the request that brought
+ * the first event, before that event leaves the node. While a service has servers of several builds, and until it has had one for a while, the entry is also
+ * sent to the stream's keepers, nodes of different zones that rendezvous hashing finds from its id. Nobody waits for them: an entry that does not arrive costs
+ * the caller its stream, never a stream of two builds. While a service has one build, nothing is sent; the entries of its streams follow when a second one
+ * registers.
  *
  * A stream of which neither this node nor a keeper has an entry began at the only build of its service, if this node sees no other one and a keeper has seen
  * none for longer than a stream lasts. Otherwise its origin is unknown, and it is refused.
  *
  *     stream_origin_client<Peers, Loop> origins(peers, loop, "node-1", builds);
  *     origins.record("request-7", origin, keep);
- *     origins.find("request-7", "chat", maximumAge, [](const stream_origin_client::answer &found) { ... });
+ *     origins.find("request-7", "chat", maximumAge, [](const found_origin &found) { ... });
  */
 #pragma once
 
@@ -122,6 +122,9 @@
     void record(const std::string &stream, const stream_origin &origin, duration keep)
     {
         const time_point now = m_loop.now();
+        if (keep <= duration::zero()) {
+            return; // The node was stopped beyond the request's deadline.
+        }
         m_table.put(now, stream, origin, keep);
         const std::optional<service_builds::sole_build> sole = m_builds.sole(origin.service);
         if (sole && now - sole->since >= m_options.soleBuildTime) {
--- a/fleet/stream_origin_table.cpp
+++ b/fleet/stream_origin_table.cpp
@@ -6,6 +6,7 @@
 
 void stream_origin_table::put(time_point now, const std::string &stream, const stream_origin &origin, duration keep)
 {
+    keep = std::min(keep, maxKeep);
     if (const auto known = m_rows.find(stream); known != m_rows.end() && known->second.keepUntil > now) {
         known->second.keepUntil = std::max(known->second.keepUntil, now + keep);
         const bool isSame = known->second.origin.server == origin.server && known->second.origin.startedAt == origin.startedAt;
--- a/fleet/stream_origin_table.h
+++ b/fleet/stream_origin_table.h
@@ -2,7 +2,7 @@
  * @file
  * The origins of callers' streams that one node keeps. Makes no I/O calls.
  *
- * Load pattern: each stream is entered once, and hardly any is asked for. When a node or some servers fail, all their streams are asked for within two seconds.
+ * Load pattern: each stream is entered once, and hardly any is looked up. When a node or some servers fail, all their streams are looked up within two seconds.
  * Only streams that were served are entered, so a caller that asks for streams at random enters nothing.
  */
 #pragma once
@@ -24,6 +24,7 @@
 {
 public:
     static constexpr std::size_t defaultCapacity = 16384;
+    static constexpr duration maxKeep = std::chrono::minutes(10); ///< Whatever deadline a caller names.
 
     explicit stream_origin_table(std::size_t capacity = defaultCapacity)
         : m_capacity(capacity)
--- a/fleet/testing/stream_origin_client_test.cpp
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -334,6 +334,21 @@
     return origin;
 }
 
+/** A node that was stopped passes a stream's first event on after the deadline of its request; another request names a deadline in years. */
+TEST(stream_origin_client_test, streamAnsweredAfterItsDeadlineCrashesNode)
+{
+    harness::virtual_time time;
+    simulated_peers peers;
+    const service_builds builds;
+    const auto client = std::make_shared<stream_origin_client<simulated_peers, harness::virtual_time>>(peers, time, "node-0", builds);
+    client->record("late", originOf("v1"), -1s);
+    client->record("endless", originOf("v1"), 100000h);
+    EXPECT_EQ(client->size(), 1U);
+    time.runUntil(time_point(1h));
+    client->expire();
+    EXPECT_EQ(client->size(), 0U) << "no stream is kept for longer than streams last";
+}
+
 TEST(stream_origin_table_test, whatBeganStreamNeverChanges)
 {
     stream_origin_table table(4);
@@ -345,7 +360,7 @@
     EXPECT_EQ(table.find(now + 4s, "a"), nullptr);
 }
 
-/** The table is bounded; what is asked for in vain enters nothing. */
+/** The table is bounded, and a lookup of an unknown stream adds no row. */
 TEST(stream_origin_table_test, fullTableDropsRowThatEndsFirst)
 {
     stream_origin_table table(3);
