--- a/fleet/broken_attempts.h
+++ b/fleet/broken_attempts.h
@@ -2,8 +2,8 @@
  * @file
  * Attempts that a server broke off and after which its address still accepted connections. Makes no I/O calls.
  *
- * A server that ends under a request and is back within milliseconds, or whose socket somebody else holds, is not seen to have ended by a connection to its
- * address. Its registration tells later: it shows another instance, under the same id or at the same address.
+ * A server that ends under a request and restarts within milliseconds, or whose socket another process holds, still accepts connections at its address. Its
+ * registration tells later: it shows another instance, under the same id or at the same address.
  */
 #pragma once
 
--- a/fleet/service_builds.h
+++ b/fleet/service_builds.h
@@ -2,7 +2,7 @@
  * @file
  * Which builds, versions of their software, the servers of each service have, and since when a service has had one only. Makes no I/O calls.
  *
- * Almost always a service has one build, and then nothing has to be told to other nodes about its streams. During a release it has two, rarely more.
+ * Almost always a service has one build, and then no message about its streams is sent to other nodes. During a release it has two, rarely more.
  */
 #pragma once
 
--- a/fleet/testing/snapshot_mirror_test.cpp
+++ b/fleet/testing/snapshot_mirror_test.cpp
@@ -154,7 +154,7 @@
     EXPECT_EQ(fixture.openReads(), 0U);
 }
 
-/** The store does not answer. Those that ask for a new state are told in time. */
+/** The store does not answer. The callbacks of those that need a new state run in time. */
 TEST(snapshot_mirror_test, overdueReadReleasesThoseThatAskForNewState)
 {
     mirror_fixture fixture;
