Review case 4: items are abandoned before their reward calls have failed often enough

Cause: job_worker::optionsFor() takes the number of allowed failures of reward calls from the route of the first item's scorer, for all items. Evidence: review/4/run.sh: the first item is judged through a route with maxAttempts 2, the others through one with 4; two reward calls always fail, and their items are abandoned after 2 answers of 500. Without the failures (TROUBLE=0) all items are completed.

--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -837,6 +837,26 @@
     return false;
 }
 
+call_result callOnce(std::uint16_t port,
+                     const std::string &method,
+                     const std::string &target,
+                     const std::vector<std::pair<std::string, std::string>> &fields,
+                     const std::string &body,
+                     std::int64_t timeoutMs)
+{
+    const auto connection = tcp_connection::connect(port);
+    http_message request;
+    request.method = method;
+    request.target = target;
+    request.fields = { { "Host", hostName } };
+    request.fields.insert(request.fields.end(), fields.begin(), fields.end());
+    request.body = body;
+    bool isWhole = false;
+    const bool isSent = connection && connection->write(encodeRequest(request));
+    const std::optional<http_message> reply = isSent ? connection->readResponse(isWhole, timeoutMs) : std::nullopt;
+    return reply && isWhole ? call_result{ reply->status, reply->body } : call_result{};
+}
+
 std::optional<case_setup> readSetup(int argc, char **argv)
 {
     if (argc != 7) {
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -282,6 +282,21 @@
 constexpr int ruleBroken = 1;
 constexpr int couldNotRun = 2;
 
+/** What a client of batch jobs has of a call. */
+struct call_result
+{
+    int status = 0; ///< 0 if there was no whole answer.
+    std::string body;
+};
+
+/** Sends a call on a new connection, as clients of batch jobs do. */
+call_result callOnce(std::uint16_t port,
+                     const std::string &method,
+                     const std::string &target,
+                     const std::vector<std::pair<std::string, std::string>> &fields,
+                     const std::string &body,
+                     std::int64_t timeoutMs);
+
 /** The processes of a small deployment: edge machines in two zones and a storage machine in each. */
 class deployment
 {
