Review case 5: batch jobs within the limits end the edge machines that they reach

Cause: each submission is held about twelve times over while it is recorded, and nothing bounds the memory of submissions under way.

--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,197 +1,200 @@
-// Case 5: a server runs a request that was smuggled inside an item of a batch job.
+// Case 5: batch jobs within the operator's limits end the edge machines that they reach.
 //
-// A batch job has four items. With the disruption, the value of a header of one item contains line ends and, after them, the begin of a second request to a
-// path of another route. The edge machine must not write that value into the item's request as it stands.
+// Three trainers submit a batch job every few seconds. With the disruption, the prompts of its 64 items are long: 100 KB each, so that the submission has
+// 8.5 MB, a quarter of the configuration's maxBodyBytes. The platform kills a process that uses more than its memoryMb, and starts it again.
 
 #include "review/standins/platform.h"
 
 #include <algorithm>
-#include <set>
+#include <csignal>
+#include <thread>
 
 namespace review {
 namespace {
 
 using nlohmann::json;
 
-constexpr int items = 4;
-constexpr int eventsOfItem = 3;
-constexpr std::int64_t itemMs = 60;
-constexpr std::int64_t readPauseMs = 400;
-constexpr std::int64_t longestJobMs = 8000; ///< A job that the edge machine answers with 400, or whose item it never sends, keeps the rule.
-constexpr const char *smuggledId = "smuggled0";
-
-/** What a server has run. */
-struct served_request
-{
-    std::string id;
-    std::string path;
-};
-
-class run_log
+constexpr int edges = 4;
+constexpr int memoryMb = 110;
+constexpr int maxBodyBytes = 33554432;
+constexpr int trainers = 3;
+constexpr int stepsOfTrainer = 8;
+constexpr int items = 64;
+constexpr std::size_t longPromptBytes = 100000;
+constexpr std::size_t shortPromptBytes = 600;
+constexpr std::int64_t stepMs = 4000;
+constexpr std::int64_t restartMs = 300;
+constexpr std::int64_t samplePauseMs = 2;
+constexpr int endsThatCount = 3; ///< Of one machine.
+constexpr int machinesThatCount = 2;
+
+/** Kills what uses too much memory, and starts it again, as the platform does. */
+class memory_watch
 {
 public:
-    explicit run_log(record_file &record)
+    memory_watch(record_file &record, deployment &nodes)
         : m_record(record)
+        , m_nodes(nodes)
+        , m_ends(nodes.edges(), 0)
+        , m_peaks(nodes.edges(), 0)
     {
-    }
-    void add(const std::string &server, const http_message &request)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_runs.push_back({ request.get("Request-Id"), request.path() });
-        m_record.line(server + " runs " + request.method + " " + request.target + ", Request-Id " + request.get("Request-Id"));
-    }
-    /** Returns the requests whose id no client sent, or whose path isn't that of the item with their id. */
-    std::vector<served_request> unasked(const std::map<std::string, std::string> &asked)
-    {
-        const std::lock_guard lock(m_mutex);
-        std::vector<served_request> found;
-        std::ranges::copy_if(m_runs, std::back_inserter(found), [&](const served_request &each) {
-            const auto sent = asked.find(each.id);
-            return sent == asked.end() || sent->second != each.path;
-        });
-        return found;
+        for (std::size_t i = 0; i < nodes.edges(); ++i) {
+            std::thread([this, i] {
+                watch(i);
+            }).detach();
+        }
     }
 
-private:
-    std::mutex m_mutex;
-    record_file &m_record;
-    std::vector<served_request> m_runs;
-};
-
-class model_server
-{
-public:
-    model_server(record_file &record, run_log &runs, std::string id)
-        : m_record(record)
-        , m_runs(runs)
-        , m_id(std::move(id))
-        , m_listener([this](tcp_connection &connection) {
-            serve(connection);
-        })
+    std::string describe() const
     {
+        std::string text;
+        for (std::size_t i = 0; i < m_ends.size(); ++i) {
+            text += (i == 0 ? "" : ", ") + m_nodes.edge(i).name() + " ended " + std::to_string(m_ends[i]) + " times, most "
+                + std::to_string(static_cast<int>(m_peaks[i])) + " MB";
+        }
+        return text;
     }
-
-    std::uint16_t port() const
+    int machinesOverLimit() const
     {
-        return m_listener.port();
+        return static_cast<int>(std::ranges::count_if(m_ends, [](int ends) {
+            return ends >= endsThatCount;
+        }));
     }
 
 private:
-    void serve(tcp_connection &connection)
+    void watch(std::size_t index)
     {
-        while (const std::optional<http_message> request = connection.readRequest()) {
-            if (!connection.write(answer(*request))) {
-                return;
+        node_process &node = m_nodes.edge(index);
+        while (true) {
+            sleepMs(samplePauseMs);
+            const double used = node.memoryMb();
+            m_peaks[index] = std::max(m_peaks[index], used);
+            const bool isOver = used > memoryMb;
+            if (isOver) {
+                node.signal(SIGKILL);
+                sleepMs(50);
+            }
+            if (const std::optional<int> status = node.ended()) {
+                ++m_ends[index];
+                m_record.line(node.name()
+                              + (isOver ? " uses " + std::to_string(static_cast<int>(used)) + " MB of " + std::to_string(memoryMb) + " and is killed"
+                                        : " ends with status " + std::to_string(*status)));
+                sleepMs(restartMs);
+                node.start(false);
             }
         }
     }
 
-    std::string answer(const http_message &request)
-    {
-        const std::string id = request.get("Request-Id");
-        if (request.path() == "/-/report") {
+    record_file &m_record;
+    deployment &m_nodes;
+    std::vector<int> m_ends;
+    std::vector<double> m_peaks;
+};
+
+/** A model server that answers each item with three events. */
+void serveItems(tcp_connection &connection, const std::string &server)
+{
+    while (const std::optional<http_message> request = connection.readRequest()) {
+        const std::string id = request->get("Request-Id");
+        std::string reply;
+        if (request->path() == "/-/report") {
             const json models = json::array({ { { "name", "m0" }, { "version", 1 }, { "adapters", json::array() } } });
-            return encodeResponse(200, { { "Content-Type", "application/json" } }, json{ { "models", models }, { "busy", false }, { "sequence", 0 } }.dump());
-        }
-        if (id.empty()) {
-            m_record.line(m_id + " rejects " + request.method + " " + request.target + ", which has no id");
-            return encodeResponse(400, { { "Not-Executed", "1" } }, "");
-        }
-        const std::string expected = request.get("Expect-Instance");
-        if (!expected.empty() && expected != m_id) {
-            return encodeResponse(421, { { "Request-Id", id }, { "Not-Executed", "1" } }, "");
+            reply = encodeResponse(200, { { "Content-Type", "application/json" } }, json{ { "models", models }, { "busy", false }, { "sequence", 0 } }.dump());
+        } else if (request->get("Expect-Instance") != server) {
+            reply = encodeResponse(421, { { "Request-Id", id }, { "Not-Executed", "1" } }, "");
+        } else {
+            sleepMs(60);
+            std::string text;
+            for (int i = std::atoi(request->get("Last-Event-Id").c_str()) + 1; i <= 3; ++i) {
+                text += "id: " + std::to_string(i) + "\ndata: " + id + "/" + std::to_string(i) + "\n\n";
+            }
+            reply = encodeResponse(
+                200, { { "Request-Id", id }, { "Server-Signature", "sig." + id }, { "Weight-Versions", "1" }, { "Content-Type", "text/event-stream" } }, text);
         }
-        m_runs.add(m_id, request);
-        sleepMs(itemMs);
-        std::string text;
-        for (int i = std::atoi(request.get("Last-Event-Id").c_str()) + 1; i <= eventsOfItem; ++i) {
-            text += "id: " + std::to_string(i) + "\ndata: " + id + "/" + std::to_string(i) + "\n\n";
+        if (!connection.write(reply)) {
+            return;
         }
-        return encodeResponse(
-            200, { { "Request-Id", id }, { "Server-Signature", "sig." + id }, { "Weight-Versions", "1" }, { "Content-Type", "text/event-stream" } }, text);
     }
+}
 
-    record_file &m_record;
-    run_log &m_runs;
-    std::string m_id;
-    tcp_listener m_listener;
-};
-
-json makeJob(bool hasTrouble)
+std::string makeJob(const std::string &name, int step, std::size_t promptBytes)
 {
-    const std::string harmless = "note";
-    const std::string smuggled = harmless + "\r\nContent-Length: 0\r\n\r\nPOST /pay/all HTTP/1.1\r\nHost: " + hostName + "\r\nRequest-Id: " + smuggledId;
     json rows = json::array();
     for (int i = 0; i < items; ++i) {
         const std::string number = std::to_string(i);
-        rows.push_back({ { "id", "item" + number },
+        rows.push_back({ { "id", name + "." + number },
                          { "path", "/roll/" + number },
-                         { "headers",
-                           { { "Model", "m0" },
-                             { "Token-Count", "271,8" },
-                             { "Prompt-Prefix", "9c2e41:255,5d07b" + number + ":16" },
-                             { "X-Note", hasTrouble && i == 2 ? smuggled : harmless } } },
-                         { "body", encodeBase64("prompt " + number) },
-                         { "tokens", 279 },
-                         { "group", "g" + number } });
+                         { "headers", { { "Model", "m0" }, { "Token-Count", "25000,8" }, { "Prompt-Prefix", "9c2e41:24984,5d07b" + number + ":16" } } },
+                         { "body", encodeBase64(std::string(promptBytes, static_cast<char>('a' + i % 26))) },
+                         { "tokens", 25008 },
+                         { "group", name + "g" + std::to_string(i / 8) } });
     }
-    return { { "step", 0 }, { "model", "m0" }, { "minVersion", 1 }, { "groupCount", items }, { "items", rows } };
+    return json{ { "step", step }, { "model", "m0" }, { "minVersion", 1 }, { "groupCount", items / 8 }, { "items", rows } }.dump();
 }
 
 [[noreturn]] void run(const case_setup &setup)
 {
     record_file record(setup.record);
     metadata_store store(record);
-    run_log runs(record);
     json roll = makeRoute("roll", "/roll/", "rollout", "lm");
     roll["runTargetMs"] = 7500;
     roll["itemTtlS"] = 60;
-    const json engine{ { "slots", 12 }, { "kvTokens", 40382 }, { "models", json::array({ { { "name", "m0" } } }) } };
+    const json engine{ { "slots", 12 }, { "kvTokens", 36488 }, { "models", json::array({ { { "name", "m0" } } }) } };
     store.put("op/config",
               { { "version", 1 },
-                { "routes", json::array({ roll, makeRoute("pay", "/pay/", "non_idempotent", "ledger") }) },
-                { "services",
-                  json::array({ { { "name", "lm" }, { "healthPath", "/health" }, { "maxConns", 160 }, { "engine", engine } },
-                                { { "name", "ledger" }, { "healthPath", "/health" }, { "maxConns", 110 } } }) },
-                { "limits", json::object() } });
-    model_server first(record, runs, "i-1");
-    model_server second(record, runs, "i-2");
-    for (model_server *each : { &first, &second }) {
-        json entry = makeRegistration("lm", each->port(), "zone-a", 12, unixMs(), "v1");
+                { "routes", json::array({ roll }) },
+                { "services", json::array({ { { "name", "lm" }, { "healthPath", "/health" }, { "maxConns", 160 }, { "engine", engine } } }) },
+                { "limits", { { "headerBytes", 16384 }, { "maxBodyBytes", maxBodyBytes }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } } });
+    std::vector<std::unique_ptr<tcp_listener>> servers;
+    for (int i = 0; i < 3; ++i) {
+        const std::string id = "i-" + std::to_string(i);
+        servers.push_back(std::make_unique<tcp_listener>([id](tcp_connection &connection) {
+            serveItems(connection, id);
+        }));
+        json entry = makeRegistration("lm", servers.back()->port(), i % 2 == 0 ? "zone-a" : "zone-b", 12, unixMs(), "v1");
         entry["models"] = json::array({ { { "name", "m0" }, { "version", 1 }, { "adapters", json::array() } } });
-        store.put(each == &first ? "servers/i-1" : "servers/i-2", entry);
+        store.put("servers/" + id, entry);
+    }
+    deployment nodes(setup, store.port(), edges);
+    for (std::size_t i = 0; i < nodes.edges(); ++i) {
+        nodes.edge(i).setMemoryMb(memoryMb);
     }
-    deployment nodes(setup, store.port(), 2);
     if (!nodes.start()) {
         record.line("the edge machines did not become ready");
         finish(nodes, couldNotRun);
     }
-    std::map<std::string, std::string> asked;
-    for (int i = 0; i < items; ++i) {
-        asked["item" + std::to_string(i)] = "/roll/" + std::to_string(i);
-    }
-    const std::string job = makeJob(setup.hasTrouble).dump();
-    record.line("a client submits " + job);
-    const call_result accepted = callOnce(nodes.edge(0).callers(), "POST", "/roll/7c41e0", { { "Request-Id", "job0" } }, job, 5000);
-    record.line("the batch job is answered " + std::to_string(accepted.status));
-    std::size_t listed = 0;
-    const std::int64_t deadline = elapsedMs() + longestJobMs;
-    while (accepted.status == 202 && listed < items && elapsedMs() < deadline) {
-        const call_result page = callOnce(nodes.edge(1).callers(), "GET", "/-/lots/job0?after=" + std::to_string(listed), { { "Wait-Ms", "1000" } }, "", 4000);
-        const json body = json::parse(page.body, nullptr, false);
-        listed += page.status == 200 && body.is_object() ? body.at("results").size() : 0;
-        sleepMs(readPauseMs);
+    memory_watch memory(record, nodes);
+    std::atomic<int> accepted = 0;
+    std::vector<std::thread> all;
+    all.reserve(trainers);
+    for (int trainer = 0; trainer < trainers; ++trainer) {
+        all.emplace_back([&, trainer] {
+            for (int step = 0; step < stepsOfTrainer; ++step) {
+                const std::int64_t due = elapsedMs() + stepMs;
+                const std::string name = "job" + std::to_string(trainer) + "." + std::to_string(step);
+                const std::string job = makeJob(name, step, setup.hasTrouble ? longPromptBytes : shortPromptBytes);
+                int status = 0;
+                for (int attempt = 0; attempt < 2 && status != 202; ++attempt) {
+                    node_process &node = nodes.edge(static_cast<std::size_t>(trainer + step + attempt) % nodes.edges());
+                    status = callOnce(node.callers(), "POST", "/roll/" + name, { { "Request-Id", name } }, job, 4000).status;
+                    record.line("trainer submits " + name + ", " + std::to_string(job.size()) + " bytes, to " + node.name() + ": "
+                                + (status == 0 ? "no answer" : std::to_string(status)));
+                }
+                accepted += status == 202 ? 1 : 0;
+                sleepMs(due - elapsedMs());
+                callOnce(nodes.edge(static_cast<std::size_t>(trainer + step) % nodes.edges()).callers(), "DELETE", "/-/lots/" + name, {}, "", 3000);
+            }
+        });
     }
-    callOnce(nodes.edge(0).callers(), "DELETE", "/-/lots/job0", {}, "", 4000);
-    const std::vector<served_request> unasked = runs.unasked(asked);
-    for (const served_request &each : unasked) {
-        record.line("RUN THAT NOBODY SENT: " + each.path + ", Request-Id " + each.id);
+    for (std::thread &each : all) {
+        each.join();
     }
-    record.line("listed " + std::to_string(listed) + " of " + std::to_string(items) + ", runs that nobody sent " + std::to_string(unasked.size()));
-    if (unasked.empty() && (nodes.hasEnded() || (!setup.hasTrouble && listed < items))) {
+    record.line("accepted " + std::to_string(accepted) + " of " + std::to_string(trainers * stepsOfTrainer) + " batch jobs; " + memory.describe());
+    const bool isBroken = memory.machinesOverLimit() >= machinesThatCount;
+    if (!isBroken && !setup.hasTrouble && accepted < trainers * stepsOfTrainer) {
         finish(nodes, couldNotRun);
     }
-    finish(nodes, unasked.empty() ? ruleHeld : ruleBroken);
+    finish(nodes, isBroken ? ruleBroken : ruleHeld);
 }
 
 } // namespace
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -752,8 +752,8 @@
         text << "dataDir=" << m_folder << "/" << m_name << "\n";
     }
     text << "seeds=" << m_seeds << "\nbootstrap=" << (isFirstStart ? "true" : "false") << "\nfaultCounted=" << (m_isEdge ? "false" : "true")
-         << "\nlimits.cpuShare=0.25\nlimits.cpuCores=1\nlimits.memoryMb=260\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb="
-         << (m_isEdge ? "0" : "500") << "\ndiscovery=platform\nentry=vip\nheartbeatMs=1200\n"
+         << "\nlimits.cpuShare=0.25\nlimits.cpuCores=1\nlimits.memoryMb=" << m_memoryMb
+         << "\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=" << (m_isEdge ? "0" : "500") << "\ndiscovery=platform\nentry=vip\nheartbeatMs=1200\n"
          << "contracts=base,drain,config,cost,recover,samples,stream,engine,batch,platform\n"
          << "faultTolerance.machines=1\nfaultTolerance.zones=1\nfaultTolerance.regions=0\n"
          << "bounds.seedLagS=3\nbounds.reuseAfterS=2\nbounds.contactMs=3000\nbounds.ackMs=4000\nbounds.catchUpS=4.8\nbounds.drainMs=2000\nbounds.graceS=8\n"
@@ -806,6 +806,17 @@
     }
 }
 
+double node_process::memoryMb() const
+{
+    std::ifstream statistics("/proc/" + std::to_string(m_pid) + "/statm");
+    long total = 0;
+    long resident = 0;
+    if (m_pid <= 0 || !(statistics >> total >> resident)) {
+        return 0;
+    }
+    return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
 std::optional<int> node_process::ended()
 {
     int status = 0;
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -228,8 +228,15 @@
     {
         m_seeds = std::move(seeds);
     }
+    /** Sets limits.memoryMb of the settings; before start(). */
+    void setMemoryMb(int memoryMb)
+    {
+        m_memoryMb = memoryMb;
+    }
     void start(bool isFirstStart);
     void signal(int number) const;
+    /** Returns the memory that the process uses, in MB; 0 if it does not run. */
+    double memoryMb() const;
     /** Tells whether the process has ended, and how. */
     std::optional<int> ended();
     std::uint16_t callers() const
@@ -261,7 +268,8 @@
     std::uint16_t m_callers = 0;
     std::uint16_t m_ready = 0;
     std::uint16_t m_control = 0;
-    pid_t m_pid = 0;
+    int m_memoryMb = 260;
+    std::atomic<pid_t> m_pid = 0;
 };
 
 /** What a case gets from its script: run.sh passes these as arguments. */
