--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,216 +1,230 @@
-// Case 4: items of a batch job are abandoned before their reward calls have failed as often as the routes allow.
+// Case 4: a server's failure is written into the middle of a stream that has begun.
 //
-// A trainer's batch job has eight items. The reward call of the first one goes through a route with maxAttempts 2, those of the others through a route with
-// maxAttempts 4; the batch job's own route has 4 as well. With the disruption, the reward calls of two of the others always fail, as a few calls do.
+// Seven servers answer streams that may be resumed, each with eight events. With the disruptions, a part of the connections between an edge machine and the
+// servers is reset once while streams are under way, and one server answers a part of its requests with its own 500 while its health is good. The edge machine
+// goes on with a stream at another server. It must break the stream off if that one does not go on with it.
 
 #include "review/standins/platform.h"
 
 #include <algorithm>
-#include <set>
+#include <thread>
 
 namespace review {
 namespace {
 
-using nlohmann::json;
-
-constexpr int items = 8;
-constexpr int itemsOfGroup = 2;
-constexpr int eventsOfItem = 4;
-constexpr int lenientAttempts = 4;
-constexpr int strictAttempts = 2;
-constexpr std::int64_t eventPauseMs = 20;
-constexpr std::int64_t scoreMs = 40;
-constexpr std::int64_t readPauseMs = 400;
-constexpr std::int64_t longestJobMs = 30000; ///< Half of itemTtlS.
+constexpr int streams = 80;
+constexpr int servers = 7;
+constexpr int slots = 12;
+constexpr int eventsOfStream = 8;
+constexpr std::int64_t eventPauseMs = 150;
+constexpr std::int64_t streamPauseMs = 6;
+constexpr std::int64_t resetAtMs = 800; ///< After the first stream; all have begun by then, and none has ended.
+constexpr double resetShare = 0.55; ///< Of the connections of one edge machine of three.
+constexpr double failingShare = 0.45; ///< Of the requests at one server of seven.
+
+std::string signatureOf(const std::string &request)
+{
+    return "sig." + request;
+}
 
-/** Calls that the servers have answered. */
-class answer_log
+std::string chunk(const std::string &bytes)
 {
-public:
-    explicit answer_log(record_file &record)
-        : m_record(record)
-    {
-    }
-    void add(const std::string &server, const std::string &request, int status)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_failures[request] += status == 500 ? 1 : 0;
-        m_record.line(server + " answers " + request + " with " + std::to_string(status));
-    }
-    int failuresOf(const std::string &request)
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_failures[request];
-    }
+    char size[24];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
 
-private:
-    std::mutex m_mutex;
-    record_file &m_record;
-    std::map<std::string, int> m_failures;
-};
+std::string eventOf(const std::string &stream, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + stream + "/" + std::to_string(number) + "\n\n";
+}
 
-/** A server of the model, or one that judges texts. */
-class job_server
+/** A server of streams. */
+class stream_server
 {
 public:
-    job_server(answer_log &answers, std::string id, std::set<std::string> failing)
-        : m_answers(answers)
+    stream_server(record_file &record, std::string id, bool isGrey)
+        : m_record(record)
         , m_id(std::move(id))
-        , m_failing(std::move(failing))
+        , m_isGrey(isGrey)
         , m_listener([this](tcp_connection &connection) {
             serve(connection);
         })
+        , m_link(m_listener.port())
     {
     }
 
-    std::uint16_t port() const
+    tcp_proxy &link()
     {
-        return m_listener.port();
+        return m_link;
     }
 
 private:
+    /** Tells whether the request fails: failingShare of all, evenly. */
+    bool failsNext()
+    {
+        const std::lock_guard lock(m_mutex);
+        const int before = static_cast<int>(failingShare * m_requests);
+        ++m_requests;
+        return m_isGrey && static_cast<int>(failingShare * m_requests) > before;
+    }
+
     void serve(tcp_connection &connection)
     {
         while (const std::optional<http_message> request = connection.readRequest()) {
             const std::string id = request->get("Request-Id");
-            if (request->path() == "/-/report") {
-                const json models = json::array({ { { "name", "m0" }, { "version", 1 }, { "adapters", json::array() } } });
-                const json report{ { "stage", "both" }, { "models", models }, { "busy", false },    { "sequence", 0 }, { "queued", 0 },
-                                   { "active", 0 },     { "kvUsed", 0 },      { "kvTotal", 40000 }, { "handles", 0 } };
-                connection.write(encodeResponse(200, { { "Content-Type", "application/json" } }, report.dump()));
-                continue;
-            }
+            const std::string lastEvent = request->get("Last-Event-Id");
             if (request->get("Expect-Instance") != m_id) {
                 connection.write(encodeResponse(421, { { "Request-Id", id }, { "Not-Executed", "1" } }, ""));
-            } else if (request->path().starts_with("/judge")) {
-                sleepMs(scoreMs);
-                const int status = m_failing.contains(id) ? 500 : 200;
-                m_answers.add(m_id, id, status);
-                connection.write(encodeResponse(status, { { "Request-Id", id }, { "Server-Signature", "sig." + id } }, "judged"));
-            } else if (!runItem(connection, id, std::atoi(request->get("Last-Event-Id").c_str()))) {
-                return;
+                continue;
             }
-        }
-    }
-
-    bool runItem(tcp_connection &connection, const std::string &id, int lastEvent)
-    {
-        std::string text;
-        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: sig." + id
-                         + "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int i = lastEvent + 1; i <= eventsOfItem; ++i) {
-            sleepMs(eventPauseMs);
-            const std::string event = "id: " + std::to_string(i) + "\ndata: " + id + "/" + std::to_string(i) + "\n\n";
-            char size[24];
-            std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-            if (!connection.write(size + event + "\r\n")) {
-                return false;
+            if (failsNext()) {
+                m_record.line(m_id + " answers " + id + " with its own 500" + (lastEvent.empty() ? "" : ", resumed after event " + lastEvent));
+                connection.write(encodeResponse(500, { { "Request-Id", id }, { "Server-Signature", signatureOf(id) } }, "failed"));
+                continue;
+            }
+            m_record.line(m_id + " runs " + id + (lastEvent.empty() ? "" : " after event " + lastEvent));
+            connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + signatureOf(id)
+                             + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int i = std::atoi(lastEvent.c_str()) + 1; i <= eventsOfStream; ++i) {
+                sleepMs(eventPauseMs);
+                if (!connection.write(chunk(eventOf(id, i)))) {
+                    return;
+                }
             }
+            connection.write("0\r\n\r\n");
         }
-        m_answers.add(m_id, id, 200);
-        return connection.write("0\r\n\r\n");
     }
 
-    answer_log &m_answers;
+    record_file &m_record;
     std::string m_id;
-    std::set<std::string> m_failing;
+    bool m_isGrey;
+    std::mutex m_mutex;
+    int m_requests = 0;
     tcp_listener m_listener;
+    tcp_proxy m_link; ///< Leads to the listener; its address is the one that the server registers.
 };
 
-json makeJob()
+/** What a caller saw of an answer. */
+struct seen_answer
 {
-    json rows = json::array();
-    for (int i = 0; i < items; ++i) {
-        const std::string number = std::to_string(i);
-        rows.push_back({ { "id", "item" + number },
-                         { "path", "/roll/" + number },
-                         { "headers", { { "Model", "m0" }, { "Token-Count", "271,8" }, { "Prompt-Prefix", "9c2e41:255,5d07b" + number + ":16" } } },
-                         { "body", encodeBase64("prompt " + number) },
-                         { "tokens", 279 },
-                         { "group", "g" + std::to_string(i / itemsOfGroup) },
-                         { "scorer",
-                           { { "id", "score" + number },
-                             { "hostname", hostName },
-                             { "path", std::string(i == 0 ? "/judge-a/" : "/judge-b/") + number },
-                             { "body", encodeBase64("judge " + number) } } } });
-    }
-    return { { "step", 0 }, { "model", "m0" }, { "minVersion", 1 }, { "groupCount", items / itemsOfGroup }, { "items", rows } };
-}
+    std::string raw; ///< All bytes.
+    bool isWhole = false;
+    bool isMalformed = false; ///< After the head and whole chunks come bytes that are none.
+};
 
-json makeConfiguration()
+/** Reads an answer in chunks byte by byte, as a strict client does. */
+seen_answer readStrictly(tcp_connection &connection)
 {
-    json roll = makeRoute("roll", "/roll/", "rollout", "lm");
-    roll["maxAttempts"] = lenientAttempts;
-    roll["runTargetMs"] = 7500;
-    roll["itemTtlS"] = 60;
-    json strict = makeRoute("judge-a", "/judge-a/", "idempotent", "judges");
-    strict["maxAttempts"] = strictAttempts;
-    json lenient = makeRoute("judge-b", "/judge-b/", "idempotent", "judges");
-    lenient["maxAttempts"] = lenientAttempts;
-    const json engine{ { "slots", 12 }, { "kvTokens", 40382 }, { "models", json::array({ { { "name", "m0" } } }) } };
-    return { { "version", 1 },
-             { "routes", json::array({ roll, strict, lenient }) },
-             { "services",
-               json::array({ { { "name", "lm" }, { "healthPath", "/health" }, { "maxConns", 160 }, { "engine", engine } },
-                             { { "name", "judges" }, { "healthPath", "/health" }, { "maxConns", 110 } } }) },
-             { "limits", json::object() } };
+    seen_answer seen;
+    const std::int64_t deadline = elapsedMs() + 6000;
+    std::size_t at = std::string::npos;
+    while (elapsedMs() < deadline) {
+        if (at == std::string::npos && seen.raw.find("\r\n\r\n") != std::string::npos) {
+            at = seen.raw.find("\r\n\r\n") + 4;
+            if (!seen.raw.starts_with("HTTP/1.1 200")) {
+                return seen;
+            }
+        }
+        while (at != std::string::npos && seen.raw.find("\r\n", at) != std::string::npos) {
+            const std::string line = seen.raw.substr(at, seen.raw.find("\r\n", at) - at);
+            if (line.empty() || line.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
+                seen.isMalformed = true;
+                return seen;
+            }
+            const std::size_t size = std::strtoull(line.c_str(), nullptr, 16);
+            const std::size_t end = at + line.size() + 2 + size + 2;
+            if (seen.raw.size() < end) {
+                break;
+            }
+            if (size == 0) {
+                seen.isWhole = true;
+                return seen;
+            }
+            at = end;
+        }
+        if (!connection.readInto(seen.raw, deadline)) {
+            return seen;
+        }
+    }
+    return seen;
 }
 
 [[noreturn]] void run(const case_setup &setup)
 {
     record_file record(setup.record);
     metadata_store store(record);
-    answer_log answers(record);
-    const std::set<std::string> failing = setup.hasTrouble ? std::set<std::string>{ "score3", "score6" } : std::set<std::string>{};
-    store.put("op/config", makeConfiguration());
-    std::vector<std::unique_ptr<job_server>> servers;
-    for (int i = 0; i < 4; ++i) {
+    std::vector<std::unique_ptr<stream_server>> all;
+    nlohmann::json route = makeRoute("speak", "/speak/", "streaming", "voices");
+    route["resumable"] = true;
+    route["maxAttempts"] = 2;
+    store.put("op/config",
+              { { "version", 1 },
+                { "routes", nlohmann::json::array({ route }) },
+                { "services", nlohmann::json::array({ { { "name", "voices" }, { "healthPath", "/health" }, { "maxConns", 160 } } }) },
+                { "limits", nlohmann::json::object() } });
+    for (int i = 0; i < servers; ++i) {
         const std::string id = "i-" + std::to_string(i);
-        servers.push_back(std::make_unique<job_server>(answers, id, failing));
-        json entry = makeRegistration(i < 2 ? "lm" : "judges", servers.back()->port(), i % 2 == 0 ? "zone-a" : "zone-b", i < 2 ? 12 : 6, unixMs(), "v1");
-        if (i < 2) {
-            entry["models"] = json::array({ { { "name", "m0" }, { "version", 1 }, { "adapters", json::array() } } });
-        }
-        store.put("servers/" + id, entry);
+        all.push_back(std::make_unique<stream_server>(record, id, i == 0 && setup.hasTrouble));
+        store.put("servers/" + id, makeRegistration("voices", all.back()->link().port(), i % 2 == 0 ? "zone-a" : "zone-b", slots, unixMs(), "v1"));
     }
-    deployment nodes(setup, store.port(), 2);
+    deployment nodes(setup, store.port(), 3);
     if (!nodes.start()) {
         record.line("the edge machines did not become ready");
         finish(nodes, couldNotRun);
     }
-    const call_result accepted = callOnce(nodes.edge(0).callers(), "POST", "/roll/7c41e0", { { "Request-Id", "job0" } }, makeJob().dump(), 5000);
-    record.line("the batch job is answered " + std::to_string(accepted.status));
-    if (accepted.status != 202) {
-        finish(nodes, couldNotRun);
-    }
-    int listed = 0;
-    int tooEarly = 0;
-    int completed = 0;
-    const std::int64_t deadline = elapsedMs() + longestJobMs;
-    while (listed < items && elapsedMs() < deadline) {
-        const std::uint16_t port = nodes.edge(static_cast<std::size_t>(listed) % nodes.edges()).callers();
-        const call_result page = callOnce(port, "GET", "/-/lots/job0?after=" + std::to_string(listed), { { "Wait-Ms", "1000" } }, "", 4000);
-        const json body = json::parse(page.body, nullptr, false);
-        for (const json &result : page.status == 200 && body.is_object() ? body.at("results") : json::array()) {
-            ++listed;
-            const auto item = result.at("id").get<std::string>();
-            const bool isAbandoned = result.at("state").get<std::string>() == "abandoned";
-            const int failures = answers.failuresOf("score" + item.substr(4));
-            const int allowed = item == "item0" ? strictAttempts : lenientAttempts;
-            const bool isTooEarly = isAbandoned && failures < allowed;
-            tooEarly += isTooEarly ? 1 : 0;
-            completed += isAbandoned ? 0 : 1;
-            record.line(item + " is listed as " + result.at("state").get<std::string>() + " after " + std::to_string(failures)
-                        + " answers of 500 to its reward call, of " + std::to_string(allowed) + " that its route allows" + (isTooEarly ? ": TOO EARLY" : ""));
+    std::atomic<int> malformed = 0;
+    std::atomic<int> whole = 0;
+    std::atomic<int> brokenOff = 0;
+    std::atomic<int> others = 0;
+    std::vector<std::thread> callers;
+    callers.reserve(streams);
+    std::thread trouble([&] {
+        sleepMs(resetAtMs);
+        if (setup.hasTrouble) {
+            int count = 0;
+            for (const auto &each : all) {
+                count += each->link().resetConnections(resetShare);
+            }
+            record.line("connections to the servers are reset: " + std::to_string(count));
         }
-        sleepMs(readPauseMs);
+    });
+    for (int i = 0; i < streams; ++i) {
+        callers.emplace_back([&, id = "stream" + std::to_string(i)] {
+            const auto connection = tcp_connection::connect(nodes.edge(0).callers());
+            http_message request;
+            request.method = "POST";
+            request.target = "/speak/" + id;
+            request.fields = { { "Host", hostName }, { "Request-Id", id }, { "Deadline-Ms", "5000" } };
+            request.body = "prompt of " + id;
+            if (!connection || !connection->write(encodeRequest(request))) {
+                return;
+            }
+            const seen_answer seen = readStrictly(*connection);
+            const bool isSuccess = seen.raw.starts_with("HTTP/1.1 200");
+            others += isSuccess ? 0 : 1;
+            malformed += isSuccess && seen.isMalformed ? 1 : 0;
+            whole += isSuccess && seen.isWhole ? 1 : 0;
+            brokenOff += isSuccess && !seen.isWhole && !seen.isMalformed ? 1 : 0;
+            record.line("caller of " + id + " gets " + seen.raw.substr(0, seen.raw.find("\r\n")) + ", "
+                        + (!isSuccess         ? "which is no success"
+                               : seen.isWhole ? "complete"
+                               : seen.isMalformed
+                               ? "BYTES THAT ARE NO ANSWER: " + nlohmann::json(seen.raw).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+                               : "broken off"));
+        });
+        sleepMs(streamPauseMs);
+    }
+    for (std::thread &each : callers) {
+        each.join();
     }
-    record.line("listed " + std::to_string(listed) + " of " + std::to_string(items) + ", completed " + std::to_string(completed) + ", abandoned too early "
-                + std::to_string(tooEarly));
-    if (tooEarly == 0 && (nodes.hasEnded() || listed < items || completed < items - static_cast<int>(failing.size()))) {
+    trouble.join();
+    record.line("complete " + std::to_string(whole) + ", no success " + std::to_string(others) + ", broken off " + std::to_string(brokenOff)
+                + ", with bytes that are no answer " + std::to_string(malformed) + " of " + std::to_string(streams));
+    if (malformed == 0 && (nodes.hasEnded() || whole < streams / 2)) {
         finish(nodes, couldNotRun);
     }
-    finish(nodes, tooEarly > 0 ? ruleBroken : ruleHeld);
+    finish(nodes, malformed > 0 ? ruleBroken : ruleHeld);
 }
 
 } // namespace
