A response to another request is not passed on as a stream

Cause: Request-Id was compared in request_relay::handleResponse(), once a response was complete. A stream with status 200 never comes there; its head and events were passed on as they arrived. The same order let the fields of a foreign response count, and let a success without a signature begin a stream.

Change: the HTTP client asks http_call_options::isOwnResponse with each response head, before any handler sees it. A foreign response ends the call and closes its connection, on which all later responses would be out of step. The request may have run: a request that may not be repeated gets 502, others are tried again.

--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -285,6 +285,9 @@
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
         return isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
     };
+    options.isOwnResponse = [id = m_call.id](const http_response &head) {
+        return platform::decodeAnswer(head).requestId == id;
+    };
     http_call_handlers handlers;
     const std::uint64_t number = ++m_attemptNumber;
     const auto guarded = [self = shared_from_this(), number](auto action) {
@@ -348,8 +351,12 @@
     if (m_serverAnswer.serverLoad) {
         m_fleet.backends().onLoad(m_context.loop.now(), m_server.id, m_serverAnswer.serverLoad->running, m_serverAnswer.serverLoad->waiting);
     }
-    if (isStream() && m_serverAnswer.status == http_status::ok && m_origin) {
-        proveContinuation();
+    if (isStream() && m_serverAnswer.status == http_status::ok) {
+        if (m_serverAnswer.isUnsignedSuccess()) {
+            dropAttempt("the answer is not the server's");
+        } else if (m_origin) {
+            proveContinuation();
+        }
     }
 }
 
@@ -362,11 +369,7 @@
             return;
         }
         if (proof != contact_proof::Certain || self->m_build != self->m_origin->build) {
-            self->m_context.loop.after(duration::zero(), [self, number] { // A call must not be cancelled by its own handler.
-                if (!self->m_isDone && self->m_attemptNumber == number) {
-                    self->dropAttempt("the build that would go on with the stream is not certain");
-                }
-            });
+            self->dropAttempt("the build that would go on with the stream is not certain");
             return;
         }
         self->m_isHeld = false;
@@ -385,10 +388,13 @@
     logLine(log_level::Info, "attempt-dropped", { { "request", m_call.id }, { "server", m_server.id }, { "build", m_build }, { "reason", reason } });
     ++m_attemptNumber;
     if (m_attempt) {
-        const auto attempt = m_attempt;
+        m_context.loop.after(duration::zero(), [attempt = m_attempt] { // A call must not be cancelled by its own handler.
+            attempt->cancel();
+        });
         releaseServer();
-        attempt->cancel();
     }
+    m_hasGrant = false;
+    m_asker.clear(); // What becomes of the server under this attempt is not known any more, so its keeper must hear nothing.
     ++m_possibleRuns;
     handleSentAttemptFailure(reason);
 }
@@ -416,6 +422,10 @@
         return;
     }
     m_hasGrant = m_hasGrant && !end.isHandedOver;
+    if (end.isForeignResponse) {
+        handleForeignResponse(end);
+        return;
+    }
     const time_point now = m_context.loop.now();
     if (end.error != error_kind::None) {
         const bool isSilent = !end.hasHead && (end.error == error_kind::ServerSilent || end.error == error_kind::DeadlineExceeded);
@@ -448,6 +458,16 @@
     handleResponse();
 }
 
+/** Handles that a response to another request arrived in place of this one's, of which it says nothing: it may run, and its keeper must hear nothing. */
+void request_relay::handleForeignResponse(const http_call_end &end)
+{
+    m_asker.clear();
+    ++m_possibleRuns;
+    logLine(log_level::Warning, "foreign-response", { { "request", m_call.id }, { "server", m_server.id }, { "route", m_route.name } });
+    m_context.metrics.counter("reedtrail_foreign_responses_total", "Responses of servers that belonged to another request", "kind=\"request\"").add();
+    handleSentAttemptFailure(end.detail.c_str());
+}
+
 void request_relay::handleResponse()
 {
     if (m_serverAnswer.isNotStarted) {
@@ -461,10 +481,8 @@
         return;
     }
     ++m_possibleRuns;
-    const bool isOwnAnswer = m_serverAnswer.requestId == m_call.id;
-    const bool isSuccess = m_serverAnswer.status >= http_status::ok && m_serverAnswer.status < http_status::firstNonSuccess;
-    if (!isOwnAnswer || (isSuccess && m_serverAnswer.signature.empty())) {
-        handleSentAttemptFailure("the answer is not the server's to this request");
+    if (m_serverAnswer.isUnsignedSuccess()) {
+        handleSentAttemptFailure("the answer is not the server's");
         return;
     }
     if (m_serverAnswer.status >= http_status::internalError && isRetrySafe() && m_possibleRuns < m_route.maxAttempts) {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -57,6 +57,7 @@
     void onResponseHead(const http_response &head);
     void onResponseBody(std::string_view part);
     void onAttemptEnded(const http_call_end &end);
+    void handleForeignResponse(const http_call_end &end);
     void handleResponse();
     void proveContinuation();
     void dropAttempt(const char *reason);
--- /dev/null
+++ b/edge/testing/foreign_response_test.cpp
@@ -0,0 +1,138 @@
+// Servers that send a second response to a request late, where the response to the next request on the connection is due.
+
+#include "net/testing/doubling_server.h"
+#include "platform/testing/node_fixture.h"
+
+namespace reedtrail {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::doubling_server;
+using testing::node_fixture;
+using testing::rawResponse;
+using testing::recorded_exchange;
+
+constexpr std::uint16_t doublingPort = testing::firstServerPort + 6;
+
+std::string idOf(const http_request &request)
+{
+    return std::string(request.fields.get("Request-Id"));
+}
+
+std::string signedFields(const http_request &request)
+{
+    return "Request-Id: " + idOf(request) + "\r\nServer-Signature: sig-" + idOf(request) + "\r\n";
+}
+
+/** Two events that name their request. */
+std::string eventsOf(const http_request &request)
+{
+    const std::string data = "\ndata: " + idOf(request) + "\n\n";
+    return "id: 1" + data + "id: 2" + data;
+}
+
+/** A node whose only server sends second responses. */
+struct foreign_response_fixture : node_fixture
+{
+    foreign_response_fixture()
+        : node_fixture({}, endpoint{ "127.0.0.1", doublingPort })
+        , server(io, doublingPort, [](const http_request &request) {
+            return rawResponse(200, signedFields(request), eventsOf(request));
+        })
+    {
+        putConfiguration(2,
+                         { { "r", "/p/", route_kind::Idempotent },
+                           { "j", "/j/", route_kind::Batch },
+                           { "t", "/t/", route_kind::Streaming },
+                           { "u", "/u/", route_kind::Streaming, false },
+                           { "n", "/n/", route_kind::NonIdempotent } });
+        removeServer("i-1");
+        readAgain();
+    }
+    /** Reads the configuration and the registrations again, once the states at hand are too old. */
+    void readAgain()
+    {
+        run(1300ms);
+        bool isRead = false;
+        fleet->ensureCurrent([&] {
+            isRead = true;
+        });
+        EXPECT_TRUE(runUntil([&] {
+            return isRead;
+        }));
+    }
+    std::shared_ptr<recorded_exchange> answered(const std::string &path, const std::string &id)
+    {
+        const auto exchange = startRequest("body", path, { { "Request-Id", id } });
+        EXPECT_TRUE(runUntil([&] {
+            return exchange->isDone;
+        }));
+        return exchange;
+    }
+
+    doubling_server server;
+};
+
+/** A stream's caller got the whole stream of the request before it on the same connection. */
+TEST(foreign_response_test, callerGetsStreamOfAnotherRequest)
+{
+    struct row
+    {
+        const char *what;
+        const char *path;
+        std::function<std::string(const http_request &)> late;
+        std::uint16_t status; ///< Of the answer to the second request.
+    };
+    const auto sameAgain = [](const http_request &request) {
+        return rawResponse(200, signedFields(request), eventsOf(request));
+    };
+    const auto failed = [](const http_request &request) {
+        return rawResponse(500, signedFields(request), "failed");
+    };
+    const auto withoutId = [](const http_request &request) {
+        return rawResponse(200, "Server-Signature: sig\r\n", eventsOf(request));
+    };
+    const row rows[] = {
+        { "stream that may not be resumed", "/u/1", sameAgain, http_status::badGateway },
+        { "stream that may be resumed", "/t/1", sameAgain, http_status::ok },
+        { "failure", "/u/1", failed, http_status::badGateway },
+        { "success without an id", "/u/1", withoutId, http_status::badGateway },
+        { "plain request", "/p/1", sameAgain, http_status::ok },
+        { "plain request that may run once", "/n/1", sameAgain, http_status::badGateway },
+    };
+    for (const row &each : rows) {
+        SCOPED_TRACE(each.what);
+        foreign_response_fixture fixture;
+        fixture.server.late = [&each](const http_request &request) {
+            return idOf(request) == "a" ? each.late(request) : "";
+        };
+        EXPECT_EQ(fixture.answered(each.path, "a")->response.status, http_status::ok);
+        const auto second = fixture.answered(each.path, "b");
+        EXPECT_EQ(fixture.server.doubled, 1U) << "the connection was used again";
+        EXPECT_EQ(second->response.status, each.status);
+        EXPECT_EQ(second->response.body.find("data: a"), std::string::npos) << second->response.body;
+        EXPECT_NE(second->response.fields.get("Server-Signature"), "sig-a");
+        const std::size_t connections = fixture.server.connections;
+        const auto third = fixture.answered(each.path, "c");
+        EXPECT_EQ(third->response.status, http_status::ok);
+        EXPECT_NE(third->response.body.find("data: c"), std::string::npos) << third->response.body;
+        EXPECT_EQ(fixture.server.connections, connections + (each.status == http_status::ok ? 0 : 1)) << "a connection out of step is not used again";
+    }
+}
+
+/** A success without a server's signature was passed on as the begin of a stream. */
+TEST(foreign_response_test, streamWithoutSignatureIsNotPassedOn)
+{
+    foreign_response_fixture fixture;
+    doubling_server unsignedServer(fixture.io, doublingPort + 1, [](const http_request &request) {
+        return rawResponse(200, "Request-Id: " + idOf(request) + "\r\n", eventsOf(request));
+    });
+    fixture.enter("i-2", { "127.0.0.1", doublingPort + 1 }, "ready", 200);
+    fixture.readAgain();
+    const auto exchange = fixture.answered("/u/1", "a");
+    EXPECT_EQ(exchange->response.status, http_status::badGateway);
+    EXPECT_EQ(exchange->response.body.find("data:"), std::string::npos);
+}
+
+} // namespace
+} // namespace reedtrail
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,7 +1,8 @@
 // A call reuses an idle connection if a peek shows neither end of stream nor unexpected bytes; otherwise it opens a new one. Once the write has started, the
 // call counts as handed over and is never retried here: the code that starts the call knows whether the request is safe to repeat. A connection whose response
-// was not read completely is closed instead of pooled, so that a late response is not taken for that of the next request.
-// Silence timeout and deadline are timers of the call, because TCP keeps a half-open connection open indefinitely.
+// was not read completely is closed instead of pooled, so that a late response is not taken for that of the next request. A response that the server sends
+// twice still arrives in place of the next one; only http_call_options::isOwnResponse can tell. Silence timeout and deadline are timers of the call, because
+// TCP keeps a half-open connection open indefinitely.
 
 #include "net/http_client.h"
 
@@ -292,12 +293,17 @@
             }
             return;
         }
-        m_hasHead = true;
         http_response head;
         head.status = status;
         for (const auto &field : m_parser->get()) {
             head.fields.add(std::string_view(field.name_string().data(), field.name_string().size()), std::string(field.value()));
         }
+        if (m_options.isOwnResponse && !m_options.isOwnResponse(head)) {
+            m_isForeignResponse = true;
+            end(error_kind::ServerFailed, "the response belongs to another request");
+            return;
+        }
+        m_hasHead = true;
         if (m_handlers.onHead) {
             m_handlers.onHead(head);
         }
@@ -400,7 +406,7 @@
         }
         const http_call_handlers handlers = std::exchange(m_handlers, {});
         if (handlers.onEnd) {
-            handlers.onEnd({ kind, m_isHandedOver, m_isWithdrawn, m_isConnectionRefused, m_hasHead, std::move(detail) });
+            handlers.onEnd({ kind, m_isHandedOver, m_isWithdrawn, m_isConnectionRefused, m_isForeignResponse, m_hasHead, std::move(detail) });
         }
     }
 
@@ -428,6 +434,7 @@
     bool m_isHandedOver = false;
     bool m_isWithdrawn = false;
     bool m_isConnectionRefused = false;
+    bool m_isForeignResponse = false;
     bool m_hasHead = false;
     bool m_hasEnded = false;
 };
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -36,6 +36,7 @@
     bool isHandedOver = false; ///< Whether any byte of the request may have reached the server.
     bool isWithdrawn = false; ///< Whether http_call_options::maySend did not allow the send; says nothing of the server.
     bool isConnectionRefused = false; ///< Whether the machine answered that nothing listens there.
+    bool isForeignResponse = false; ///< Whether http_call_options::isOwnResponse rejected the response; its connection is closed.
     bool hasHead = false; ///< Whether the status line and header of the response were received.
     std::string detail;
 };
@@ -55,6 +56,11 @@
     duration silenceTimeout = std::chrono::seconds(10); ///< Longest wait for a write or read to complete.
     duration deadline = std::chrono::seconds(60); ///< Limit for the whole call, including the connection setup.
     std::function<bool()> maySend; ///< Asked once a connection is there, just before the first byte is written. If false, the call ends with NoServer.
+    /**
+     * Tells by its head whether a response belongs to this request; all do if it is not set. A response to an earlier request on a reused connection ends the
+     * call with ServerFailed and closes the connection, on which all later responses would be out of step. onHead is not called with it.
+     */
+    std::function<bool(const http_response &head)> isOwnResponse;
 };
 
 /** A call in progress. */
