A server's failure is not written into a stream that has begun

Cause: request_relay::handleResponse() answered the exchange without asking whether the stream had begun.

Change: whatever is no 200 to a request for the rest of a stream is a failed attempt. The next server is asked while attempts are left; else the stream is broken off, so that the caller can take it up. A new line stream-not-continued says so.

--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -485,6 +485,10 @@
         handleSentAttemptFailure("the answer is not the server's");
         return;
     }
+    if (m_hasStreamStarted) {
+        handleUncontinuedStream();
+        return;
+    }
     if (m_serverAnswer.status >= http_status::internalError && isRetrySafe() && m_possibleRuns < m_route.maxAttempts) {
         retryOrRefuse();
         return;
@@ -499,6 +503,19 @@
     finishWithResponse(std::move(response), "answered");
 }
 
+/** Handles that a server answered the request for the rest of a stream with something else, which the caller must not see. */
+void request_relay::handleUncontinuedStream()
+{
+    logLine(log_level::Info,
+            "stream-not-continued",
+            { { "request", m_call.id }, { "server", m_server.id }, { "status", std::to_string(m_serverAnswer.status) }, { "after-event", m_lastEventId } });
+    m_context.metrics.counter("reedtrail_streams_not_continued_total", "Responses to requests for the rest of a stream that were no stream").add();
+    if (m_serverAnswer.status < http_status::internalError) {
+        recordSurvival();
+    }
+    handleSentAttemptFailure("a server did not continue the stream");
+}
+
 /** Returns the identity of the request, which takes one pass over its body the first time. */
 const request_identity &request_relay::identity()
 {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -59,6 +59,7 @@
     void onAttemptEnded(const http_call_end &end);
     void handleForeignResponse(const http_call_end &end);
     void handleResponse();
+    void handleUncontinuedStream();
     void proveContinuation();
     void dropAttempt(const char *reason);
     void receiveEvents(std::string_view part);
