An exchange that has been answered can't be answered again

If an exchange was released with its stream open, they waited without end.

Evidence: http.secondAnswerIsWrittenIntoStream on: the check is reported, and the released stream is silent until the client's timeout.

Change: a second answer is dropped with an error line, and breaks an open stream off; so does the release of an exchange.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -75,6 +75,7 @@
     bool isGone() const override;
 
 private:
+    bool beginAnswer();
     /** Returns the session, or null if this exchange is no longer its current one. */
     std::shared_ptr<http_session> current() const;
 
@@ -82,6 +83,7 @@
     std::uint64_t m_number;
     http_request m_request;
     bool m_isAnswered = false;
+    bool m_isStreaming = false; ///< The response was begun by startStream() and has not ended.
 };
 
 using plain_stream = beast::tcp_stream;
@@ -365,22 +367,44 @@
 {
     if (!m_isAnswered) {
         respond(jsonResponse(answerFor(error_kind::Internal).httpStatus, R"({"error":"internal"})"));
+    } else if (m_isStreaming) {
+        abort();
     }
 }
 
 void session_exchange::respond(http_response response)
 {
-    REEDTRAIL_CHECK(!m_isAnswered, "an exchange must be answered only once");
-    m_isAnswered = true;
+    if (!beginAnswer()) {
+        return;
+    }
     if (const auto session = current()) {
         session->respond(std::move(response));
     }
 }
 
-void session_exchange::startStream(http_response head)
+/**
+ * Tells whether the exchange may be answered. A second answer must not reach the caller, who would take its bytes for a part of the first one; a stream that it
+ * interrupts is broken off.
+ */
+bool session_exchange::beginAnswer()
 {
     REEDTRAIL_CHECK(!m_isAnswered, "an exchange must be answered only once");
-    m_isAnswered = true;
+    if (std::exchange(m_isAnswered, true)) {
+        logLine(log_level::Error, "second-answer-dropped", { { "target", m_request.target }, { "broke-stream", m_isStreaming ? "yes" : "no" } });
+        if (m_isStreaming) {
+            abort();
+        }
+        return false;
+    }
+    return true;
+}
+
+void session_exchange::startStream(http_response head)
+{
+    if (!beginAnswer()) {
+        return;
+    }
+    m_isStreaming = true;
     if (const auto session = current()) {
         session->startStream(head);
     }
@@ -395,6 +419,7 @@
 
 void session_exchange::finishStream()
 {
+    m_isStreaming = false;
     if (const auto session = current()) {
         session->finishStream();
     }
@@ -403,6 +428,7 @@
 void session_exchange::abort()
 {
     m_isAnswered = true;
+    m_isStreaming = false;
     if (const auto session = current()) {
         session->close();
     }
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -1,3 +1,4 @@
+#include "base/check.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -52,6 +53,34 @@
     EXPECT_EQ(bodies, (std::vector<std::string>{ "bodya b", "onetwo" }));
 }
 
+// Guards against a second answer whose bytes the caller takes for a part of the first one.
+TEST(http, secondAnswerIsWrittenIntoStream)
+{
+    const bool abortedBefore = setAbortOnFailedCheck(false);
+    for (const bool isAnsweredInStream : { true, false }) {
+        SCOPED_TRACE(isAnsweredInStream);
+        http_fixture fixture;
+        http_server server(fixture.io, { .address = fixture.where }, [&](const std::shared_ptr<http_exchange> &exchange) {
+            exchange->startStream({ 200, { { "Content-Type", "text/event-stream" } }, "" });
+            exchange->write("one");
+            if (isAnsweredInStream) {
+                exchange->respond(textResponse(500, "second answer"));
+            } // Else the exchange is released with its stream open.
+        });
+        ASSERT_TRUE(server.start());
+        bool hasEnded = false;
+        fixture.client.call(fixture.where, { "GET", "/", {}, "" }, { .silenceTimeout = 5s }, [&](const http_call_end &end, const http_response &response) {
+            EXPECT_EQ(end.error, error_kind::ServerFailed) << "a part must not look complete: " << response.body;
+            EXPECT_EQ(response.body.find("second"), std::string::npos) << response.body;
+            hasEnded = true;
+            fixture.io.stop();
+        });
+        fixture.io.run_for(20s);
+        EXPECT_TRUE(hasEnded);
+    }
+    setAbortOnFailedCheck(abortedBefore);
+}
+
 // Guards against a refused connection that counts as a request that may have run.
 TEST(http, refusedConnectionIsNotHandedOver)
 {
