An item is given up by the limit of its own route

Cause: job_worker::optionsFor() took the number of failures from the route of the first item with a scorer, once, for all items of the job. The limit of an item's own runs was also taken once, when the worker started.

Change: each run and each call of a scorer brings the limit of the route by which it goes. The largest one of the attempts at a step counts, so a stricter configuration does not give an item up for failures that were allowed before.

--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -111,8 +111,9 @@
     return best;
 }
 
-void job_progress::started(time_point now, std::size_t index, std::string server)
+void job_progress::started(time_point now, std::size_t index, std::string server, int maxFailures)
 {
+    m_states[index].maxFailures = std::max(m_states[index].maxFailures, maxFailures);
     m_groupServer[m_groupOf[index]] = server;
     m_states[index].server = std::move(server);
     m_states[index].runBuild.clear();
@@ -161,6 +162,7 @@
 {
     item_state &state = m_states[index];
     state.failures = 0;
+    state.maxFailures = 0;
     state.consecutiveBreaks = 0;
     state.notBefore = now;
     moveTo(now, index, m_spec.items[index].score ? item_stage::AwaitingScore : item_stage::Finished);
@@ -172,9 +174,8 @@
     if (state.stage != item_stage::Running) {
         return;
     }
-    state.failures += failure == run_failure::Failed ? 1 : 0;
     state.consecutiveBreaks += failure == run_failure::Broken ? 1 : 0;
-    if (failure == run_failure::NonRetryable || state.failures >= m_options.maxFailures) {
+    if (failure == run_failure::NonRetryable || isFailureFinal(state, failure)) {
         giveUp(now, index);
         return;
     }
@@ -186,6 +187,12 @@
     }
 }
 
+/** Counts a failure of the current step. @return whether the step has failed as often as its routes allow */
+bool job_progress::isFailureFinal(item_state &state, run_failure failure)
+{
+    return failure == run_failure::Failed && ++state.failures >= state.maxFailures;
+}
+
 void job_progress::restartText(std::size_t index)
 {
     restartText(m_states[index]);
@@ -206,8 +213,9 @@
     state.versions.clear();
 }
 
-void job_progress::scoringStarted(time_point now, std::size_t index)
+void job_progress::scoringStarted(time_point now, std::size_t index, int maxFailures)
 {
+    m_states[index].maxFailures = std::max(m_states[index].maxFailures, maxFailures);
     moveTo(now, index, item_stage::Scoring);
 }
 
@@ -223,8 +231,7 @@
     if (state.stage != item_stage::Scoring) {
         return;
     }
-    state.failures += failure == run_failure::Failed ? 1 : 0;
-    if (state.failures >= m_options.maxScoreFailures) {
+    if (isFailureFinal(state, failure)) {
         giveUp(now, index);
         return;
     }
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -3,9 +3,9 @@
  * Tracks the progress of each item of a batch job and selects the item to run or score next. Does no input or output.
  *
  *     job_progress progress(spec, options, submittedAt);
- *     while (auto item = progress.nextToRun(now)) { ... progress.started(now, *item, server); }
+ *     while (auto item = progress.nextToRun(now)) { ... progress.started(now, *item, server, 3); }
  *     progress.addEvent(item, 1, "text", 7);  ...  progress.textEnded(now, item);
- *     progress.scoringStarted(now, item);     ...  progress.scored(now, item, signature);
+ *     progress.scoringStarted(now, item, 3);  ...  progress.scored(now, item, signature);
  *     std::vector<item_result> ready = progress.takeFinished();
  *     progress.noteRecorded(ready);
  *
@@ -36,8 +36,6 @@
 struct job_progress_options
 {
     duration itemLifetime = std::chrono::seconds(60); ///< Time after submission at which an unfinished item is given up.
-    int maxFailures = 3; ///< An item is given up after this many runs that the server reported as failed.
-    int maxScoreFailures = 3; ///< An item is given up after this many failed attempts to score it.
     bool isSingleVersion = false; ///< All events of a text must come from one weight version.
     std::size_t maxTextBytes = 700U << 10U; ///< A longer text is no item's output: it would not fit into a value of the store once it is encoded.
 };
@@ -49,7 +47,7 @@
 enum class run_failure : std::uint8_t {
     NotRun, ///< The server did not start it. Does not count as a failure of the item.
     Broken, ///< The connection or the response broke off. The text so far is kept unless isSingleVersion is set.
-    Failed, ///< The server reported a failure. Limited by maxFailures and maxScoreFailures.
+    Failed, ///< The server reported a failure. An item that fails as often as its route allows is given up.
     NonRetryable, ///< The server rejected the request permanently. An item whose run fails in this way is given up.
 };
 
@@ -67,6 +65,7 @@
     std::string score; ///< The scorer's signature; empty until the text is scored.
     std::string server; ///< Id of the server that runs the item, or ran it last.
     int failures = 0; ///< Failures of the current step, generating or scoring.
+    int maxFailures = 0; ///< Most failures that a route of the current step's attempts allows.
     int consecutiveBreaks = 0; ///< Runs that broke off since the last event.
     bool isGivenUp = false;
     time_point notBefore; ///< Earliest start of the next run or scoring attempt.
@@ -100,8 +99,8 @@
     /** Returns the next item to score at @p now, or nothing if none is due. Items of nearly complete groups come first. */
     std::optional<std::size_t> nextToScore(time_point now) const;
 
-    /** Marks an item as running on @p server. */
-    void started(time_point now, std::size_t index, std::string server);
+    /** Marks an item as running on @p server. @param maxFailures runs of the item that may fail by the route of this one; the largest of its runs counts */
+    void started(time_point now, std::size_t index, std::string server, int maxFailures);
     /**
      * Notes the build of the server that answers the current run of an item.
      * @param build empty if it is unknown; then the run can only begin a text
@@ -121,8 +120,8 @@
     void textEnded(time_point now, std::size_t index);
     /** Marks a run as ended before its text was complete. @param retryDelay time until the item may run again */
     void runFailed(time_point now, std::size_t index, run_failure failure, duration retryDelay);
-    /** Marks an item as being scored. */
-    void scoringStarted(time_point now, std::size_t index);
+    /** Marks an item as being scored. @param maxFailures attempts to score it that may fail by the routes of this one; the largest of its attempts counts */
+    void scoringStarted(time_point now, std::size_t index, int maxFailures);
     /** Finishes an item with its score. */
     void scored(time_point now, std::size_t index, std::string score);
     /** Marks an attempt to score an item as failed. @param retryDelay time until the item may be scored again */
@@ -161,6 +160,7 @@
     void orderItems();
     void moveTo(time_point now, std::size_t index, item_stage stage);
     void giveUp(time_point now, std::size_t index);
+    static bool isFailureFinal(item_state &state, run_failure failure);
 
     job_spec m_spec;
     job_progress_options m_options;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -49,7 +49,7 @@
     , m_fleet(fleet)
     , m_job(std::move(job))
     , m_metadata(std::move(metadata))
-    , m_progress(spec, optionsFor(fleet, m_metadata, spec), knownSince)
+    , m_progress(std::move(spec), optionsFor(fleet, m_metadata), knownSince)
     , m_recorder(std::move(record))
 {
 }
@@ -59,25 +59,15 @@
     stop();
 }
 
-job_progress_options job_worker::optionsFor(const fleet_cache &fleet, const job_metadata &metadata, const job_spec &spec)
+job_progress_options job_worker::optionsFor(const fleet_cache &fleet, const job_metadata &metadata)
 {
     job_progress_options options;
     if (const route *matchedRoute = fleet.routes().match(metadata.host, metadata.path)) {
-        options.maxFailures = matchedRoute->maxAttempts;
         options.isSingleVersion = matchedRoute->isSingleVersion;
         if (matchedRoute->itemLifetime > duration::zero()) {
             options.itemLifetime = matchedRoute->itemLifetime;
         }
     }
-    for (const job_item &item : spec.items) {
-        if (!item.score) {
-            continue;
-        }
-        if (const route *matchedRoute = fleet.routes().match(item.score->host, item.score->path)) {
-            options.maxScoreFailures = matchedRoute->maxAttempts;
-        }
-        break;
-    }
     return options;
 }
 
@@ -243,7 +233,7 @@
     const auto newRun = std::make_shared<run>();
     newRun->item = index;
     const std::uint64_t lastEvent = m_progress.state(index).lastEvent;
-    m_progress.started(now, index, server.id);
+    m_progress.started(now, index, server.id, matchedRoute.maxAttempts);
     launch(now, newRun, server, platform::itemRequest(m_progress.item(index), matchedRoute.host, server.id, lastEvent), runTimeout);
 }
 
@@ -254,7 +244,7 @@
         const score_call &call = *m_progress.item(*index).score;
         const route *matchedRoute = m_fleet.routes().match(call.host, call.path);
         if (matchedRoute == nullptr) {
-            m_progress.scoringStarted(now, *index);
+            m_progress.scoringStarted(now, *index, 0);
             m_progress.scoringFailed(now, *index, run_failure::NotRun, failureRetryDelay);
             logLine(log_level::Warning, "score-without-route", { { "job", m_job }, { "item", m_progress.item(*index).id }, { "score", call.id } });
             return;
@@ -274,7 +264,9 @@
     const auto newRun = std::make_shared<run>();
     newRun->item = index;
     newRun->isScore = true;
-    m_progress.scoringStarted(now, index);
+    // The pages do not say whether the route of the call or that of the job limits its failures, so the item is given up by neither alone.
+    const route *itemRoute = jobRoute();
+    m_progress.scoringStarted(now, index, std::max(matchedRoute.maxAttempts, itemRoute == nullptr ? 0 : itemRoute->maxAttempts));
     const duration typicalLimit = fromSeconds(toSeconds(m_fleet.backends().meanLatency(now, matchedRoute.services.front().service)) * scorePaceFactor);
     const duration limit = std::clamp(typicalLimit, minScoreTimeout, maxScoreTimeout);
     launch(now, newRun, server, platform::scoreRequest(*m_progress.item(index).score, limit, server.id), limit);
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -85,7 +85,7 @@
         std::string errorBody;
     };
 
-    static job_progress_options optionsFor(const fleet_cache &fleet, const job_metadata &metadata, const job_spec &spec);
+    static job_progress_options optionsFor(const fleet_cache &fleet, const job_metadata &metadata);
     const route *jobRoute() const;
     bool isFleetCurrent();
     void startItems(time_point now);
--- a/edge/testing/job_worker_test.cpp
+++ b/edge/testing/job_worker_test.cpp
@@ -61,6 +61,62 @@
     }
 }
 
+/** Scorers that always fail are asked as often as the route of their call or that of the job allows, whatever the routes of other items' calls say. */
+TEST(job_worker_test, itemIsAbandonedByLimitOfAnotherItemsRoute)
+{
+    node_fixture fixture;
+    fixture.putConfiguration(2,
+                             { { "j", "/j/", route_kind::Batch, true, 3 },
+                               { "strict", "/strict/", route_kind::Idempotent, true, 2 },
+                               { "lenient", "/lenient/", route_kind::Idempotent, true, 5 } });
+    fixture.readAgain();
+    std::map<std::string, int> scoreCalls;
+    const served_run whole{ .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" } } };
+    scripted_engine engine(fixture.loop, { whole });
+    fixture.first.script = fixture.second.script = [&](const std::shared_ptr<http_exchange> &exchange) {
+        const std::string path(exchange->request().path());
+        if (path == "/j/1") {
+            engine.serve(exchange);
+            return;
+        }
+        ++scoreCalls[path];
+        exchange->respond({ http_status::internalError, testing::serverFields(exchange->request()), "failed" });
+    };
+    job_spec spec;
+    for (const char *path : { "/strict/1", "/lenient/1", "/strict/2", "/lenient/2" }) {
+        job_item item = singleItemJob().items.front();
+        item.id = std::string("item") + path;
+        item.score = score_call{ std::string("score") + path, "h", path, "" };
+        spec.items.push_back(item);
+    }
+    job_metadata metadata;
+    metadata.host = "h";
+    metadata.path = "/j/1";
+    std::vector<item_result> results;
+    const auto worker = std::make_shared<job_worker>(*fixture.context,
+                                                     *fixture.fleet,
+                                                     "job",
+                                                     metadata,
+                                                     spec,
+                                                     fixture.loop.now(),
+                                                     job_worker::recorder{ [&](std::vector<item_result> recorded, const std::string &) {
+                                                                              results.insert(results.end(), recorded.begin(), recorded.end());
+                                                                          },
+                                                                           [](const std::string &) {},
+                                                                           [] {
+                                                                               return false;
+                                                                           } });
+    EXPECT_TRUE(fixture.runUntil([&] {
+        worker->advance();
+        return results.size() == spec.items.size();
+    }));
+    worker->stop();
+    EXPECT_EQ(scoreCalls, (std::map<std::string, int>{ { "/strict/1", 3 }, { "/strict/2", 3 }, { "/lenient/1", 5 }, { "/lenient/2", 5 } }));
+    for (const item_result &each : results) {
+        EXPECT_FALSE(each.isCompleted) << each.id;
+    }
+}
+
 /** Behaviours of model servers that a text must survive: whole, in order, and with the versions that made it. */
 TEST(job_worker_test, textSurvivesBehavioursOfModelServers)
 {
