The limits of a job's route follow the configuration

What callers may have seen: items given up by a lifetime that the operator had since lengthened, or texts of several versions after a route had come to allow only one.

Cause: job_worker took lifetime and number of versions from the route once, when it started; if the route was not known then, for good from the defaults.

Evidence: by reading. There was no way to give a job other limits; itemsExpireByRouteOfLaterConfiguration and textOfSeveralVersionsIsBegunAnew show what holds now.

Change: the worker takes the limits anew with each version of the configuration. Incomplete texts of several versions are begun anew where only one is allowed. Complete ones stay: they were made under the configuration in force.

--- a/batch/job_progress.cpp
+++ b/batch/job_progress.cpp
@@ -62,6 +62,16 @@
     });
 }
 
+void job_progress::setOptions(const job_progress_options &options)
+{
+    m_options = options;
+    for (item_state &state : m_states) {
+        if (options.isSingleVersion && state.stage < item_stage::AwaitingScore && state.versions.size() > 1) {
+            restartText(state); // A run under way is cancelled with its next event, which does not begin a text.
+        }
+    }
+}
+
 void job_progress::noteRecorded(std::span<const item_result> results)
 {
     for (const item_result &result : results) {
--- a/batch/job_progress.h
+++ b/batch/job_progress.h
@@ -79,6 +79,8 @@
     /** @param submittedAt the start of the item lifetime, converted to this node's clock */
     job_progress(job_spec spec, job_progress_options options, time_point submittedAt);
 
+    /** Replaces the limits, because the route has changed. Incomplete texts of several versions are begun anew if only one is allowed now. */
+    void setOptions(const job_progress_options &options);
     const job_spec &spec() const
     {
         return m_spec;
--- a/batch/testing/job_progress_test.cpp
+++ b/batch/testing/job_progress_test.cpp
@@ -118,6 +118,39 @@
     }
 }
 
+/** The operator shortens or lengthens the lifetime of items while a job runs. */
+TEST(job_progress_test, itemsExpireByRouteOfLaterConfiguration)
+{
+    job_progress progress(makeJob(1, 2, 1), { .itemLifetime = 20s }, start);
+    progress.setOptions({ .itemLifetime = 40s });
+    progress.expire(start + 30s);
+    EXPECT_EQ(progress.count(item_stage::Finished), 0U) << "given up before its time";
+    progress.setOptions({ .itemLifetime = 25s });
+    progress.expire(start + 30s);
+    EXPECT_EQ(progress.count(item_stage::Finished), 2U);
+}
+
+/** The operator allows only one version in a text while texts of two are under way. */
+TEST(job_progress_test, textOfSeveralVersionsIsBegunAnew)
+{
+    job_progress progress(makeJob(1, 3, 1), {}, start);
+    for (std::size_t i = 0; i < 3; ++i) {
+        progress.started(start, i, "s", 3);
+        ASSERT_TRUE(progress.addEvent(i, 1, "one", 3));
+        ASSERT_TRUE(progress.addEvent(i, 2, "two", i == 0 ? 3 : 4));
+    }
+    progress.runFailed(start, 2, run_failure::Broken, 0ms);
+    progress.setOptions({ .isSingleVersion = true });
+    EXPECT_EQ(progress.state(0).lastEvent, 2U) << "of one version";
+    EXPECT_FALSE(progress.addEvent(1, 3, "three", 4)) << "the run under way must be cancelled";
+    progress.runFailed(start, 1, run_failure::Broken, 0ms);
+    for (const std::size_t i : { 1U, 2U }) {
+        progress.started(start, i, "s", 3);
+        EXPECT_TRUE(progress.addEvent(i, 1, "one", 4));
+        EXPECT_EQ(progress.state(i).versions, std::vector<std::uint64_t>{ 4 });
+    }
+}
+
 /** A call that was not sent, or that broke off, is no failure, whatever its route allows. */
 TEST(job_progress_test, onlyFailuresOfServersGiveItemUp)
 {
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -49,9 +49,10 @@
     , m_fleet(fleet)
     , m_job(std::move(job))
     , m_metadata(std::move(metadata))
-    , m_progress(std::move(spec), optionsFor(fleet, m_metadata), knownSince)
+    , m_progress(std::move(spec), {}, knownSince)
     , m_recorder(std::move(record))
 {
+    takeLimits();
 }
 
 job_worker::~job_worker()
@@ -59,16 +60,20 @@
     stop();
 }
 
-job_progress_options job_worker::optionsFor(const fleet_cache &fleet, const job_metadata &metadata)
+/** Takes the limits of the job's route from the configuration in force. Without the route, the last ones stay. */
+void job_worker::takeLimits()
 {
+    const route *matchedRoute = jobRoute();
+    const std::uint64_t version = m_fleet.routes().document().version;
+    if (matchedRoute == nullptr || std::exchange(m_limitsVersion, version) == version) {
+        return;
+    }
     job_progress_options options;
-    if (const route *matchedRoute = fleet.routes().match(metadata.host, metadata.path)) {
-        options.isSingleVersion = matchedRoute->isSingleVersion;
-        if (matchedRoute->itemLifetime > duration::zero()) {
-            options.itemLifetime = matchedRoute->itemLifetime;
-        }
+    options.isSingleVersion = matchedRoute->isSingleVersion;
+    if (matchedRoute->itemLifetime > duration::zero()) {
+        options.itemLifetime = matchedRoute->itemLifetime;
     }
-    return options;
+    m_progress.setOptions(options);
 }
 
 const route *job_worker::jobRoute() const
@@ -103,6 +108,7 @@
         return;
     }
     const time_point now = m_context.loop.now();
+    takeLimits();
     m_progress.expire(now);
     abortSilentRuns(now);
     if (isFleetCurrent()) {
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -85,7 +85,7 @@
         std::string errorBody;
     };
 
-    static job_progress_options optionsFor(const fleet_cache &fleet, const job_metadata &metadata);
+    void takeLimits();
     const route *jobRoute() const;
     bool isFleetCurrent();
     void startItems(time_point now);
@@ -124,6 +124,7 @@
     std::map<std::size_t, server_contact> m_unprovenOrigins; ///< Of texts, by index of the item: contacts that began them and are not certain yet.
     std::set<std::size_t> m_originsBeingProven;
     std::uint64_t m_nextRunNumber = 1;
+    std::optional<std::uint64_t> m_limitsVersion; ///< Version of the configuration from which the limits of the job's route were taken.
     time_point m_lastRecordedAt;
     time_point m_lastDraftsKeptAt;
     bool m_isAwaitingFleet = false; ///< Routes and servers are being read, because they are too old to start runs.
