Items, calls of scorers and orders don't take responses to other requests

An item believed another request's Not-Executed, word that the server leaves, load and limit, and then kept the connection, on which each later item got the response of the one before. An order of weights took any 200 for "already loaded".

Change: items and scorers' calls compare the id before anything else, by http_call_options::isOwnResponse; to a report or an order no response with an id is its own. The line foreign-response and a counter are shared by all kinds of sends.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -278,6 +278,15 @@
     }
 }
 
+void fleet_cache::recordForeignResponse(const sent_request &request, std::string_view id)
+{
+    const std::string kind(sendKindName(request.kind));
+    logLine(log_level::Warning, "foreign-response", { { "server", request.server }, { "request", std::string(id) }, { "kind", kind } });
+    m_context.metrics
+        .counter("reedtrail_foreign_responses_total", "Responses of servers that belonged to another request than the one sent", "kind=\"" + kind + "\"")
+        .add();
+}
+
 void fleet_cache::scheduleLimitReport()
 {
     if (!std::exchange(m_isLimitReportScheduled, true)) {
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -62,6 +62,8 @@
         time_point sentAt;
         send_kind kind = send_kind::Request;
     };
+    /** Records that a response to another request arrived in place of the response to @p request. */
+    void recordForeignResponse(const sent_request &request, std::string_view id);
     /** Replaces the list of all nodes, by which the keepers of limits are chosen. @param wasRegistered whether this node was registered before its start */
     void setNodes(const std::map<std::string, store_peer> &nodes, bool wasRegistered)
     {
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -328,6 +328,9 @@
     options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt, configuration = newRun->configuration] {
         return fleet.maySend(id, startedAt) && fleet.isConfigurationUnchanged(configuration);
     };
+    options.isOwnResponse = [id = requestIdOf(*newRun)](const http_response &head) {
+        return platform::decodeAnswer(head).requestId == id;
+    };
     const auto guarded = [weak = weak_from_this(), weakRun = std::weak_ptr(newRun)](auto action) {
         const auto self = weak.lock();
         const auto current = weakRun.lock();
@@ -355,6 +358,13 @@
     newRun->call = m_context.serverClient.start(server.address, std::move(request), options, std::move(handlers));
 }
 
+/** Returns the id of the request that a run sends. */
+const std::string &job_worker::requestIdOf(const run &current) const
+{
+    const job_item &item = m_progress.item(current.item);
+    return current.isScore ? item.score->id : item.id;
+}
+
 void job_worker::onResponseHead(const std::shared_ptr<run> &answeredRun, const http_response &head)
 {
     run &current = *answeredRun;
@@ -365,11 +375,7 @@
     if (current.answer.isLeaving) {
         m_fleet.recordLeaving(current.server, current.isScore ? "score" : "item");
     }
-    const std::string &expected = current.isScore ? m_progress.item(current.item).score->id : m_progress.item(current.item).id;
-    m_fleet.recordLimit(current.sent, platform::decodeLimit(head), current.answer.isFromServer(expected));
-    if (!current.answer.isNotStarted && current.answer.requestId != expected) {
-        current.isInvalidResponse = true;
-    }
+    m_fleet.recordLimit(current.sent, platform::decodeLimit(head), current.answer.isFromServer(requestIdOf(current)));
     if (current.answer.serverLoad) {
         m_fleet.backends().onLoad(current.lastActivityAt, current.server, current.answer.serverLoad->running, current.answer.serverLoad->waiting);
     }
@@ -473,6 +479,9 @@
     }
     std::erase(m_runs, endedRun);
     m_fleet.backends().onRequestEnded(endedRun->server);
+    if (end.isForeignResponse) {
+        m_fleet.recordForeignResponse(endedRun->sent, requestIdOf(*endedRun));
+    }
     const time_point now = m_context.loop.now();
     if (endedRun->isScore) {
         handleScoreRunEnd(now, *endedRun, end);
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -75,7 +75,7 @@
         event_stream_reader events;
         platform::server_answer answer;
         std::uint64_t version = 0; ///< Weight version that the server reported last; 0 if it reported none.
-        bool isInvalidResponse = false; ///< The response belongs to another request, or an event does not continue the text.
+        bool isInvalidResponse = false; ///< An event does not continue the text, or it is not certain which instance made it.
         std::size_t eventCount = 0; ///< Events received in this run.
         time_point lastActivityAt; ///< Time of the start, the response head or the last event.
         time_point startedAt;
@@ -97,6 +97,7 @@
     void launch(time_point now, const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
     void send(const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit);
     void putOff(const std::shared_ptr<run> &unsentRun);
+    const std::string &requestIdOf(const run &current) const;
     void onResponseHead(const std::shared_ptr<run> &answeredRun, const http_response &head);
     void onResponseBody(run &current, std::string_view part);
     void proveContinuation(const std::shared_ptr<run> &current);
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -463,8 +463,7 @@
 {
     m_asker.clear();
     ++m_possibleRuns;
-    logLine(log_level::Warning, "foreign-response", { { "request", m_call.id }, { "server", m_server.id }, { "route", m_route.name } });
-    m_context.metrics.counter("reedtrail_foreign_responses_total", "Responses of servers that belonged to another request", "kind=\"request\"").add();
+    m_fleet.recordForeignResponse(m_sent, m_call.id);
     handleSentAttemptFailure(end.detail.c_str());
 }
 
--- a/edge/testing/foreign_response_test.cpp
+++ b/edge/testing/foreign_response_test.cpp
@@ -108,6 +108,62 @@
     }
 }
 
+/** A late rejection of another request was believed before its id was compared, so a request that may run once ran at two servers. */
+TEST(foreign_response_test, requestRunsTwiceAfterLateRejection)
+{
+    for (const char *path : { "/n/1", "/p/1" }) {
+        SCOPED_TRACE(path);
+        foreign_response_fixture fixture;
+        fixture.server.late = [](const http_request &request) {
+            return idOf(request) == "a" ? rawResponse(503, signedFields(request) + "Not-Executed: 1\r\nServer-Leaving: 1\r\nServer-Limit: 0.5\r\n", "") : "";
+        };
+        EXPECT_EQ(fixture.answered(path, "a")->response.status, http_status::ok);
+        const auto second = fixture.answered(path, "b");
+        EXPECT_EQ(fixture.server.doubled, 1U);
+        EXPECT_EQ(second->response.status, path == std::string("/n/1") ? http_status::badGateway : http_status::ok);
+        EXPECT_EQ(std::ranges::count(fixture.server.requests, "b", idOf), path == std::string("/n/1") ? 1 : 2);
+        EXPECT_EQ(fixture.answered(path, "c")->response.status, http_status::ok) << "the server neither leaves nor has a limit";
+    }
+}
+
+/** Items, calls of scorers and orders take a late response to another request for their own. */
+TEST(foreign_response_test, itemTakesResponseOfAnotherRequest)
+{
+    struct row
+    {
+        const char *what;
+        int status;
+        const char *fields;
+    };
+    const row rows[] = {
+        { "rejection", 503, "Not-Executed: 1\r\nServer-Leaving: 1\r\n" },
+        { "other instance", 421, "Not-Executed: 1\r\n" },
+        { "failure", 500, "" },
+        { "permanent failure", 422, "" },
+        { "success", 200, "Weight-Versions: 9\r\nServer-Leaving: 1\r\n" },
+    };
+    for (const row &each : rows) {
+        SCOPED_TRACE(each.what);
+        foreign_response_fixture fixture;
+        fixture.server.late = [&each](const http_request &request) {
+            return idOf(request) == "a" ? rawResponse(each.status, signedFields(request) + each.fields, eventsOf(request)) : "";
+        };
+        EXPECT_EQ(fixture.answered("/p/1", "a")->response.status, http_status::ok);
+        const auto worker = fixture.startJob(1);
+        EXPECT_TRUE(fixture.runUntil([&] {
+            worker->advance();
+            return worker->progress().count(item_stage::Recording) == 1;
+        }));
+        EXPECT_EQ(fixture.server.doubled, 1U);
+        EXPECT_EQ(worker->progress().state(0).text, "item-0\nitem-0");
+        EXPECT_FALSE(worker->progress().state(0).isGivenUp);
+        EXPECT_EQ(worker->progress().state(0).failures, 0);
+        EXPECT_EQ(std::ranges::count(fixture.server.requests, "item-0", idOf), 2);
+        worker->stop();
+        EXPECT_EQ(fixture.answered("/p/1", "c")->response.status, http_status::ok) << "the server does not leave";
+    }
+}
+
 /** A success without a server's signature was passed on as the begin of a stream. */
 TEST(foreign_response_test, streamWithoutSignatureIsNotPassedOn)
 {
--- a/edge/weight_load_service.cpp
+++ b/edge/weight_load_service.cpp
@@ -15,6 +15,12 @@
 constexpr duration demandReportInterval = std::chrono::seconds(8); // Between reads of the jobs' demand for models; a trainer submits two jobs in it.
 constexpr duration serverCallTimeout = std::chrono::milliseconds(500); // For reports and orders; servers answer reports without a free slot.
 
+/** Tells whether a response may belong to a report or an order, which are sent without an id. */
+bool hasNoRequestId(const http_response &head)
+{
+    return platform::decodeAnswer(head).requestId.empty();
+}
+
 } // namespace
 
 weight_load_service::weight_load_service(edge_context &context, fleet_cache &fleet, peer_snapshot_source &source, snapshot_server &snapshots)
@@ -255,6 +261,7 @@
     http_call_options options;
     options.connectTimeout = serverCallTimeout;
     options.deadline = serverCallTimeout;
+    options.isOwnResponse = hasNoRequestId;
     m_fleet.chargeLimit(intent.server);
     const fleet_cache::sent_request sent = m_fleet.recordSend(intent.server, instanceOf(intent.server), send_kind::Report);
     m_context.serverClient.call(
@@ -288,6 +295,9 @@
 /** Records what a response says of its server beside the answer itself. */
 void weight_load_service::recordServerState(const fleet_cache::sent_request &sent, const http_call_end &end, const http_response &response)
 {
+    if (end.isForeignResponse) {
+        m_fleet.recordForeignResponse(sent, "");
+    }
     if (!end.hasHead) {
         return;
     }
@@ -309,6 +319,7 @@
     http_call_options options;
     options.connectTimeout = serverCallTimeout;
     options.deadline = serverCallTimeout;
+    options.isOwnResponse = hasNoRequestId;
     m_context.metrics.counter("reedtrail_load_orders_total", "Orders to load weights").add();
     ++m_ordersInFlight;
     m_fleet.chargeLimit(intent.server);
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -81,6 +81,42 @@
     setAbortOnFailedCheck(abortedBefore);
 }
 
+// Guards against a response to an earlier request whose head or connection is used.
+TEST(http, foreignResponseIsSeenByHandler)
+{
+    http_fixture fixture;
+    http_server server(fixture.io, { .address = fixture.where }, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->respond({ 200, { { "Id", std::string(exchange->request().fields.get("Sent-Id")) } }, "body" });
+    });
+    ASSERT_TRUE(server.start());
+    for (const bool isOwn : { false, true }) {
+        SCOPED_TRACE(isOwn);
+        bool isHeadSeen = false;
+        bool hasEnded = false;
+        http_call_options options;
+        options.isOwnResponse = [&](const http_response &head) {
+            return (head.fields.get("Id") == "7") == isOwn;
+        };
+        http_call_handlers handlers;
+        handlers.onHead = [&](const http_response &) {
+            isHeadSeen = true;
+        };
+        handlers.onEnd = [&](const http_call_end &end) {
+            EXPECT_EQ(end.error, isOwn ? error_kind::None : error_kind::ServerFailed);
+            EXPECT_EQ(end.isForeignResponse, !isOwn);
+            EXPECT_EQ(end.hasHead, isOwn);
+            hasEnded = true;
+            fixture.io.stop();
+        };
+        fixture.client.start(fixture.where, { "GET", "/", { { "Sent-Id", "7" } }, "" }, options, std::move(handlers));
+        fixture.io.restart();
+        fixture.io.run_for(20s);
+        EXPECT_TRUE(hasEnded);
+        EXPECT_EQ(isHeadSeen, isOwn);
+        EXPECT_EQ(fixture.client.idleConnections(), isOwn ? 1U : 0U);
+    }
+}
+
 // Guards against a refused connection that counts as a request that may have run.
 TEST(http, refusedConnectionIsNotHandedOver)
 {
