A broken stream does not look complete to a caller of HTTP/1.0

Cause: a session always ended with a plain close.

Evidence: http.brokenStreamLooksCompleteToCallerWithoutChunks without the change: the caller reads an end of file.

Change: while a stream without chunks is open, the connection ends with a reset.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -133,7 +133,11 @@
         }
         m_isClosed = true;
         beast::error_code ignored;
-        lowestLayer().socket().shutdown(tcp::socket::shutdown_both, ignored);
+        if (m_isStreamOpen && !m_isChunked) {
+            lowestLayer().socket().set_option(asio::socket_base::linger(true, 0), ignored); // A reset, since the end of the connection would end the stream.
+        } else {
+            lowestLayer().socket().shutdown(tcp::socket::shutdown_both, ignored);
+        }
         lowestLayer().socket().close(ignored);
         endExchange(true);
         m_server->sessions.erase(this->shared_from_this());
@@ -166,6 +170,7 @@
             message.insert(field.name, field.value);
         }
         m_isChunked = m_version >= 11;
+        m_isStreamOpen = true;
         message.chunked(m_isChunked);
         message.keep_alive(m_isChunked && mayKeepAlive());
         std::ostringstream text;
@@ -190,6 +195,7 @@
     void finishStream() override
     {
         m_isStreamEnded = true;
+        m_isStreamOpen = false;
         enqueueBytes(m_isChunked ? "0\r\n\r\n" : "");
     }
 
@@ -249,6 +255,7 @@
         request.body = std::move(m_parser->get().body());
         m_isResponsePending = true;
         m_isStreamEnded = false;
+        m_isStreamOpen = false;
         m_isChunked = false;
         ++m_server->inFlight;
         lowestLayer().expires_never();
@@ -354,6 +361,7 @@
     bool m_isResponsePending = false;
     bool m_isChunked = false;
     bool m_isStreamEnded = false;
+    bool m_isStreamOpen = false; ///< A stream has begun, and finishStream() has not been called.
     bool m_isClosed = false;
 };
 
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -117,6 +117,47 @@
     }
 }
 
+// Guards against a broken stream that looks complete to a caller without chunks, whose stream ends with the connection.
+TEST(http, brokenStreamLooksCompleteToCallerWithoutChunks)
+{
+    for (const bool isBroken : { false, true }) {
+        SCOPED_TRACE(isBroken);
+        http_fixture fixture;
+        std::shared_ptr<http_exchange> open;
+        http_server server(fixture.io, { .address = fixture.where }, [&](std::shared_ptr<http_exchange> exchange) {
+            open = std::move(exchange);
+            open->startStream({ 200, {}, "" });
+            open->write("one");
+        });
+        ASSERT_TRUE(server.start());
+        boost::asio::ip::tcp::socket caller(fixture.io);
+        caller.connect({ boost::asio::ip::make_address(fixture.where.ip), fixture.where.port });
+        boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.0\r\nHost: h\r\n\r\n")));
+        std::string seen;
+        boost::system::error_code readError;
+        std::array<char, 4096> buffer{};
+        std::function<void()> readNext = [&] {
+            caller.async_read_some(boost::asio::buffer(buffer), [&](const boost::system::error_code &error, std::size_t count) {
+                seen.append(buffer.data(), count);
+                if (error) {
+                    readError = error;
+                    fixture.io.stop();
+                    return;
+                }
+                if (seen.ends_with("one")) {
+                    isBroken ? open->abort() : open->finishStream();
+                }
+                readNext();
+            });
+        };
+        readNext();
+        fixture.io.run_for(20s);
+        EXPECT_TRUE(seen.ends_with("one")) << seen;
+        EXPECT_EQ(readError == boost::asio::error::connection_reset, isBroken) << readError.message();
+        EXPECT_EQ(readError == boost::asio::error::eof, !isBroken) << readError.message();
+    }
+}
+
 // Guards against a refused connection that counts as a request that may have run.
 TEST(http, refusedConnectionIsNotHandedOver)
 {
