A request is sent to a server again on another connection

If a server rejects a request, is asked again on the same connection and sends its rejection late a second time, that copy has the right id. The request was taken for rejected while it ran, and a request that may run once was sent on.

Cause: a second response to a request can't be told from the response to its next try on the same connection.

Change: a pooled connection whose last response was to a request with the same id is passed over.

--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -285,6 +285,7 @@
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
         return isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
     };
+    options.requestId = m_call.id;
     options.isOwnResponse = [id = m_call.id](const http_response &head) {
         return platform::decodeAnswer(head).requestId == id;
     };
--- a/edge/testing/foreign_response_test.cpp
+++ b/edge/testing/foreign_response_test.cpp
@@ -126,6 +126,24 @@
     }
 }
 
+/** A server rejects a request, is asked again and sends its rejection a second time, while the second try runs. */
+TEST(foreign_response_test, secondRejectionOfSameRequestIsTakenForThatOfNextTry)
+{
+    foreign_response_fixture fixture;
+    int tries = 0;
+    doubling_server server(fixture.io, doublingPort + 2, [&tries](const http_request &request) {
+        return ++tries == 1 ? rawResponse(503, signedFields(request) + "Not-Executed: 1\r\n", "") : rawResponse(200, signedFields(request), "done");
+    });
+    server.late = [&tries](const http_request &request) {
+        return tries == 0 ? rawResponse(503, signedFields(request) + "Not-Executed: 1\r\n", "") : "";
+    };
+    fixture.enter("i-2", { "127.0.0.1", doublingPort + 2 }, "ready", 200);
+    fixture.readAgain();
+    EXPECT_EQ(fixture.answered("/n/1", "a")->response.status, http_status::ok);
+    EXPECT_EQ(tries, 2) << "rejected once and run once";
+    EXPECT_EQ(server.doubled, 0U) << "the second try has a connection of its own";
+}
+
 /** Items, calls of scorers and orders take a late response to another request for their own. */
 TEST(foreign_response_test, itemTakesResponseOfAnotherRequest)
 {
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -42,6 +42,7 @@
     std::unique_ptr<tcp::socket> socket;
     clock_type::time_point usableUntil;
     clock_type::time_point establishedAt;
+    std::string lastRequestId; ///< http_call_options::requestId of the call that used it last.
 };
 
 void enableKeepAliveProbes(tcp::socket &socket)
@@ -223,9 +224,13 @@
             return false;
         }
         std::deque<idle_connection> &idleAtEndpoint = pool->idle[m_where];
-        while (!idleAtEndpoint.empty()) {
-            idle_connection candidate = std::move(idleAtEndpoint.back());
-            idleAtEndpoint.pop_back();
+        for (auto next = idleAtEndpoint.end(); next != idleAtEndpoint.begin();) {
+            --next;
+            if (!m_options.requestId.empty() && next->lastRequestId == m_options.requestId) {
+                continue;
+            }
+            idle_connection candidate = std::move(*next);
+            next = idleAtEndpoint.erase(next);
             if (clock_type::now() < candidate.usableUntil && isReusable(*candidate.socket)) {
                 m_socket = std::move(candidate.socket);
                 m_establishedAt = candidate.establishedAt;
@@ -370,7 +375,8 @@
             if (const std::optional<int> serverTimeout = keepAliveSeconds(m_parser->get()[http::field::keep_alive])) {
                 idleLimit = std::min<clock_type::duration>(idleLimit, std::chrono::seconds(*serverTimeout) - keepAliveMargin);
             }
-            idleAtEndpoint.push_back({ std::move(m_socket), clock_type::now() + idleLimit, m_establishedAt.value_or(clock_type::now()) });
+            idleAtEndpoint.push_back(
+                { std::move(m_socket), clock_type::now() + idleLimit, m_establishedAt.value_or(clock_type::now()), std::move(m_options.requestId) });
         }
     }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -61,6 +61,11 @@
      * call with ServerFailed and closes the connection, on which all later responses would be out of step. onHead is not called with it.
      */
     std::function<bool(const http_response &head)> isOwnResponse;
+    /**
+     * Id of the request, if it has one. Connections whose last response was to a request with the same id are not reused for it: a second response to that one
+     * could not be told from the response to this one.
+     */
+    std::string requestId;
 };
 
 /** A call in progress. */
