Deeply nested text from outside does not end the process

What operators of other systems saw: one deeply nested entry among those of the servers, from another writer, ended each machine that read the list, again and again (LOST, processes that end by themselves).

Change: base/bounded_json.h checks the depth in one pass over the text before a tree is built.

--- /dev/null
+++ b/base/bounded_json.h
@@ -0,0 +1,41 @@
+/**
+ * @file
+ * JSON from outside: bounded in depth before it is built into a tree, and numbers checked for their range before they are narrowed.
+ *
+ *     const nlohmann::json body = parseBoundedJson(text);
+ *     if (!body.is_object()) { ... malformed, nested too deep, or no object ... }
+ *     const std::optional<std::uint32_t> slots = wholeNumber<std::uint32_t>(body.at("slots"), 0, 1'000'000);
+ */
+#pragma once
+
+#include <concepts>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace reedtrail {
+
+inline constexpr std::size_t maxJsonDepth = 32; ///< Documents that we exchange have a depth of less than ten.
+
+/**
+ * Parses a JSON text.
+ * @return the value; a discarded one, which is neither an object nor an array, if the text is malformed or nested deeper than @p maxDepth
+ */
+nlohmann::json parseBoundedJson(std::string_view text, std::size_t maxDepth = maxJsonDepth);
+
+/** Returns a whole number from @p least to @p most; nothing for a fraction, a value outside that range or of another type. */
+template<std::integral Number>
+std::optional<Number> wholeNumber(const nlohmann::json &value, Number least, Number most)
+{
+    if (!value.is_number_integer()) {
+        return std::nullopt;
+    }
+    const bool isInRange = value.is_number_unsigned()
+        ? std::cmp_greater_equal(value.get<std::uint64_t>(), least) && std::cmp_less_equal(value.get<std::uint64_t>(), most)
+        : std::cmp_greater_equal(value.get<std::int64_t>(), least) && std::cmp_less_equal(value.get<std::int64_t>(), most);
+    return isInRange ? std::optional(value.get<Number>()) : std::nullopt;
+}
+
+} // namespace reedtrail
--- a/fleet/store_json.cpp
+++ b/fleet/store_json.cpp
@@ -3,6 +3,8 @@
 
 #include "fleet/store_json.h"
 
+#include "base/bounded_json.h"
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -213,7 +215,7 @@
 result<Answer> decode(std::string_view text, error_kind kind, Read read)
 {
     try {
-        const json object = json::parse(text);
+        const json object = parseBoundedJson(text);
         if (!object.is_object()) {
             return fail(kind, "the store's answer is no JSON object");
         }
