Numbers from outside are checked before they are narrowed

What operators of other systems saw: entries of servers with a number too large or a port out of range, after which machines ended or no longer followed the list. Here ports were refused; numbers were narrowed to some number: an entry of slots had 4, and a model's version of -3 was newer than all others, so requests that need new weights went to that server.

Cause: get<std::uint32_t>() and the like convert any number; std::from_chars() takes "inf" and "nan", and fromSeconds() cast them.

Change: whole numbers are checked for type and range first (base/bounded_json.h); spans are cut at a hundred years, what is no number is zero.

--- a/base/bounded_json.h
+++ b/base/bounded_json.h
@@ -10,8 +10,11 @@
 
 #include <concepts>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string_view>
 #include <utility>
 
@@ -38,4 +41,23 @@
     return isInRange ? std::optional(value.get<Number>()) : std::nullopt;
 }
 
+/** As wholeNumber(), but throws std::out_of_range where that returns nothing. */
+template<std::integral Number>
+Number requiredNumber(const nlohmann::json &value, Number least, Number most)
+{
+    const std::optional<Number> number = wholeNumber(value, least, most);
+    if (!number) {
+        throw std::out_of_range("no whole number in its range");
+    }
+    return *number;
+}
+
+/** Returns a whole number from 0 to @p most, or 0 if the field is absent or null. Throws std::out_of_range for any other value. */
+template<std::integral Number>
+Number optionalNumber(const nlohmann::json &row, const char *name, Number most = std::numeric_limits<Number>::max())
+{
+    const auto found = row.find(name);
+    return found == row.end() || found->is_null() ? Number{ 0 } : requiredNumber(*found, Number{ 0 }, most);
+}
+
 } // namespace reedtrail
--- a/base/time.h
+++ b/base/time.h
@@ -39,10 +39,20 @@
     return std::chrono::duration<double>(span).count();
 }
 
-/** Converts @p seconds to a span, rounded towards zero to a microsecond. */
+/** Longest span that fromSeconds() returns; a time point of this machine plus two of them can be represented. */
+inline constexpr duration maxSpan = std::chrono::hours(24 * 365 * 100);
+
+/** Converts @p seconds to a span, rounded towards zero to a microsecond. Longer spans than maxSpan are cut to it; what is no number is zero. */
 constexpr duration fromSeconds(double seconds)
 {
-    return duration(static_cast<std::int64_t>(seconds * 1e6));
+    const double microseconds = seconds * 1e6;
+    if (microseconds >= static_cast<double>(maxSpan.count())) {
+        return maxSpan;
+    }
+    if (microseconds <= -static_cast<double>(maxSpan.count())) {
+        return -maxSpan;
+    }
+    return duration(microseconds == microseconds ? static_cast<std::int64_t>(microseconds) : 0);
 }
 
 } // namespace reedtrail
--- a/edge/testing/fleet_cache_test.cpp
+++ b/edge/testing/fleet_cache_test.cpp
@@ -42,6 +42,39 @@
     EXPECT_EQ(fixture.fleet->routes().match("h", "/p/1"), nullptr);
 }
 
+/** Another writer leaves odd entries among those of the servers. The machine goes on following the list, and uses the servers that are well. */
+TEST(fleet_cache_test, machineStopsFollowingListWithOddEntry)
+{
+    const std::string usual = R"("service":"s","slots":4,"state":"ready","zone":"z")";
+    const std::string odd[] = {
+        "",
+        "\xff\xfe",
+        "null",
+        "[" + std::string(200000, '['),
+        "{" + usual + R"(,"address":"127.0.0.1:65536"})",
+        "{" + usual + R"(,"address":"127.0.0.1:80","sequence":1e400})",
+        "{" + usual + R"(,"address":"127.0.0.1:80","born":1e300})",
+        "{" + usual + R"(,"address":"127.0.0.1:80","models":)" + std::string(200000, '[') + std::string(200000, ']') + "}",
+    };
+    node_fixture fixture;
+    for (const std::string &each : odd) {
+        SCOPED_TRACE(each.substr(0, 120));
+        for (const char *id : { "a", "i-1-odd", "z" }) { // Before, among and after the others.
+            fixture.transport.items[std::string("servers/") + id] = { each, ++fixture.transport.revision };
+            fixture.transport.history.push_back(fixture.transport.itemOf(std::string("servers/") + id));
+        }
+        fixture.removeServer("i-1");
+        fixture.readAgain();
+        EXPECT_EQ(fixture.fleet->directory().find("i-1"), nullptr);
+        EXPECT_EQ(fixture.fleet->directory().find("a"), nullptr);
+        fixture.requestMany(1);
+        fixture.enter(fixture.first.id, fixture.first.address, "ready", 100);
+        fixture.readAgain();
+        EXPECT_NE(fixture.fleet->directory().find("i-1"), nullptr);
+        EXPECT_EQ(fixture.fleet->directory().allUsable().size(), 2U);
+    }
+}
+
 /** A node to which nothing comes reads little: the registrations now and then, and no configuration. */
 TEST(fleet_cache_test, idleNodeReadsRegistrationsOnly)
 {
