A node out of step does not take streams up at the build that it knew

Cause: a stream without an entry was taken to have begun at the only build of its service. The registrations were read again first, but a read that failed counted as well; and "one build for longer than a stream lasts" counted over time in which a node stood still or could not read. A node that had seen another build a second before believed a keeper that had not.

Change: such an inference needs a state that was asked for after the stream was taken up; no node that answers may have seen another build for as long as a stream lasts; and one must have observed the service without a gap of 10 s all the while. A node that begins to observe anew sends the entries that others can't infer any more. A refusal because the store does not answer says when to come back.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -414,9 +414,9 @@
 
 void fleet_cache::updateBuilds()
 {
-    for (const std::string &service : m_builds.update(m_context.loop.now(), m_directory.all())) {
-        logLine(log_level::Info, "service-builds-mixed", { { "service", service } });
-        for (const auto &listener : m_mixedListeners) {
+    for (const std::string &service : m_builds.update(m_context.loop.now(), *m_serverMirror->askedAt(), m_directory.all())) {
+        logLine(log_level::Info, m_builds.isMixed(service) ? "service-builds-mixed" : "service-builds-unobserved", { { "service", service } });
+        for (const auto &listener : m_uncertainListeners) {
             listener(service);
         }
     }
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -113,6 +113,11 @@
     {
         return m_backends;
     }
+    /** Tells whether the store was asked for the registrations at hand at @p time or later. */
+    bool haveServersBeenReadSince(time_point time) const
+    {
+        return m_serverMirror->askedAt() && *m_serverMirror->askedAt() >= time;
+    }
     const service_builds &builds() const
     {
         return m_builds;
@@ -126,10 +131,10 @@
     {
         m_serverMirror->readNew(std::move(onEnd));
     }
-    /** Adds an action that receives each service whose servers have begun to have several builds. */
-    void onMixedBuilds(std::function<void(const std::string &service)> action)
+    /** Adds an action that receives each service of which this node can't say any more that it has had one build for a long time. */
+    void onBuildsUncertain(std::function<void(const std::string &service)> action)
     {
-        m_mixedListeners.push_back(std::move(action));
+        m_uncertainListeners.push_back(std::move(action));
     }
     /** Asks other nodes since when the store has answered them, as contact_witness_client::ask(). */
     using contact_witness = std::function<void(std::function<void(std::optional<time_point>)> onAnswer)>;
@@ -169,7 +174,7 @@
     backend_table m_backends;
     server_sightings m_sightings;
     service_builds m_builds;
-    std::vector<std::function<void(const std::string &)>> m_mixedListeners;
+    std::vector<std::function<void(const std::string &)>> m_uncertainListeners;
     std::shared_ptr<edge_limit_client> m_limitClient;
     limited_traffic m_limitedTraffic;
     bool m_isLimitReportScheduled = false;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -95,9 +95,11 @@
     if (found.source == origin_source::SoleBuild) {
         // Registrations read from now on show each server at which the stream may have begun.
         m_fleet.readServersAgain([self = shared_from_this(), found] {
-            const auto sole = self->m_fleet.builds().sole(found.origin.service);
             const bool isOnlyService = self->m_route.services.size() == 1;
-            self->endOriginSearch(found, sole && sole->build == found.origin.build && isOnlyService ? nullptr : "several builds");
+            const bool isCertain = isOnlyService && self->m_origins.isSoleBuildStill(found.origin, self->m_startedAt);
+            const bool isRead = self->m_fleet.haveServersBeenReadSince(self->m_startedAt);
+            const char *obstacle = isRead ? "several builds" : "the store does not tell which builds serve";
+            self->endOriginSearch(found, isCertain ? nullptr : obstacle, isRead ? duration::zero() : retryAfterWithoutProof);
         });
         return;
     }
--- a/edge/stream_origins.cpp
+++ b/edge/stream_origins.cpp
@@ -28,8 +28,8 @@
     , m_peers(router, peerClient)
     , m_client(std::make_shared<stream_origin_client<stream_origin_peer_client, asio_loop>>(m_peers, context.loop, context.settings.node, fleet.builds()))
 {
-    fleet.onMixedBuilds([client = m_client](const std::string &service) {
-        client->onMixedBuilds(service);
+    fleet.onBuildsUncertain([client = m_client](const std::string &service) {
+        client->sendEntriesOf(service);
     });
     scheduleExpiry();
 }
--- a/edge/stream_origins.h
+++ b/edge/stream_origins.h
@@ -54,6 +54,11 @@
     {
         m_client->find(stream, service, maximumAge, std::move(onEnd));
     }
+    /** Tells whether an inferred origin still holds, as stream_origin_client::isSoleBuildStill(). */
+    bool isSoleBuildStill(const stream_origin &inferred, time_point takenUpAt) const
+    {
+        return m_client->isSoleBuildStill(inferred, takenUpAt);
+    }
     /** Answers a message of another node. */
     void serve(const std::shared_ptr<http_exchange> &exchange);
     /** Returns how many streams this node knows. */
--- a/edge/testing/mixed_builds_test.cpp
+++ b/edge/testing/mixed_builds_test.cpp
@@ -331,6 +331,37 @@
     }
 }
 
+/**
+ * A node has known one build since the deployment started, and is cut from the store while servers of another one join. A stream that began at one of them
+ * through another node is taken up here.
+ */
+TEST(mixed_builds_test, nodeCutFromStoreGoesOnAtBuildThatItKnew)
+{
+    node_fixture fixture({}, std::nullopt, true);
+    build_engine engine(fixture.loop, "v1");
+    mixed_fixture::attach(fixture.first, engine);
+    mixed_fixture::attach(fixture.second, engine);
+    const auto takeUp = [&](const std::string &begunElsewhere) {
+        const auto exchange = fixture.startRequest("prompt", "/t/1", { { "Last-Event-Id", "2" }, { "Resumes", begunElsewhere } });
+        EXPECT_TRUE(fixture.runUntil([&] {
+            return exchange->isDone;
+        }));
+        return exchange;
+    };
+    EXPECT_EQ(takeUp("a")->response.status, http_status::ok) << "there was never another build";
+    fixture.transport.isCut = true;
+    const auto refused = takeUp("b");
+    EXPECT_EQ(refused->response.status, http_status::unavailable);
+    EXPECT_EQ(refused->response.body.find("data:"), std::string::npos) << refused->response.body;
+    EXPECT_NE(refused->response.fields.get("Retry-After"), "") << "the store may soon tell";
+    fixture.transport.isCut = false;
+    fixture.enter("i-3", { "127.0.0.1", testing::firstServerPort + 9 }, "ready", 500, "v2");
+    fixture.run(300ms);
+    const auto mixed = takeUp("c");
+    EXPECT_EQ(mixed->response.status, http_status::unavailable) << "it may have begun at v2";
+    EXPECT_EQ(mixed->response.fields.get("Retry-After"), "");
+}
+
 /** The server that would go on has started again with other software. Its events are held back until the registrations are read, and never passed on. */
 TEST(mixed_builds_test, eventsOfRestartedServerAreNotPassedOn)
 {
--- a/fleet/service_builds.cpp
+++ b/fleet/service_builds.cpp
@@ -1,5 +1,6 @@
 #include "fleet/service_builds.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace reedtrail {
@@ -9,27 +10,36 @@
 
 } // namespace
 
-std::vector<std::string> service_builds::update(time_point now, std::span<const server_entry *const> servers)
+std::vector<std::string> service_builds::update(time_point now, time_point askedAt, std::span<const server_entry *const> servers)
 {
     std::map<std::string, std::set<std::string>, std::less<>> current;
     for (const server_entry *each : servers) {
         current[each->service].insert(each->build);
     }
-    std::vector<std::string> newlyMixed;
-    const bool hasAlwaysBeenSo = m_isFirstStart && !std::exchange(m_hasState, true);
+    const std::optional<time_point> lastAskedAt = std::exchange(m_askedAt, std::max(askedAt, m_askedAt.value_or(askedAt)));
+    const bool hasGap = lastAskedAt && askedAt - *lastAskedAt > maxGap;
+    const bool hasAlwaysBeenSo = m_isFirstStart && !lastAskedAt;
     const time_point firstSeen = hasAlwaysBeenSo ? now - longestStream : now;
+    std::vector<std::string> changed;
+    if (hasGap) {
+        for (auto &[service, known] : m_services) {
+            known.since = now;
+            changed.push_back(service);
+        }
+    }
     for (auto &[service, builds] : current) {
-        const auto [known, isNew] = m_services.try_emplace(service, state{ builds, firstSeen });
-        const bool wasMixed = !isNew && isMixed(known->second);
-        if (known->second.builds != builds) {
-            known->second = { std::move(builds), now };
+        const auto [found, isNew] = m_services.try_emplace(service, state{ builds, firstSeen, std::nullopt });
+        state &known = found->second;
+        const bool wasMixed = !isNew && isMixed(known);
+        if (known.builds != builds) {
+            known = { std::move(builds), now, now };
         }
-        if (!wasMixed && isMixed(known->second)) {
-            newlyMixed.push_back(service);
+        if (!hasGap && !wasMixed && isMixed(known)) {
+            changed.push_back(service);
         }
     }
     // A service without servers keeps its builds: the next servers tell whether they have changed.
-    return newlyMixed;
+    return changed;
 }
 
 bool service_builds::isMixed(std::string_view service) const
@@ -44,7 +54,7 @@
     if (found == m_services.end() || isMixed(found->second)) {
         return std::nullopt;
     }
-    return sole_build{ *found->second.builds.begin(), found->second.since };
+    return sole_build{ *found->second.builds.begin(), found->second.since, *m_askedAt, found->second.otherSeenAt };
 }
 
 } // namespace reedtrail
--- a/fleet/service_builds.h
+++ b/fleet/service_builds.h
@@ -3,6 +3,8 @@
  * Which builds, versions of their software, the servers of each service have, and since when a service has had one only. Makes no I/O calls.
  *
  * Almost always a service has one build, and then no message about its streams is sent to other nodes. During a release it has two, rarely more.
+ *
+ * "One build since T" is said only of what was observed. A node that stood still, or that could not read the registrations for a while, begins to observe anew.
  */
 #pragma once
 
@@ -27,17 +29,25 @@
     struct sole_build
     {
         std::string build;
-        time_point since; ///< Since when this process has seen no other one.
+        time_point since; ///< Since when this process has observed the service without a gap and seen no other one.
+        time_point asOf; ///< When the store was asked for the last state that shows it.
+        std::optional<time_point> otherSeenAt; ///< When this process took the first state without another build that it had seen; nothing if it has seen none.
     };
+    /** Longest time between two states without a gap in the observation; a node to which no request comes reads the registrations every 6 s at most. */
+    static constexpr duration maxGap = std::chrono::seconds(10);
 
     /** Called at the first start of the whole deployment, when no stream is older than this process: what the first state shows has always been so. */
     void setFirstStart()
     {
         m_isFirstStart = true;
     }
-    /** Takes the servers of a state. @param servers all that are registered, also those that drain @return the services that have begun to have several builds
+    /**
+     * Takes the servers of a state.
+     * @param askedAt when the store was asked for it
+     * @param servers all that are registered, also those that drain
+     * @return the services of which "one build for a long time" no longer holds: those that have begun to have several builds, and after a gap all
      */
-    std::vector<std::string> update(time_point now, std::span<const server_entry *const> servers);
+    std::vector<std::string> update(time_point now, time_point askedAt, std::span<const server_entry *const> servers);
     /** Tells whether the service has, or had since the last state, servers of several builds or of an unknown one. */
     bool isMixed(std::string_view service) const;
     /** Returns the only known build of a service; nothing if it has several, an unknown one, or no servers. */
@@ -48,6 +58,7 @@
     {
         std::set<std::string> builds;
         time_point since;
+        std::optional<time_point> otherSeenAt;
     };
     static bool isMixed(const state &each)
     {
@@ -56,7 +67,7 @@
 
     std::map<std::string, state, std::less<>> m_services;
     bool m_isFirstStart = false;
-    bool m_hasState = false;
+    std::optional<time_point> m_askedAt; ///< Of the last state.
 };
 
 } // namespace reedtrail
--- a/fleet/stream_origin_client.h
+++ b/fleet/stream_origin_client.h
@@ -8,8 +8,9 @@
  * the caller its stream, never a stream of two builds. While a service has one build, nothing is sent; the entries of its streams follow when a second one
  * registers.
  *
- * A stream of which neither this node nor a keeper has an entry began at the only build of its service, if this node sees no other one and a keeper has seen
- * none for longer than a stream lasts. Otherwise its origin is unknown, and it is refused.
+ * A stream of which neither this node nor a keeper has an entry began at the only build of its service, if this node sees no other one, none that answers has
+ * seen another one for as long as a stream lasts, and one of them has observed the service without a gap all the while. Otherwise its origin is unknown, and it
+ * is refused. What this node sees must be read after the caller has taken the stream up: isSoleBuildStill(), after a read.
  *
  *     stream_origin_client<Peers, Loop> origins(peers, loop, "node-1", builds);
  *     origins.record("request-7", origin, keep);
@@ -127,7 +128,8 @@
         }
         m_table.put(now, stream, origin, keep);
         const std::optional<service_builds::sole_build> sole = m_builds.sole(origin.service);
-        if (sole && now - sole->since >= m_options.soleBuildTime) {
+        const bool isCurrent = sole && now - sole->asOf <= service_builds::maxGap;
+        if (isCurrent && sole->build == origin.build && now - sole->since >= m_options.soleBuildTime) {
             return;
         }
         stream_message message;
@@ -137,8 +139,8 @@
         }
     }
 
-    /** Sends the entries of a service to their keepers; called when its servers begin to have several builds. */
-    void onMixedBuilds(const std::string &service)
+    /** Sends the entries of a service to their keepers; called when they can no longer be inferred, as service_builds::update() tells. */
+    void sendEntriesOf(const std::string &service)
     {
         std::map<std::string, stream_message> messages;
         for (const stream_record &each : m_table.recordsOf(m_loop.now(), service)) {
@@ -172,7 +174,7 @@
         const auto question = std::make_shared<pending_question>(pending_question{ service, maximumAge, std::move(onEnd), keepers.size(), false, false });
         if (keepers.empty()) {
             const std::optional<service_builds::sole_build> sole = m_builds.sole(service);
-            question->isConfirmed = sole && m_loop.now() - sole->since >= maximumAge; // There is no other node to ask.
+            question->isConfirmed = sole && sole->asOf - sole->since >= maximumAge; // There is no other node to ask.
             inferOrigin(*question);
             return;
         }
@@ -188,6 +190,16 @@
         }
     }
 
+    /**
+     * Tells whether an origin inferred from the only build of its service still holds, after the registrations have been read again.
+     * @param takenUpAt when the caller took the stream up; a state that is older may lack the servers at which it began
+     */
+    bool isSoleBuildStill(const stream_origin &inferred, time_point takenUpAt) const
+    {
+        const std::optional<service_builds::sole_build> sole = m_builds.sole(inferred.service);
+        return sole && sole->build == inferred.build && sole->asOf >= takenUpAt;
+    }
+
     /** Handles a message of another node. */
     stream_reply serve(const stream_message &message)
     {
@@ -205,7 +217,9 @@
         reply.isMixed = m_builds.isMixed(message.askedService);
         if (const auto sole = m_builds.sole(message.askedService)) {
             reply.soleBuild = sole->build;
-            reply.soleForUs = (now - sole->since).count();
+            reply.soleForUs = (sole->asOf - sole->since).count();
+            reply.stateAgeUs = (now - sole->asOf).count();
+            reply.otherSeenForUs = sole->otherSeenAt ? (now - *sole->otherSeenAt).count() : -1;
         }
         return reply;
     }
@@ -250,8 +264,10 @@
         if (end == peer_ask_end::Answered) {
             const std::optional<service_builds::sole_build> sole = m_builds.sole(question.service);
             const bool isSame = sole && reply.soleBuild == sole->build;
-            question.isConfirmed = question.isConfirmed || (isSame && duration(reply.soleForUs) >= question.maximumAge);
-            question.isContradicted = question.isContradicted || reply.isMixed || (!reply.soleBuild.empty() && !isSame);
+            const bool isCurrent = duration(reply.stateAgeUs) <= service_builds::maxGap;
+            const bool hasSeenOther = reply.otherSeenForUs >= 0 && duration(reply.otherSeenForUs) < question.maximumAge;
+            question.isConfirmed = question.isConfirmed || (isSame && isCurrent && duration(reply.soleForUs) >= question.maximumAge);
+            question.isContradicted = question.isContradicted || reply.isMixed || hasSeenOther || (!reply.soleBuild.empty() && !isSame);
         }
         if (question.open == 0) {
             inferOrigin(question);
@@ -262,7 +278,8 @@
     {
         found_origin found;
         const std::optional<service_builds::sole_build> sole = m_builds.sole(question.service);
-        if (sole && question.isConfirmed && !question.isContradicted) {
+        const bool hasSeenOther = sole && sole->otherSeenAt && m_loop.now() - *sole->otherSeenAt < question.maximumAge;
+        if (sole && question.isConfirmed && !question.isContradicted && !hasSeenOther) {
             found.source = origin_source::SoleBuild;
             found.origin.service = question.service;
             found.origin.build = sole->build;
