An exception that leaves a handler does not end the process

What callers see: one request that makes a handler throw ends the process, and with it all requests under way on that machine.

Cause: nothing caught exceptions of handlers of the event loop.

Change: the loop goes on with the next handler, with an error line and a counter. An exchange that the handler held is released, which answers it with 500.

--- a/edge/asio_loop.h
+++ b/edge/asio_loop.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <ctime>
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -42,6 +43,23 @@
         });
     }
 
+    /**
+     * Runs handlers until there are none or the context is stopped. An exception that leaves a handler ends that handler only; an exchange that it held is
+     * released, and thereby answered with an internal error.
+     * @param onFailure receives what the exception says
+     */
+    void run(const std::function<void(const char *reason)> &onFailure)
+    {
+        for (;;) {
+            try {
+                m_io.run();
+                return;
+            } catch (const std::exception &error) {
+                onFailure(error.what());
+            }
+        }
+    }
+
     boost::asio::io_context &io()
     {
         return m_io;
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -138,7 +138,10 @@
         awaitSignal();
         scheduleLogFlush();
         scheduleCallReport();
-        m_io.run();
+        m_loop.run([this](const char *reason) {
+            logLine(log_level::Error, "handler-failed", { { "reason", reason } });
+            m_metrics.counter("reedtrail_handler_failures_total", "Handlers that an exception has left").add();
+        });
         m_services.stop();
         reportStoreCalls();
         logLine(log_level::Info, "stopped", {});
