Fields of items that would be read as another request are refused

Cause: texts of a JSON document became parts of an HTTP head unchecked.

rejectsOversizedBodyAndMalformedRequest sent its malformed request through that client, which now refuses it; the test writes the bytes itself and checks the same two answers.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -107,6 +107,12 @@
 
     void startCall(http_request request)
     {
+        if (!isWritable(request)) {
+            asio::post(m_socket->get_executor(), [self = shared_from_this()] {
+                self->end(error_kind::NoServer, "the request has a field or a target that can't be written");
+            });
+            return;
+        }
         buildMessage(std::move(request));
         m_deadlineTimer.expires_after(m_options.deadline);
         m_deadlineTimer.async_wait([self = shared_from_this()](const beast::error_code &error) {
@@ -130,6 +136,14 @@
     }
 
 private:
+    /** Tells whether the request would be read as the one that it is, and as no other one besides. */
+    static bool isWritable(const http_request &request)
+    {
+        return isFieldName(request.method) && isRequestTarget(request.target) && std::ranges::all_of(request.fields.all(), [](const http_field &field) {
+                   return isFieldName(field.name) && isFieldValue(field.value);
+               });
+    }
+
     void buildMessage(http_request request)
     {
         m_message.method_string(request.method);
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -110,6 +110,28 @@
     return { status, { { "Content-Type", "text/plain; charset=utf-8" } }, std::move(body) };
 }
 
+bool isFieldName(std::string_view name)
+{
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::ranges::all_of(name, [](unsigned char each) {
+        return (each < 0x80 && std::isalnum(each) != 0) || marks.find(static_cast<char>(each)) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view value)
+{
+    return std::ranges::all_of(value, [](unsigned char each) {
+        return each == '\t' || (each >= ' ' && each != 0x7f);
+    });
+}
+
+bool isRequestTarget(std::string_view target)
+{
+    return target.starts_with('/') && std::ranges::all_of(target, [](unsigned char each) {
+               return each > ' ' && each < 0x7f;
+           });
+}
+
 http_fields endToEndFields(const http_fields &fields)
 {
     const std::string connectionOptions = lowerCase(fields.get("Connection"));
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -48,6 +48,13 @@
     std::vector<http_field> m_fields;
 };
 
+/** Tells whether a name may stand in a header: a token (RFC 9110, 5.6.2). */
+bool isFieldName(std::string_view name);
+/** Tells whether a value may stand in a header: no control characters but the tab (RFC 9110, 5.5). */
+bool isFieldValue(std::string_view value);
+/** Tells whether a text may be the target of a request: a path and a query in visible ASCII characters (RFC 9112, 3.2). */
+bool isRequestTarget(std::string_view target);
+
 /** Returns @p fields without hop-by-hop fields and Content-Length, for forwarding a message. */
 http_fields endToEndFields(const http_fields &fields);
 
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -158,6 +158,43 @@
     }
 }
 
+// Guards against a field or a target with line ends, which a server would read as the begin of another request.
+TEST(http, requestWithLineEndsIsWritten)
+{
+    http_fixture fixture;
+    int requests = 0;
+    http_server server(fixture.io, { .address = fixture.where }, [&](const std::shared_ptr<http_exchange> &exchange) {
+        ++requests;
+        exchange->respond(textResponse(200, ""));
+    });
+    ASSERT_TRUE(server.start());
+    const http_request odd[] = {
+        { "GET", "/", { { "X", "y\r\n\r\nGET /other HTTP/1.1" } }, "" },
+        { "GET", "/", { { "X", "y\n" } }, "" },
+        { "GET", "/", { { "X", std::string(1, '\0') } }, "" },
+        { "GET", "/", { { "X y", "z" } }, "" },
+        { "GET", "/", { { "", "z" } }, "" },
+        { "GET", "/p q", {}, "" },
+        { "GET", "/\r\n", {}, "" },
+        { "GET", "", {}, "" },
+        { "G ET", "/", {}, "" },
+    };
+    for (const http_request &each : odd) {
+        SCOPED_TRACE(each.target);
+        bool hasEnded = false;
+        fixture.client.call(fixture.where, each, {}, [&](const http_call_end &end, const http_response &) {
+            EXPECT_EQ(end.error, error_kind::NoServer);
+            EXPECT_FALSE(end.isHandedOver);
+            hasEnded = true;
+            fixture.io.stop();
+        });
+        fixture.io.restart();
+        fixture.io.run_for(20s);
+        EXPECT_TRUE(hasEnded);
+    }
+    EXPECT_EQ(requests, 0);
+}
+
 // Guards against a refused connection that counts as a request that may have run.
 TEST(http, refusedConnectionIsNotHandedOver)
 {
@@ -227,16 +264,20 @@
         exchange->respond(textResponse(200, ""));
     });
     ASSERT_TRUE(server.start());
-    std::vector<int> statuses;
-    fixture.client.call(fixture.where, { "POST", "/", {}, "123456789" }, {}, [&](const http_call_end &, const http_response &response) {
-        statuses.push_back(response.status);
-        fixture.client.call(fixture.where, { "G ET", "/", {}, "" }, {}, [&](const http_call_end &, const http_response &second) {
-            statuses.push_back(second.status);
+    std::vector<std::string> answers;
+    for (const std::string request : { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789", "G ET / HTTP/1.1\r\nHost: h\r\n\r\n" }) {
+        boost::asio::ip::tcp::socket caller(fixture.io);
+        caller.connect({ boost::asio::ip::make_address(fixture.where.ip), fixture.where.port });
+        boost::asio::write(caller, boost::asio::buffer(request));
+        std::array<char, 4096> buffer{};
+        caller.async_read_some(boost::asio::buffer(buffer), [&](const boost::system::error_code &, std::size_t count) {
+            answers.emplace_back(buffer.data(), std::min<std::size_t>(count, std::string("HTTP/1.1 400").size()));
             fixture.io.stop();
         });
-    });
-    fixture.io.run_for(20s);
-    EXPECT_EQ(statuses, (std::vector<int>{ 413, 400 }));
+        fixture.io.restart();
+        fixture.io.run_for(20s);
+    }
+    EXPECT_EQ(answers, (std::vector<std::string>{ "HTTP/1.1 413", "HTTP/1.1 400" }));
 }
 
 // Guards against a request whose framing never ends, which would fill the memory of the server.
