--- a/fuzz/targets.h
+++ b/fuzz/targets.h
@@ -17,6 +17,7 @@
 void fuzzPeerMessages(std::string_view bytes); ///< Decodes the input as a message between processes of the system.
 void fuzzHttpRequests(std::string_view bytes); ///< Parses the input as a caller's request: target, header fields, body.
 void fuzzJournal(std::string_view bytes); ///< Scans the input as a segment of the spool's journal.
+void fuzzPlatformDocuments(std::string_view bytes); ///< Decodes the input as each document that others write on the users' platform.
 
 /** A fuzz target and its name, which is also the name of its corpus folder. */
 struct fuzz_target
@@ -26,11 +27,12 @@
 };
 
 /** All fuzz targets. */
-inline constexpr std::array<fuzz_target, 4> fuzzTargets{ {
+inline constexpr std::array<fuzz_target, 5> fuzzTargets{ {
     { "settings", &fuzzSettings },
     { "peer_messages", &fuzzPeerMessages },
     { "http_requests", &fuzzHttpRequests },
     { "journal", &fuzzJournal },
+    { "platform_documents", &fuzzPlatformDocuments },
 } };
 
 } // namespace reedtrail
