A request whose target can't be sent on is refused by the server

A caller's request with such a target would have been tried at one server after the other, each time counted as a failure of that server, and refused with 503.

Change: the HTTP server answers such a request with 400, as other malformed ones.

Evidence: rejectsOversizedBodyAndMalformedRequest without the change: 200 for both targets.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -227,6 +227,10 @@
             close();
             return;
         }
+        if (!isRequestTarget(m_parser->get().target())) {
+            rejectRequest(http::status::bad_request); // It could not be sent on.
+            return;
+        }
         beginExchange();
     }
 
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -265,7 +265,10 @@
     });
     ASSERT_TRUE(server.start());
     std::vector<std::string> answers;
-    for (const std::string request : { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789", "G ET / HTTP/1.1\r\nHost: h\r\n\r\n" }) {
+    for (const std::string request : { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789",
+                                       "G ET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                                       "GET /\xc3\xa9 HTTP/1.1\r\nHost: h\r\n\r\n",
+                                       "GET p HTTP/1.1\r\nHost: h\r\n\r\n" }) {
         boost::asio::ip::tcp::socket caller(fixture.io);
         caller.connect({ boost::asio::ip::make_address(fixture.where.ip), fixture.where.port });
         boost::asio::write(caller, boost::asio::buffer(request));
@@ -277,7 +280,7 @@
         fixture.io.restart();
         fixture.io.run_for(20s);
     }
-    EXPECT_EQ(answers, (std::vector<std::string>{ "HTTP/1.1 413", "HTTP/1.1 400" }));
+    EXPECT_EQ(answers, (std::vector<std::string>{ "HTTP/1.1 413", "HTTP/1.1 400", "HTTP/1.1 400", "HTTP/1.1 400" }));
 }
 
 // Guards against a request whose framing never ends, which would fill the memory of the server.
