A server's failure that comes twice counts once

What callers would see (MIXED: abandoned before maxAttempts answers of 500): a server fails an item, is given it again on the same connection and sends its failure a second time. That copy has the right id and counted as the failure of the second run, which was then cut off; an item that failed once was given up where two failures are allowed. Found by reading the change again: requests of callers are sent to a server again on another connection, items were not.

Evidence: secondResponseToSameItemCountsAsFailureOfNextRun without the change: given up after one run.

--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -328,6 +328,7 @@
     options.maySend = [&fleet = m_fleet, id = server.id, startedAt = server.startedAt, configuration = newRun->configuration] {
         return fleet.maySend(id, startedAt) && fleet.isConfigurationUnchanged(configuration);
     };
+    options.requestId = requestIdOf(*newRun);
     options.isOwnResponse = [id = requestIdOf(*newRun)](const http_response &head) {
         return platform::decodeAnswer(head).requestId == id;
     };
--- a/edge/testing/foreign_response_test.cpp
+++ b/edge/testing/foreign_response_test.cpp
@@ -182,6 +182,35 @@
     }
 }
 
+/** A server fails an item once and sends that response a second time, where the response to the next run is due. It counted as a second failure. */
+TEST(foreign_response_test, secondResponseToSameItemCountsAsFailureOfNextRun)
+{
+    foreign_response_fixture fixture;
+    fixture.putConfiguration(3, { { "j", "/j/", route_kind::Batch, true, 2 } });
+    fixture.readAgain();
+    int runs = 0;
+    const auto failed = [](const http_request &request) {
+        return rawResponse(500, signedFields(request), "failed");
+    };
+    doubling_server server(fixture.io, doublingPort + 3, [&](const http_request &request) {
+        return ++runs == 1 ? failed(request) : rawResponse(200, signedFields(request), eventsOf(request));
+    });
+    server.late = [&](const http_request &request) {
+        return runs == 0 ? failed(request) : "";
+    };
+    fixture.enter("i-2", { "127.0.0.1", doublingPort + 3 }, "ready", 200);
+    fixture.readAgain();
+    const auto worker = fixture.startJob(1);
+    EXPECT_TRUE(fixture.runUntil([&] {
+        worker->advance();
+        return worker->progress().count(item_stage::Recording) == 1;
+    }));
+    EXPECT_FALSE(worker->progress().state(0).isGivenUp) << "it failed once, where two failures are allowed";
+    EXPECT_EQ(runs, 2);
+    EXPECT_EQ(server.doubled, 0U) << "the second run has a connection of its own";
+    worker->stop();
+}
+
 /** A success without a server's signature was passed on as the begin of a stream. */
 TEST(foreign_response_test, streamWithoutSignatureIsNotPassedOn)
 {
