--- a/base/bounded_json.h
+++ b/base/bounded_json.h
@@ -43,7 +43,7 @@
 
 /** As wholeNumber(), but throws std::out_of_range where that returns nothing. */
 template<std::integral Number>
-Number requiredNumber(const nlohmann::json &value, Number least, Number most)
+Number requiredNumber(const nlohmann::json &value, Number least = 0, Number most = std::numeric_limits<Number>::max())
 {
     const std::optional<Number> number = wholeNumber(value, least, most);
     if (!number) {
