A response's id and a job's limits are read once

platform::isResponseTo() compares the id of a response without decoding all of its fields, which was done a second time for each response. A worker looks its route up for limits only when the configuration has changed, not in each pass.

No figure: the work saved is small against what else a response and a pass cost; it is simpler to read.

--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -63,9 +63,12 @@
 /** Takes the limits of the job's route from the configuration in force. Without the route, the last ones stay. */
 void job_worker::takeLimits()
 {
-    const route *matchedRoute = jobRoute();
     const std::uint64_t version = m_fleet.routes().document().version;
-    if (matchedRoute == nullptr || std::exchange(m_limitsVersion, version) == version) {
+    if (std::exchange(m_limitsVersion, version) == version) {
+        return;
+    }
+    const route *matchedRoute = jobRoute();
+    if (matchedRoute == nullptr) {
         return;
     }
     job_progress_options options;
@@ -330,7 +333,7 @@
     };
     options.requestId = requestIdOf(*newRun);
     options.isOwnResponse = [id = requestIdOf(*newRun)](const http_response &head) {
-        return platform::decodeAnswer(head).requestId == id;
+        return platform::isResponseTo(head, id);
     };
     const auto guarded = [weak = weak_from_this(), weakRun = std::weak_ptr(newRun)](auto action) {
         const auto self = weak.lock();
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -289,7 +289,7 @@
     };
     options.requestId = m_call.id;
     options.isOwnResponse = [id = m_call.id](const http_response &head) {
-        return platform::decodeAnswer(head).requestId == id;
+        return platform::isResponseTo(head, id);
     };
     http_call_handlers handlers;
     const std::uint64_t number = ++m_attemptNumber;
--- a/edge/weight_load_service.cpp
+++ b/edge/weight_load_service.cpp
@@ -18,7 +18,7 @@
 /** Tells whether a response may belong to a report or an order, which are sent without an id. */
 bool hasNoRequestId(const http_response &head)
 {
-    return platform::decodeAnswer(head).requestId.empty();
+    return platform::isResponseTo(head, "");
 }
 
 } // namespace
