--- a/edge/testing/broken_stream_test.cpp
+++ b/edge/testing/broken_stream_test.cpp
@@ -51,9 +51,9 @@
         SCOPED_TRACE(each.what);
         node_fixture fixture;
         scripted_engine engine(fixture.loop, each.runs);
-        fixture.first.script = fixture.second.script = [&engine](const std::shared_ptr<http_exchange> &exchange) {
+        fixture.setScript([&engine](const std::shared_ptr<http_exchange> &exchange) {
             engine.serve(exchange);
-        };
+        });
         const auto exchange = fixture.startRequest("prompt", "/t/1");
         EXPECT_TRUE(fixture.runUntil([&] {
             return exchange->isDone;
@@ -72,16 +72,16 @@
         SCOPED_TRACE(status);
         node_fixture fixture;
         scripted_engine engine(fixture.loop, { failure(status) });
-        fixture.first.script = fixture.second.script = [&engine](const std::shared_ptr<http_exchange> &exchange) {
+        fixture.setScript([&engine](const std::shared_ptr<http_exchange> &exchange) {
             engine.serve(exchange);
-        };
+        });
         const auto exchange = fixture.startRequest("prompt", "/t/1");
         EXPECT_TRUE(fixture.runUntil([&] {
             return exchange->isDone;
         }));
         EXPECT_EQ(exchange->answers, 1);
         EXPECT_EQ(exchange->response.status, status);
-        EXPECT_EQ(exchange->response.fields.get("Server-Signature"), "sig");
+        EXPECT_EQ(platform::decodeAnswer(exchange->response).signature, "sig");
     }
 }
 
--- a/edge/testing/fleet_cache_test.cpp
+++ b/edge/testing/fleet_cache_test.cpp
@@ -1,6 +1,7 @@
 #include "edge/fleet_cache.h"
 
 #include "platform/testing/node_fixture.h"
+#include "platform/testing/odd_registrations.h"
 
 namespace reedtrail {
 namespace {
@@ -45,23 +46,11 @@
 /** Another writer leaves odd entries among those of the servers. The machine goes on following the list, and uses the servers that are well. */
 TEST(fleet_cache_test, machineStopsFollowingListWithOddEntry)
 {
-    const std::string usual = R"("service":"s","slots":4,"state":"ready","zone":"z")";
-    const std::string odd[] = {
-        "",
-        "\xff\xfe",
-        "null",
-        "[" + std::string(200000, '['),
-        "{" + usual + R"(,"address":"127.0.0.1:65536"})",
-        "{" + usual + R"(,"address":"127.0.0.1:80","sequence":1e400})",
-        "{" + usual + R"(,"address":"127.0.0.1:80","born":1e300})",
-        "{" + usual + R"(,"address":"127.0.0.1:80","models":)" + std::string(200000, '[') + std::string(200000, ']') + "}",
-    };
+    const std::vector<std::string> odd = testing::oddRegistrations();
     node_fixture fixture;
-    for (std::size_t i = 0; i < std::size(odd); ++i) {
+    for (std::size_t i = 0; i < odd.size(); ++i) {
         for (const char *id : { "a", "i-1-odd", "z" }) { // Before, among and after the others.
-            const std::string key = std::string("servers/") + id + std::to_string(i);
-            fixture.transport.items[key] = { odd[i], ++fixture.transport.revision };
-            fixture.transport.history.push_back(fixture.transport.itemOf(key));
+            fixture.enterText(id + std::to_string(i), odd[i]);
         }
     }
     fixture.removeServer("i-1");
--- a/edge/testing/foreign_response_test.cpp
+++ b/edge/testing/foreign_response_test.cpp
@@ -16,12 +16,12 @@
 
 std::string idOf(const http_request &request)
 {
-    return std::string(request.fields.get("Request-Id"));
+    return std::string(platform::requestIdOf(request));
 }
 
 std::string signedFields(const http_request &request)
 {
-    return "Request-Id: " + idOf(request) + "\r\nServer-Signature: sig-" + idOf(request) + "\r\n";
+    return testing::serverFieldLines(idOf(request), "sig-" + idOf(request));
 }
 
 /** Two events that name their request. */
@@ -51,7 +51,7 @@
     }
     std::shared_ptr<recorded_exchange> answered(const std::string &path, const std::string &id)
     {
-        const auto exchange = startRequest("body", path, { { "Request-Id", id } });
+        const auto exchange = startRequest("body", path, testing::namedRequest(id));
         EXPECT_TRUE(runUntil([&] {
             return exchange->isDone;
         }));
@@ -78,7 +78,7 @@
         return rawResponse(500, signedFields(request), "failed");
     };
     const auto withoutId = [](const http_request &request) {
-        return rawResponse(200, "Server-Signature: sig\r\n", eventsOf(request));
+        return rawResponse(200, testing::signatureLine("sig"), eventsOf(request));
     };
     const row rows[] = {
         { "stream that may not be resumed", "/u/1", sameAgain, http_status::badGateway },
@@ -99,7 +99,7 @@
         EXPECT_EQ(fixture.server.doubled, 1U) << "the connection was used again";
         EXPECT_EQ(second->response.status, each.status);
         EXPECT_EQ(second->response.body.find("data: a"), std::string::npos) << second->response.body;
-        EXPECT_NE(second->response.fields.get("Server-Signature"), "sig-a");
+        EXPECT_NE(platform::decodeAnswer(second->response).signature, "sig-a");
         const std::size_t connections = fixture.server.connections;
         const auto third = fixture.answered(each.path, "c");
         EXPECT_EQ(third->response.status, http_status::ok);
@@ -115,7 +115,7 @@
         SCOPED_TRACE(path);
         foreign_response_fixture fixture;
         fixture.server.late = [](const http_request &request) {
-            return idOf(request) == "a" ? rawResponse(503, signedFields(request) + "Not-Executed: 1\r\nServer-Leaving: 1\r\nServer-Limit: 0.5\r\n", "") : "";
+            return idOf(request) == "a" ? rawResponse(503, signedFields(request) + testing::rejectionLine + testing::leavingLine + testing::limitLine, "") : "";
         };
         EXPECT_EQ(fixture.answered(path, "a")->response.status, http_status::ok);
         const auto second = fixture.answered(path, "b");
@@ -132,10 +132,10 @@
     foreign_response_fixture fixture;
     int tries = 0;
     doubling_server server(fixture.io, doublingPort + 2, [&tries](const http_request &request) {
-        return ++tries == 1 ? rawResponse(503, signedFields(request) + "Not-Executed: 1\r\n", "") : rawResponse(200, signedFields(request), "done");
+        return ++tries == 1 ? rawResponse(503, signedFields(request) + testing::rejectionLine, "") : rawResponse(200, signedFields(request), "done");
     });
     server.late = [&tries](const http_request &request) {
-        return tries == 0 ? rawResponse(503, signedFields(request) + "Not-Executed: 1\r\n", "") : "";
+        return tries == 0 ? rawResponse(503, signedFields(request) + testing::rejectionLine, "") : "";
     };
     fixture.enter("i-2", { "127.0.0.1", doublingPort + 2 }, "ready", 200);
     fixture.readAgain();
@@ -151,14 +151,14 @@
     {
         const char *what;
         int status;
-        const char *fields;
+        std::string fields;
     };
     const row rows[] = {
-        { "rejection", 503, "Not-Executed: 1\r\nServer-Leaving: 1\r\n" },
-        { "other instance", 421, "Not-Executed: 1\r\n" },
+        { "rejection", 503, std::string(testing::rejectionLine) + testing::leavingLine },
+        { "other instance", 421, testing::rejectionLine },
         { "failure", 500, "" },
         { "permanent failure", 422, "" },
-        { "success", 200, "Weight-Versions: 9\r\nServer-Leaving: 1\r\n" },
+        { "success", 200, std::string(testing::newVersionLine) + testing::leavingLine },
     };
     for (const row &each : rows) {
         SCOPED_TRACE(each.what);
@@ -216,7 +216,7 @@
 {
     foreign_response_fixture fixture;
     doubling_server unsignedServer(fixture.io, doublingPort + 1, [](const http_request &request) {
-        return rawResponse(200, "Request-Id: " + idOf(request) + "\r\n", eventsOf(request));
+        return rawResponse(200, testing::requestLine(idOf(request)), eventsOf(request));
     });
     fixture.enter("i-2", { "127.0.0.1", doublingPort + 1 }, "ready", 200);
     fixture.readAgain();
--- a/edge/testing/job_worker_test.cpp
+++ b/edge/testing/job_worker_test.cpp
@@ -73,7 +73,7 @@
     std::map<std::string, int> scoreCalls;
     const served_run whole{ .version = "6", .parts = { { 0ms, "id: 1\ndata: a\n\n" } } };
     scripted_engine engine(fixture.loop, { whole });
-    fixture.first.script = fixture.second.script = [&](const std::shared_ptr<http_exchange> &exchange) {
+    fixture.setScript([&](const std::shared_ptr<http_exchange> &exchange) {
         const std::string path(exchange->request().path());
         if (path == "/j/1") {
             engine.serve(exchange);
@@ -81,7 +81,7 @@
         }
         ++scoreCalls[path];
         exchange->respond({ http_status::internalError, testing::serverFields(exchange->request()), "failed" });
-    };
+    });
     job_spec spec;
     for (const char *path : { "/strict/1", "/lenient/1", "/strict/2", "/lenient/2" }) {
         job_item item = singleItemJob().items.front();
@@ -89,28 +89,7 @@
         item.score = score_call{ std::string("score") + path, "h", path, "" };
         spec.items.push_back(item);
     }
-    job_metadata metadata;
-    metadata.host = "h";
-    metadata.path = "/j/1";
-    std::vector<item_result> results;
-    const auto worker = std::make_shared<job_worker>(*fixture.context,
-                                                     *fixture.fleet,
-                                                     "job",
-                                                     metadata,
-                                                     spec,
-                                                     fixture.loop.now(),
-                                                     job_worker::recorder{ [&](std::vector<item_result> recorded, const std::string &) {
-                                                                              results.insert(results.end(), recorded.begin(), recorded.end());
-                                                                          },
-                                                                           [](const std::string &) {},
-                                                                           [] {
-                                                                               return false;
-                                                                           } });
-    EXPECT_TRUE(fixture.runUntil([&] {
-        worker->advance();
-        return results.size() == spec.items.size();
-    }));
-    worker->stop();
+    const std::vector<item_result> results = fixture.runJob(spec);
     EXPECT_EQ(scoreCalls, (std::map<std::string, int>{ { "/strict/1", 3 }, { "/strict/2", 3 }, { "/lenient/1", 5 }, { "/lenient/2", 5 } }));
     for (const item_result &each : results) {
         EXPECT_FALSE(each.isCompleted) << each.id;
@@ -163,31 +142,10 @@
         SCOPED_TRACE(each.what);
         node_fixture fixture;
         scripted_engine engine(fixture.loop, each.runs);
-        fixture.first.script = fixture.second.script = [&engine](const std::shared_ptr<http_exchange> &exchange) {
+        fixture.setScript([&engine](const std::shared_ptr<http_exchange> &exchange) {
             engine.serve(exchange);
-        };
-        job_metadata metadata;
-        metadata.host = "h";
-        metadata.path = "/j/1";
-        std::vector<item_result> results;
-        const auto worker = std::make_shared<job_worker>(*fixture.context,
-                                                         *fixture.fleet,
-                                                         "job",
-                                                         metadata,
-                                                         singleItemJob(),
-                                                         fixture.loop.now(),
-                                                         job_worker::recorder{ [&](std::vector<item_result> recorded, const std::string &) {
-                                                                                  results.insert(results.end(), recorded.begin(), recorded.end());
-                                                                              },
-                                                                               [](const std::string &) {},
-                                                                               [] {
-                                                                                   return false;
-                                                                               } });
-        EXPECT_TRUE(fixture.runUntil([&] {
-            worker->advance();
-            return !results.empty();
-        }));
-        worker->stop();
+        });
+        const std::vector<item_result> results = fixture.runJob(singleItemJob());
         ASSERT_EQ(results.size(), 1U);
         EXPECT_TRUE(results.front().isCompleted);
         EXPECT_EQ(results.front().output, each.text);
