--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -40,6 +40,8 @@
     int runsAfterThirdEnd = 0; ///< Of the bodies that crash servers.
     int items = 0; ///< Items of jobs that servers completed.
     bool crashesAtItems = false;
+    bool answersUnsigned = false; ///< After two ends, such bodies get a success without a signature in place of another end.
+    int unsignedAnswers = 0;
     std::function<void()> onRun = [] {}; ///< Runs when a server begins to run a request.
 
 private:
@@ -67,6 +69,11 @@
         onRun();
         if (exchange->request().body.starts_with("crash") || (crashesAtItems && exchange->request().path().starts_with("/j/"))) {
             runsAfterThirdEnd += ends >= 3 ? 1 : 0;
+            if (answersUnsigned && ends >= 2) {
+                ++unsignedAnswers;
+                exchange->respond({ http_status::ok, testing::namedRequest(std::string(platform::requestIdOf(exchange->request()))), "id: 1\ndata: a\n\n" });
+                return;
+            }
             m_fixture.loop.after(timeToCrash, [this, index, id, exchange] {
                 end(index, id);
             });
@@ -151,6 +158,22 @@
     EXPECT_LE(servers.runsAfterThirdEnd, allowedRetries);
 }
 
+/** The answer to a granted attempt is dropped before its first event. The next attempt needs a grant of its own. */
+TEST(crashing_request, droppedAnswerLeavesGrantToNextAttempt)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 6);
+    fixture.putConfiguration(2, { { "t", "/t/", route_kind::Streaming, true, 6 } });
+    fixture.readAgain();
+    servers.answersUnsigned = true;
+    const auto exchange = fixture.startRequest("crash", "/t/1");
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return exchange->isDone;
+    }));
+    EXPECT_EQ(servers.ends, 2);
+    EXPECT_EQ(servers.unsignedAnswers, 1) << "of one grant";
+}
+
 TEST(crashing_request, suspectRequestIsRefusedAtOnceWithTimeToReturn)
 {
     node_fixture fixture;
