Claims of streams are judged apart from the relay

request_relay did two jobs: it relayed a request, and it found out what began a stream that a caller takes up. The second one is edge/stream_claim now, with the same decisions, line and counter. A member of job_worker's runs that nothing used is gone.

Evidence: mixed_builds_test passes unchanged.

--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -82,7 +82,6 @@
         bool isScore = false; ///< The run scores the item's text.
         bool wasAbortedAsSilent = false; ///< This worker aborted the run because its server sent nothing in time.
         bool wasAbortedToMove = false; ///< This worker aborted the run to continue it on a faster server.
-        std::string errorBody;
     };
 
     void takeLimits();
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "edge/request_relay.h"
 
+#include "edge/stream_claim.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
 
@@ -15,7 +16,6 @@
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
 constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
-constexpr duration retryAfterWithoutProof = std::chrono::milliseconds(300); // Retry-After while the store can't be read; callers give up after two seconds.
 constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
@@ -69,7 +69,7 @@
     return isStream() && (!m_call.lastEventId.empty() || !m_call.resumedRequest.empty() || m_call.isResumeMalformed);
 }
 
-/** Finds out what began the stream that the caller takes up. */
+/** Goes on with the stream that the caller takes up if it is certain what began it, or refuses it. */
 void request_relay::takeUpStream()
 {
     if (!m_route.isResumable || m_call.isResumeMalformed || m_call.lastEventId.empty()) {
@@ -77,88 +77,22 @@
         return;
     }
     const duration maximumAge = (m_route.timeout > duration::zero() ? m_route.timeout : defaultTimeout) + takeUpTime;
-    m_origins.find(m_call.resumedRequest, m_service, maximumAge, [self = shared_from_this()](const found_origin &found) {
-        if (!self->m_isDone) {
-            self->judgeOrigin(found);
+    const auto claim =
+        std::make_shared<stream_claim>(m_context, m_fleet, m_origins, claimed_stream{ m_route, m_call, m_service, identity().digest, maximumAge });
+    claim->judge([self = shared_from_this()](const claim_verdict &verdict) {
+        if (self->m_isDone) {
+            return;
         }
+        if (!verdict.origin) {
+            self->refuse(http_status::unavailable, "it is not known which server software began the stream", verdict.retryAfter);
+            return;
+        }
+        self->m_service = verdict.origin->service;
+        self->m_origin = verdict.origin;
+        self->startNextAttempt();
     });
 }
 
-/** Decides whether what is known of the stream's begin is certain, and is that of this caller's request. */
-void request_relay::judgeOrigin(const found_origin &found)
-{
-    const stream_origin &origin = found.origin;
-    if (found.source == origin_source::Unknown) {
-        endOriginSearch(found, "unknown");
-        return;
-    }
-    if (found.source == origin_source::SoleBuild) {
-        // Registrations read from now on show each server at which the stream may have begun.
-        m_fleet.readServersAgain([self = shared_from_this(), found] {
-            const bool isOnlyService = self->m_route.services.size() == 1;
-            const bool isCertain = isOnlyService && self->m_origins.isSoleBuildStill(found.origin, self->m_startedAt);
-            const bool isRead = self->m_fleet.haveServersBeenReadSince(self->m_startedAt);
-            const char *obstacle = isRead ? "several builds" : "the store does not tell which builds serve";
-            self->endOriginSearch(found, isCertain ? nullptr : obstacle, isRead ? duration::zero() : retryAfterWithoutProof);
-        });
-        return;
-    }
-    const bool isRouted = std::ranges::any_of(m_route.services, [&](const weighted_service &each) {
-        return each.service == origin.service;
-    });
-    if (origin.request != identity().digest || !isRouted) {
-        endOriginSearch(found, isRouted ? "other request" : "other service");
-    } else if (origin.build.empty()) {
-        endOriginSearch(found, "begun by unknown build");
-    } else if (origin.isProven) {
-        endOriginSearch(found, nullptr);
-    } else {
-        m_fleet.proveContact({ origin.server, origin.startedAt, found.connectedAt }, [self = shared_from_this(), found](contact_proof proof) {
-            if (proof == contact_proof::Pending) {
-                self->endOriginSearch(found, "the store does not tell which instance began it", retryAfterWithoutProof);
-                return;
-            }
-            self->endOriginSearch(found, proof == contact_proof::Certain ? nullptr : "begun by unproven instance");
-        });
-    }
-}
-
-/**
- * Goes on with the stream, or refuses it.
- * @param obstacle why its begin is not known; null if it is
- * @param retryAfter when it may be known; zero if there is no such time
- */
-void request_relay::endOriginSearch(const found_origin &found, const char *obstacle, duration retryAfter)
-{
-    if (m_isDone) {
-        return;
-    }
-    logLine(log_level::Info,
-            "stream-taken-up",
-            { { "request", m_call.id },
-              { "resumes", m_call.resumedRequest },
-              { "after-event", m_call.lastEventId },
-              { "source", std::string(originSourceName(found.source)) },
-              { "from", found.node },
-              { "build", found.origin.build },
-              { "begun-at", found.origin.server },
-              { "obstacle", obstacle == nullptr ? "" : obstacle } });
-    m_context.metrics
-        .counter("reedtrail_streams_taken_up_total",
-                 "Streams that callers take up, by what is known of their begin",
-                 "source=\"" + std::string(originSourceName(found.source)) + "\",known=\"" + (obstacle == nullptr ? "yes" : "no") + "\"")
-        .add();
-    if (obstacle != nullptr) {
-        refuse(http_status::unavailable, "it is not known which server software began the stream", retryAfter);
-        return;
-    }
-    m_service = found.origin.service;
-    m_origin = found.origin;
-    m_origin->request = identity().digest;
-    m_origin->isProven = true;
-    startNextAttempt();
-}
-
 void request_relay::startNextAttempt()
 {
     if (m_isDone) {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -44,8 +44,6 @@
 
 private:
     void takeUpStream();
-    void judgeOrigin(const found_origin &found);
-    void endOriginSearch(const found_origin &found, const char *obstacle, duration retryAfter = duration::zero());
     bool isTakenUp() const;
     void startNextAttempt();
     void admitSuspect();
