Customers with keys: a directory of digests, judged before anything is sent

What callers saw: servers were told no customer, and requests with a key that no customer holds ran. Cause: nothing in the product knew customers on the users' platform. The customer goes with each send of a request, a stream and an item; the caller's own field and its key go no further. Jobs keep the customer that handed them in; another customer's caller gets the answer of an unknown job. Without customers in the configuration nothing changes.

--- a/batch/job_store.cpp
+++ b/batch/job_store.cpp
@@ -66,6 +66,16 @@
     return parsed.ec == std::errc() ? std::optional(number) : std::nullopt;
 }
 
+/** Encodes the facts of a job. A job without a customer is written as earlier releases do. */
+std::string encodeMetadata(const job_metadata &metadata)
+{
+    nlohmann::json row = { metadata.host, metadata.path, metadata.submittedAtMs, metadata.model, metadata.expectedTokens };
+    if (!metadata.customer.empty()) {
+        row.push_back(metadata.customer);
+    }
+    return encodeCbor(row);
+}
+
 } // namespace
 
 namespace job_key {
@@ -135,8 +145,7 @@
     }
     store_txn txn;
     txn.compares.push_back(store_compare::absent(job_key::metadata(job)));
-    txn.onSuccess.push_back(
-        store_put{ job_key::metadata(job), encodeCbor({ metadata.host, metadata.path, metadata.submittedAtMs, metadata.model, metadata.expectedTokens }), 0 });
+    txn.onSuccess.push_back(store_put{ job_key::metadata(job), encodeMetadata(metadata), 0 });
     for (std::size_t part = 0; part * maximumDocumentPartBytes < document.size(); ++part) {
         txn.onSuccess.push_back(
             store_put{ job_key::documentPart(job, part), std::string(document.substr(part * maximumDocumentPartBytes, maximumDocumentPartBytes)), 0 });
@@ -264,11 +273,14 @@
     try {
         if (suffix == "facts") {
             const nlohmann::json row = decodeCbor(item.value);
-            m_metadata = job_metadata{ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::int64_t>(), "", 0 };
+            m_metadata = job_metadata{ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::int64_t>(), "", 0, "" };
             if (row.size() > 4) { // Earlier releases do not write these fields.
                 m_metadata->model = row.at(3).get<std::string>();
                 m_metadata->expectedTokens = row.at(4).get<double>();
             }
+            if (row.size() > 5) {
+                m_metadata->customer = row.at(5).get<std::string>();
+            }
         } else if (suffix == "state/owner") {
             m_owner = decodeCbor(item.value).get<job_owner_record>();
             m_ownerRevision = item.modRevision;
--- a/batch/job_types.h
+++ b/batch/job_types.h
@@ -56,6 +56,7 @@
     std::int64_t submittedAtMs = 0; ///< Unix time in milliseconds, by the clock of the VM that accepted the job. Clocks jump, so no decision rests on it.
     std::string model; ///< The model of all items; empty if the items use several models.
     double expectedTokens = 0; ///< Sum of the caller's estimates over all items.
+    std::string customer; ///< Customer that handed the job in; empty if the deployment had none then, or its route needs no key.
 };
 
 /** The partial output of an item whose result is not recorded yet. It is stored so that another node can resume the item. */
--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -146,7 +146,7 @@
     return found != m_entries.end() && found->second->session->isOwner();
 }
 
-void batch_job_service::submit(std::shared_ptr<http_exchange> exchange, const std::string &job, bool mayBeRecorded)
+void batch_job_service::submit(std::shared_ptr<http_exchange> exchange, const std::string &job, const std::optional<std::string> &customer, bool mayBeRecorded)
 {
     const http_request &request = exchange->request();
     std::optional<job_spec> spec;
@@ -161,6 +161,10 @@
     }
     const std::shared_ptr<job_entry> entry = findOrCreate(job);
     if (entry->session->view().isPresent()) {
+        if (!mayUseJob(customer, entry->session->view().metadata().customer)) {
+            refuse(exchange, http_status::conflict, "the id belongs to another batch job", job);
+            return;
+        }
         exchange->respond(textResponse(http_status::accepted, ""));
         return;
     }
@@ -173,7 +177,9 @@
     for (const job_item &item : spec->items) {
         expectedTokens += item.expectedTokens;
     }
-    const job_metadata metadata{ std::string(request.fields.get("Host")), std::string(request.path()), unixMilliseconds(), spec->model, expectedTokens };
+    const job_metadata metadata{
+        std::string(request.fields.get("Host")), std::string(request.path()), unixMilliseconds(), spec->model, expectedTokens, customer.value_or("")
+    };
     entry->spec = std::move(spec);
     entry->session->accept(metadata, request.body, [this, exchange, entry, job, mayBeRecorded, startedAt = m_context.loop.now()](accept_outcome outcome) {
         const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.loop.now() - startedAt).count();
@@ -235,13 +241,27 @@
     return !error;
 }
 
-void batch_job_service::read(std::shared_ptr<http_exchange> exchange, const platform::job_read &call)
+/** Tells whether a caller must be told that there is no such job. Forgets a job that the store does not have. */
+bool batch_job_service::isHidden(const job_entry &entry, load_outcome outcome, const std::optional<std::string> &customer)
+{
+    if (outcome == load_outcome::Absent) {
+        m_entries.erase(std::string(entry.job));
+        return true;
+    }
+    const job_view &view = entry.session->view();
+    const bool isForeign = view.isPresent() && !mayUseJob(customer, view.metadata().customer);
+    if (isForeign) {
+        logLine(log_level::Info, "job-of-another-customer", { { "job", entry.job }, { "caller", customer.value_or("-") } });
+    }
+    return isForeign;
+}
+
+void batch_job_service::read(std::shared_ptr<http_exchange> exchange, const platform::job_read &call, const std::optional<std::string> &customer)
 {
     const std::shared_ptr<job_entry> entry = findOrCreate(call.job);
-    withLoadedView(entry, [this, exchange, entry, call](load_outcome outcome) {
+    withLoadedView(entry, [this, exchange, entry, call, customer](load_outcome outcome) {
         const job_view &view = entry->session->view();
-        if (outcome == load_outcome::Absent) {
-            m_entries.erase(call.job);
+        if (isHidden(*entry, outcome, customer)) {
             refuse(exchange, http_status::notFound, "no such batch job", call.job);
             return;
         }
@@ -319,16 +339,15 @@
     }
 }
 
-void batch_job_service::readItem(std::shared_ptr<http_exchange> exchange, const platform::job_item_read &call)
+void batch_job_service::readItem(std::shared_ptr<http_exchange> exchange, const platform::job_item_read &call, const std::optional<std::string> &customer)
 {
     const std::shared_ptr<job_entry> entry = findOrCreate(call.job);
-    withLoadedView(entry, [this, exchange, entry, call](load_outcome outcome) {
+    withLoadedView(entry, [this, exchange, entry, call, customer](load_outcome outcome) {
         if (outcome == load_outcome::Unavailable) {
             refuse(exchange, http_status::unavailable, "the store does not answer", call.job);
             return;
         }
-        if (outcome == load_outcome::Absent) {
-            m_entries.erase(call.job);
+        if (isHidden(*entry, outcome, customer)) {
             refuse(exchange, http_status::notFound, "no such batch job", call.job);
             return;
         }
@@ -350,12 +369,11 @@
     });
 }
 
-void batch_job_service::end(std::shared_ptr<http_exchange> exchange, const platform::job_end &call)
+void batch_job_service::end(std::shared_ptr<http_exchange> exchange, const platform::job_end &call, const std::optional<std::string> &customer)
 {
     const std::shared_ptr<job_entry> entry = findOrCreate(call.job);
-    withLoadedView(entry, [this, exchange, entry, call](load_outcome outcome) {
-        if (outcome == load_outcome::Absent) {
-            m_entries.erase(call.job);
+    withLoadedView(entry, [this, exchange, entry, call, customer](load_outcome outcome) {
+        if (isHidden(*entry, outcome, customer)) {
             refuse(exchange, http_status::notFound, "no such batch job", call.job);
             return;
         }
--- a/edge/batch_job_service.h
+++ b/edge/batch_job_service.h
@@ -45,15 +45,16 @@
 
     /**
      * Records a submitted job, or confirms it if it is recorded already.
+     * @param customer for whom the call is made, as access_verdict::customer; a job of another customer is answered as one that does not exist, here and below
      * @param mayBeRecorded whether another node may have recorded the job for this same call, so that the caller must not be told that it was not recorded
      */
-    void submit(std::shared_ptr<http_exchange> exchange, const std::string &job, bool mayBeRecorded);
+    void submit(std::shared_ptr<http_exchange> exchange, const std::string &job, const std::optional<std::string> &customer, bool mayBeRecorded);
     /** Responds with the results from a position on; waits up to maxReadWait for the first of them. */
-    void read(std::shared_ptr<http_exchange> exchange, const platform::job_read &call);
+    void read(std::shared_ptr<http_exchange> exchange, const platform::job_read &call, const std::optional<std::string> &customer);
     /** Responds with the request body of one item of a job. */
-    void readItem(std::shared_ptr<http_exchange> exchange, const platform::job_item_read &call);
+    void readItem(std::shared_ptr<http_exchange> exchange, const platform::job_item_read &call, const std::optional<std::string> &customer);
     /** Ends a job: records the end, so that its owner stops running it. */
-    void end(std::shared_ptr<http_exchange> exchange, const platform::job_end &call);
+    void end(std::shared_ptr<http_exchange> exchange, const platform::job_end &call, const std::optional<std::string> &customer);
 
 private:
     using session_type = job_session<edge_store, asio_loop>;
@@ -83,6 +84,7 @@
     std::shared_ptr<job_entry> findOrCreate(const std::string &job);
     void withLoadedView(const std::shared_ptr<job_entry> &entry, std::function<void(load_outcome)> action);
     bool decodeDocument(job_entry &entry);
+    bool isHidden(const job_entry &entry, load_outcome outcome, const std::optional<std::string> &customer);
     void completeRead(const std::shared_ptr<job_entry> &entry, const pending_read &pendingRead);
     void respondToRead(const job_entry &entry, const pending_read &pendingRead);
     void completeDueReads(const std::shared_ptr<job_entry> &entry);
--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -89,7 +89,8 @@
         return;
     }
     platform::caller_call call = platform::decodeCall(exchange->request());
-    if (std::holds_alternative<platform::service_call>(call)) {
+    // Calls about jobs rest on the configuration only where a key decides on them.
+    if (std::holds_alternative<platform::service_call>(call) || m_fleet.routes().document().customers) {
         const bool isCurrent = m_fleet.ensureCurrent([this, exchange] {
             if (!exchange->isGone()) {
                 dispatch(exchange);
@@ -104,14 +105,18 @@
         relayToBackend(std::move(exchange), std::get<platform::service_call>(std::move(call)));
         return;
     }
+    const access_verdict verdict = judgeCaller(exchange->request(), call);
+    if (isRefusedByKey(exchange, verdict)) {
+        return;
+    }
     if (m_jobs.ownsJob(*job) || m_context.isIsolated()) {
-        serveJobCall(exchange, call, false);
+        serveJobCall(exchange, call, verdict.customer, false);
         return;
     }
     const auto *read = std::get_if<platform::job_read>(&call);
     const duration wait = read == nullptr ? duration::zero() : std::min(read->wait, batch_job_service::maxReadWait);
-    m_forwarder.forward(exchange, *job, wait, [this, exchange, call](bool mayHaveExecuted) {
-        serveJobCall(exchange, call, mayHaveExecuted);
+    m_forwarder.forward(exchange, *job, verdict.customer, wait, [this, exchange, call, customer = verdict.customer](bool mayHaveExecuted) {
+        serveJobCall(exchange, call, customer, mayHaveExecuted);
     });
 }
 
@@ -124,7 +129,7 @@
         job_forwarder::decline(exchange);
         return;
     }
-    serveJobCall(exchange, call, false);
+    serveJobCall(exchange, call, job_forwarder::customerOf(exchange->request()), false);
 }
 
 /** Returns the id of the batch job that a call refers to; nothing if the call is for a service. */
@@ -144,16 +149,51 @@
     return isSubmission ? std::optional(std::get<platform::service_call>(call).id) : std::nullopt;
 }
 
-void caller_service::serveJobCall(const std::shared_ptr<http_exchange> &exchange, const platform::caller_call &call, bool mayHaveExecuted)
+/** Judges the key of a caller, by the configuration at hand. */
+access_verdict caller_service::judgeCaller(const http_request &request, const platform::caller_call &call) const
+{
+    const route_table &routes = m_fleet.routes();
+    const std::string_view host = request.fields.get("Host");
+    const route *matchedRoute = std::holds_alternative<platform::service_call>(call) ? routes.match(host, request.path()) : nullptr;
+    const bool isOpen = matchedRoute != nullptr ? matchedRoute->isOpen : routes.hasOpenJobRoute(host);
+    return judgeAccess(routes.document().customers.get(), isOpen, platform::callerKeyOf(request), m_fleet.isConfigurationCurrent());
+}
+
+/** Refuses a call whose key does not allow it. @return whether it is refused */
+bool caller_service::isRefusedByKey(const std::shared_ptr<http_exchange> &exchange, const access_verdict &verdict)
+{
+    if (verdict.isAllowed()) {
+        return false;
+    }
+    const presented_key presented = platform::callerKeyOf(exchange->request());
+    const bool isDenied = verdict.what == access_verdict::outcome::Denied;
+    logLine(log_level::Info,
+            "caller-denied",
+            { { "request", std::string(platform::requestIdOf(exchange->request())) },
+              { "key-digest", presented.what == presented_key::kind::Single ? customer_directory::label(presented.key) : "-" },
+              { "verdict", isDenied ? "denied" : "unsure" },
+              { "reason", verdict.reason },
+              { "configuration", std::to_string(m_fleet.routes().document().version) } });
+    m_context.metrics
+        .counter("reedtrail_callers_denied_total", "Calls refused because of their key", std::string("verdict=\"") + (isDenied ? "denied" : "unsure") + "\"")
+        .add();
+    refuse(exchange, isDenied ? http_status::unauthorized : http_status::unavailable, verdict.reason, isDenied ? duration::zero() : retryAfterWhileStarting);
+    return true;
+}
+
+void caller_service::serveJobCall(const std::shared_ptr<http_exchange> &exchange,
+                                  const platform::caller_call &call,
+                                  const std::optional<std::string> &customer,
+                                  bool mayHaveExecuted)
 {
     if (const auto *read = std::get_if<platform::job_read>(&call)) {
-        m_jobs.read(exchange, *read);
+        m_jobs.read(exchange, *read, customer);
     } else if (const auto *item = std::get_if<platform::job_item_read>(&call)) {
-        m_jobs.readItem(exchange, *item);
+        m_jobs.readItem(exchange, *item, customer);
     } else if (const auto *end = std::get_if<platform::job_end>(&call)) {
-        m_jobs.end(exchange, *end);
+        m_jobs.end(exchange, *end, customer);
     } else {
-        m_jobs.submit(exchange, std::get<platform::service_call>(call).id, mayHaveExecuted);
+        m_jobs.submit(exchange, std::get<platform::service_call>(call).id, customer, mayHaveExecuted);
     }
 }
 
@@ -169,7 +209,11 @@
         refuse(exchange, http_status::notFound, "no route for this host and path", duration::zero());
         return;
     }
-    std::make_shared<request_relay>(m_context, m_fleet, m_crashes, m_origins, std::move(exchange), *matchedRoute, std::move(call))->start();
+    const access_verdict verdict = judgeCaller(request, call);
+    if (isRefusedByKey(exchange, verdict)) {
+        return;
+    }
+    std::make_shared<request_relay>(m_context, m_fleet, m_crashes, m_origins, std::move(exchange), *matchedRoute, std::move(call), verdict.customer)->start();
 }
 
 void caller_service::refuse(const std::shared_ptr<http_exchange> &exchange, std::uint16_t status, const char *reason, duration retryAfter)
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -37,8 +37,13 @@
 
 private:
     void dispatch(std::shared_ptr<http_exchange> exchange);
+    bool isRefusedByKey(const std::shared_ptr<http_exchange> &exchange, const access_verdict &verdict);
+    access_verdict judgeCaller(const http_request &request, const platform::caller_call &call) const;
     std::optional<std::string> jobIdOf(const http_request &request, const platform::caller_call &call) const;
-    void serveJobCall(const std::shared_ptr<http_exchange> &exchange, const platform::caller_call &call, bool mayHaveExecuted);
+    void serveJobCall(const std::shared_ptr<http_exchange> &exchange,
+                      const platform::caller_call &call,
+                      const std::optional<std::string> &customer,
+                      bool mayHaveExecuted);
     void relayToBackend(std::shared_ptr<http_exchange> exchange, platform::service_call call);
     void serveDiagnostics(const std::shared_ptr<http_exchange> &exchange);
     void checkDrainComplete(std::function<void()> done);
--- a/edge/edge_context.h
+++ b/edge/edge_context.h
@@ -8,6 +8,7 @@
 #include "edge/edge_settings.h"
 #include "fleet/node_lease.h"
 #include "fleet/outage_tracker.h"
+#include "fleet/usage_ledger.h"
 #include "kernel/metrics.h"
 #include "net/http_client.h"
 #include "platform/key_value_store.h"
@@ -34,6 +35,7 @@
     outage_tracker &outages; ///< Which calls the store answered.
     std::uint64_t randomSeed = 0; ///< Seed of this process's random choices.
     std::function<bool()> isIsolated; ///< Tells whether this node reaches neither the store nor other zones.
+    std::shared_ptr<usage_ledger> usage; ///< What customers used by way of this node; null if the deployment reports no use.
     bool isDraining = false;
     time_point drainStartedAt; ///< Time of the stop signal.
 };
--- a/edge/edge_settings.h
+++ b/edge/edge_settings.h
@@ -18,6 +18,14 @@
 /** Largest request body accepted from callers. No configuration so far allows more, and the store limits batch jobs to less. */
 inline constexpr std::size_t maxCallerBodyBytes = 33U << 20U;
 
+/** When and where the use of customers is reported. */
+struct usage_settings
+{
+    endpoint address; ///< Of the platform's API.
+    duration window = std::chrono::seconds(5); ///< Length of the windows, which are counted from the start of 1970.
+    duration due = std::chrono::seconds(10); ///< After the end of a window, when its report must have arrived.
+};
+
 /** Settings of an edge process. Time limits that the settings file leaves out keep these defaults, which are the limits of the first two deployments. */
 struct edge_settings
 {
@@ -34,6 +42,7 @@
     duration maxConfigurationDelay = std::chrono::milliseconds(2000); ///< Requests are judged by a new configuration after this time.
     duration serverHeartbeat = std::chrono::milliseconds(1200); ///< Time between two renewals of a server's registration.
     duration shutdownGracePeriod = std::chrono::seconds(8); ///< Time from the stop signal until the process is killed.
+    std::optional<usage_settings> usage; ///< Nothing if the deployment reports no use.
     duration orderHandoverInterval = std::chrono::milliseconds(3000); ///< Minimum time between load orders of two different nodes to the same server.
 };
 
--- a/edge/job_forwarder.cpp
+++ b/edge/job_forwarder.cpp
@@ -2,11 +2,16 @@
 
 #include "kernel/log.h"
 #include "net/http_status.h"
+#include "platform/server_wire.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 
 namespace reedtrail {
 namespace {
 
 constexpr std::string_view forwardedField = "Reedtrail-Forwarded";
+constexpr std::string_view customerField = "Reedtrail-Customer"; // Present if the deployment has customers; empty for calls without one.
 constexpr std::string_view declinedField = "Reedtrail-Declined";
 
 constexpr duration hostConnectTimeout = std::chrono::milliseconds(250); // A hundred times the network latency between zones.
@@ -23,7 +28,11 @@
 {
 }
 
-void job_forwarder::forward(const std::shared_ptr<http_exchange> &exchange, const std::string &job, duration wait, local_handler serveLocally)
+void job_forwarder::forward(const std::shared_ptr<http_exchange> &exchange,
+                            const std::string &job,
+                            const std::optional<std::string> &customer,
+                            duration wait,
+                            local_handler serveLocally)
 {
     const std::optional<std::string> host = m_hosts.hostFor(m_loop.now(), job);
     const std::optional<endpoint> hostAddress = host && *host != m_ownNode ? m_hosts.addressOf(*host) : std::nullopt;
@@ -34,6 +43,11 @@
     http_request request = exchange->request();
     request.fields = endToEndFields(request.fields);
     request.fields.set(forwardedField, "1");
+    request.fields.remove(customerField);
+    if (customer) {
+        platform::removeCallerKey(request);
+        request.fields.add(customerField, *customer);
+    }
     http_call_options options;
     options.connectTimeout = hostConnectTimeout;
     options.silenceTimeout = wait + hostResponseAllowance;
@@ -72,6 +86,14 @@
     return !request.fields.get(forwardedField).empty();
 }
 
+std::optional<std::string> job_forwarder::customerOf(const http_request &request)
+{
+    const auto found = std::ranges::find_if(request.fields.all(), [](const http_field &field) {
+        return boost::iequals(field.name, customerField);
+    });
+    return found == request.fields.all().end() ? std::nullopt : std::optional(found->value);
+}
+
 void job_forwarder::decline(const std::shared_ptr<http_exchange> &exchange)
 {
     http_response response = textResponse(http_status::unavailable, "");
--- a/edge/job_forwarder.h
+++ b/edge/job_forwarder.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace reedtrail {
@@ -34,13 +35,20 @@
     }
     /**
      * Answers a call with the response of the job's host, or calls @p serveLocally if there is no other host or it does not answer.
+     * @param customer for whom the call is made, as access_verdict::customer; the host takes this node's judgement
      * @param wait long-poll time that the caller asked for, added to the host's timeout
      * @param serveLocally called at most once, from within forward() or later
      */
-    void forward(const std::shared_ptr<http_exchange> &exchange, const std::string &job, duration wait, local_handler serveLocally);
+    void forward(const std::shared_ptr<http_exchange> &exchange,
+                 const std::string &job,
+                 const std::optional<std::string> &customer,
+                 duration wait,
+                 local_handler serveLocally);
 
     /** Tells whether a request was forwarded by another node. */
     static bool isForwarded(const http_request &request);
+    /** Returns for whom a forwarded call is made, as the forwarding node has judged. */
+    static std::optional<std::string> customerOf(const http_request &request);
     /** Tells the forwarding node that this node does not serve the call and has not executed it. */
     static void decline(const std::shared_ptr<http_exchange> &exchange);
 
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -243,7 +243,10 @@
     newRun->item = index;
     const std::uint64_t lastEvent = m_progress.state(index).lastEvent;
     m_progress.started(now, index, server.id, matchedRoute.maxAttempts);
-    launch(now, newRun, server, platform::itemRequest(m_progress.item(index), matchedRoute.host, server.id, lastEvent), runTimeout);
+    http_request request = platform::itemRequest(m_progress.item(index), matchedRoute.host, server.id, lastEvent);
+    const bool hasCustomers = m_fleet.routes().document().customers != nullptr;
+    platform::nameCustomer(request, hasCustomers || !m_metadata.customer.empty() ? std::optional(m_metadata.customer) : std::nullopt);
+    launch(now, newRun, server, std::move(request), runTimeout);
 }
 
 void job_worker::startScores(time_point now)
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -9,6 +9,7 @@
 #include "edge/job_forwarder.h"
 #include "edge/peer_service.h"
 #include "edge/recording_store_transport.h"
+#include "edge/usage_report_service.h"
 #include "edge/weight_load_service.h"
 #include "kernel/command_line.h"
 #include "kernel/log.h"
@@ -53,6 +54,9 @@
         , m_witnesses(m_loop, m_transport.path(), m_peerClient)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
+        if (m_context.settings.usage) {
+            m_context.usage = std::make_shared<usage_ledger>(m_context.settings.node + "/" + m_context.incarnation);
+        }
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
     }
 
@@ -69,6 +73,7 @@
         auto fleet = std::make_unique<fleet_cache>(m_context, m_snapshotSource, m_snapshotServer, m_limitPeers);
         auto jobs = std::make_unique<batch_job_service>(m_context, *fleet);
         auto weightLoads = std::make_unique<weight_load_service>(m_context, *fleet, m_snapshotSource, m_snapshotServer);
+        auto usage = std::make_unique<usage_report_service>(m_context, *weightLoads, m_transport.path(), m_peerClient);
         const auto origins = std::make_unique<stream_origins>(m_context, *fleet, m_transport.path(), m_peerClient);
         auto callers = std::make_unique<caller_service>(m_context, *fleet, m_crashes, *origins, *jobs, m_forwarder);
         m_context.isIsolated = [this] {
@@ -99,6 +104,9 @@
         peers->onStreamMessages([origins = origins.get()](const std::shared_ptr<http_exchange> &exchange) {
             origins->serve(exchange);
         });
+        peers->onUsageMessages([usage = usage.get()](const std::shared_ptr<http_exchange> &exchange) {
+            usage->serve(exchange);
+        });
         peers->onContactQuestion([this](const std::shared_ptr<http_exchange> &exchange) {
             contact_witness_client::serve(exchange, m_outages, m_loop.now());
         });
@@ -108,7 +116,7 @@
         m_limitPeers.setNodeListAge([peers = peers.get()] {
             return peers->nodeListAge();
         });
-        peers->onPeersChanged([this, fleet = fleet.get(), peers = peers.get(), weightLoads = weightLoads.get(), origins = origins.get()](
+        peers->onPeersChanged([this, fleet = fleet.get(), peers = peers.get(), weightLoads = weightLoads.get(), origins = origins.get(), usage = usage.get()](
                                   std::map<std::string, store_peer> nodes) {
             const edge_settings &settings = m_context.settings;
             nodes[settings.node] = { settings.peers.value_or(endpoint{}), settings.zone, settings.processorShare };
@@ -117,6 +125,7 @@
             m_crashes.setNodes(nodes);
             origins->setNodes(nodes);
             weightLoads->setNodes(nodes);
+            usage->setNodes(nodes);
         });
         m_context.lease->setRenewalCondition([weightLoads = weightLoads.get(), jobs = jobs.get(), peers = peers.get()] {
             return weightLoads->needsLease() || jobs->needsLease() || peers->servesWatchingPeers();
@@ -125,6 +134,7 @@
         m_callers = callers.get();
         // Services drain in reverse order: jobs and the leadership are released while callers are still served.
         m_services.add("fleet", std::move(fleet));
+        m_services.add("usage", std::move(usage)); // Hands its ledger over once no caller is served any more.
         m_services.add("callers", std::move(callers));
         m_services.add("orders", std::move(weightLoads));
         m_services.add("jobs", std::move(jobs));
--- a/edge/peer_protocol.h
+++ b/edge/peer_protocol.h
@@ -34,6 +34,9 @@
 
 inline constexpr std::string_view streamPath = "/stream"; ///< Origins of callers' streams; bodies are stream_message and stream_reply.
 
+inline constexpr std::string_view usagePath = "/usage"; ///< Asks for requests of customers; bodies are usage_ask and usage_answer.
+inline constexpr std::string_view usageHandoverPath = "/usage-handover"; ///< What a node that stops has recorded; bodies are usage_answer and usage_receipt.
+
 inline constexpr std::string_view followPath = "/follow"; ///< Watch request to the hub of the zone's reader.
 inline constexpr std::string_view prefixField = "Reedtrail-Prefix"; ///< Watched key prefix.
 inline constexpr std::string_view afterField = "Reedtrail-After"; ///< Revision after which changes are requested.
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -273,6 +273,10 @@
         m_onLimitAsks(std::move(exchange));
         return;
     }
+    if ((request.path() == usagePath || request.path() == usageHandoverPath)) {
+        m_onUsageMessages(std::move(exchange));
+        return;
+    }
     if (request.path() == streamPath) {
         m_onStreamMessages(std::move(exchange));
         return;
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -64,6 +64,12 @@
         m_onLimitAsks = std::move(action);
     }
 
+    /** Sets the handler of peers' messages on the use of customers. */
+    void onUsageMessages(std::function<void(std::shared_ptr<http_exchange>)> action)
+    {
+        m_onUsageMessages = std::move(action);
+    }
+
     /** Sets the handler of peers' messages on origins of callers' streams. */
     void onStreamMessages(std::function<void(std::shared_ptr<http_exchange>)> action)
     {
@@ -130,6 +136,7 @@
     std::function<void(std::shared_ptr<http_exchange>)> m_onContactQuestion = &job_forwarder::decline;
     std::function<void(std::shared_ptr<http_exchange>)> m_onLimitAsks = &job_forwarder::decline;
     std::function<void(std::shared_ptr<http_exchange>)> m_onStreamMessages = &job_forwarder::decline;
+    std::function<void(std::shared_ptr<http_exchange>)> m_onUsageMessages = &job_forwarder::decline;
     std::function<void()> m_onFirstPeers;
     crash_guard *m_crashes = nullptr;
     time_point m_lastWatchRequestAt;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -27,7 +27,8 @@
                              stream_origins &origins,
                              std::shared_ptr<http_exchange> exchange,
                              const route &matchedRoute,
-                             platform::service_call call)
+                             platform::service_call call,
+                             std::optional<std::string> customer)
     : m_context(context)
     , m_fleet(fleet)
     , m_crashes(crashes)
@@ -35,6 +36,7 @@
     , m_exchange(std::move(exchange))
     , m_route(matchedRoute)
     , m_call(std::move(call))
+    , m_customer(std::move(customer))
     , m_timer(context.loop.io())
 {
     random_source random(context.randomSeed ^ static_cast<std::uint64_t>(context.loop.now().time_since_epoch().count()));
@@ -208,18 +210,24 @@
     m_isHeld = false;
     m_heldBytes.clear();
     m_heldEnd.reset();
+    m_handedOverAt.reset();
     m_attemptStartedAt = m_context.loop.now();
     const duration timeLeft = m_deadline - m_attemptStartedAt;
     const http_request &original = m_exchange->request();
     http_request request =
         m_origin ? platform::resumeRequest(original, timeLeft, server.id, m_lastEventId) : platform::forwardedRequest(original, timeLeft, server.id);
+    platform::nameCustomer(request, m_customer);
     http_call_options options;
     options.deadline = isStream() ? timeLeft : attemptTimeout();
     options.silenceTimeout = options.deadline;
     options.connectTimeout = std::min<duration>(options.connectTimeout, options.deadline);
     options.maySend = [self = shared_from_this(), id = server.id, startedAt = server.startedAt] {
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
-        return isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
+        const bool isAllowed = isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
+        if (isAllowed) {
+            self->m_handedOverAt = self->m_context.loop.now();
+        }
+        return isAllowed;
     };
     options.requestId = m_call.id;
     options.isOwnResponse = [id = m_call.id](const http_response &head) {
@@ -281,6 +289,9 @@
     m_build = m_fleet.buildOf(m_server.id, m_server.startedAt);
     m_contact = { m_server.id, m_server.startedAt, m_context.loop.now() - m_attempt->connectionAge() };
     m_fleet.backends().onResponse(m_server.id);
+    if (!m_serverAnswer.isNotStarted && m_handedOverAt) {
+        recordUse(*m_handedOverAt);
+    }
     if (m_serverAnswer.isLeaving) {
         m_fleet.recordLeaving(m_server.id, "request");
     }
@@ -351,6 +362,14 @@
     m_attempt.reset();
 }
 
+/** Records once, for the reports of use, that the request began to run. @param beganAt when it was handed to a server, which begins at once if it has room */
+void request_relay::recordUse(time_point beganAt)
+{
+    if (m_context.usage && m_customer && !m_customer->empty() && !std::exchange(m_isUseRecorded, true)) {
+        m_context.usage->record(m_context.loop.now(), *m_customer, beganAt);
+    }
+}
+
 void request_relay::onAttemptEnded(const http_call_end &end)
 {
     releaseServer();
@@ -359,6 +378,9 @@
         return;
     }
     m_hasGrant = m_hasGrant && !end.isHandedOver;
+    if (end.isHandedOver && !end.hasHead && !m_unansweredSince) {
+        m_unansweredSince = m_handedOverAt;
+    }
     if (end.isForeignResponse) {
         handleForeignResponse(end);
         return;
@@ -690,6 +712,12 @@
         return;
     }
     m_isDone = true;
+    if (m_attempt && !m_unansweredSince) {
+        m_unansweredSince = m_handedOverAt;
+    }
+    if (m_unansweredSince) {
+        recordUse(*m_unansweredSince);
+    }
     m_timer.cancel();
     const bool hadOpenAttempt = m_attempt != nullptr;
     if (!hadOpenAttempt) {
@@ -709,6 +737,7 @@
         "request",
         { { "request", m_call.id },
           { "route", m_route.name },
+          { "customer", m_customer.value_or("-") },
           { "server", m_server.id },
           { "build", m_build },
           { "resumes", m_call.resumedRequest },
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -32,13 +32,15 @@
 class request_relay : public std::enable_shared_from_this<request_relay>
 {
 public:
+    /** @param customer for whom the request is sent, as access_verdict::customer */
     request_relay(edge_context &context,
                   fleet_cache &fleet,
                   crash_guard &crashes,
                   stream_origins &origins,
                   std::shared_ptr<http_exchange> exchange,
                   const route &matchedRoute,
-                  platform::service_call call);
+                  platform::service_call call,
+                  std::optional<std::string> customer);
 
     void start();
 
@@ -81,6 +83,7 @@
     void refuse(std::uint16_t status, const char *reason, duration retryAfter);
     void finish(const char *outcome, std::uint16_t status);
     void releaseServer();
+    void recordUse(time_point beganAt);
 
     edge_context &m_context;
     fleet_cache &m_fleet;
@@ -89,6 +92,7 @@
     std::shared_ptr<http_exchange> m_exchange;
     route m_route; ///< Copy of the route at the time of the request; a new configuration does not change it.
     platform::service_call m_call;
+    std::optional<std::string> m_customer; ///< For whom the request is sent, as access_verdict::customer.
     std::string m_service;
     request_outline m_outline;
     std::optional<request_identity> m_identity; ///< Set once it is asked for.
@@ -116,6 +120,9 @@
     std::optional<http_call_end> m_heldEnd; ///< End of the current attempt, handled after m_heldBytes.
     std::string m_build; ///< Build of the server that answered the current attempt; empty until its answer begins, or if unknown.
     std::size_t m_attemptEvents = 0; ///< Events that the current attempt has brought.
+    std::optional<time_point> m_handedOverAt; ///< When the current attempt reached its connection.
+    std::optional<time_point> m_unansweredSince; ///< When the first attempt was handed over that may have run and was not answered.
+    bool m_isUseRecorded = false;
     bool m_hasStreamStarted = false;
     bool m_isDone = false;
     boost::asio::steady_timer m_timer;
--- a/edge/testing/job_forwarder_test.cpp
+++ b/edge/testing/job_forwarder_test.cpp
@@ -13,7 +13,7 @@
     explicit forwarder_fixture(http_server::handler host)
         : hostServer(io, { .address = hostAddress }, std::move(host))
         , nodeServer(io, { .address = nodeAddress }, [this](std::shared_ptr<http_exchange> exchange) {
-            forwarder.forward(exchange, "job-1", 0ms, [this, exchange](bool mayHaveExecuted) {
+            forwarder.forward(exchange, "job-1", std::nullopt, 0ms, [this, exchange](bool mayHaveExecuted) {
                 localCalls.push_back(mayHaveExecuted);
                 exchange->respond(textResponse(200, "here"));
             });
--- a/edge/weight_load_service.cpp
+++ b/edge/weight_load_service.cpp
@@ -122,6 +122,9 @@
 
 void weight_load_service::onLeadershipChanged()
 {
+    for (const auto &listener : m_dutyListeners) {
+        listener();
+    }
     if (!m_leadership->isHolder()) {
         if (m_versionMirror) {
             for (const auto &each :
--- a/edge/weight_load_service.h
+++ b/edge/weight_load_service.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace reedtrail {
 
@@ -31,6 +32,18 @@
     /** Takes all known nodes, by name, with this one; a few of each zone compete for the leadership. */
     void setNodes(const std::map<std::string, store_peer> &nodes);
 
+    using leadership_type = duty_holder<edge_store, asio_loop>;
+    /** Returns the leadership, for other work that one node does at a time. Valid after start(). */
+    const leadership_type &leadership() const
+    {
+        return *m_leadership;
+    }
+    /** Adds an action that runs when this node gains or loses the leadership. */
+    void onDutyChanged(std::function<void()> action)
+    {
+        m_dutyListeners.push_back(std::move(action));
+    }
+
     /** Tells whether this node is the leader, which depends on its lease. */
     bool needsLease() const
     {
@@ -38,7 +51,6 @@
     }
 
 private:
-    using leadership_type = duty_holder<edge_store, asio_loop>;
     using mirror = prefix_mirror<edge_store, asio_loop>;
 
     void releaseWhenOrdersDone(std::function<void()> done);
@@ -72,6 +84,7 @@
     bool m_isAwaitingFleet = false; ///< Routes and servers are being read, because they are too old for an order.
     bool m_isPassScheduled = false;
     bool m_isDraining = false;
+    std::vector<std::function<void()>> m_dutyListeners;
 };
 
 } // namespace reedtrail
--- a/fleet/duty_holder.h
+++ b/fleet/duty_holder.h
@@ -135,6 +135,11 @@
         return isHolder() && m_lastActor == m_node && now >= m_takeoverWaitEnd && m_lease->renewalAge(m_holder->lease, now) < m_options.maxRenewalAge
             && m_lease->validFor(m_holder->lease, now) > duration::zero();
     }
+    /** Returns the condition of a write to the store that only the holder may make. */
+    store_compare stillHeld() const
+    {
+        return store_compare::unchanged(holderKey(), fencingToken());
+    }
     /** Returns when the wait after the latest takeover ends. */
     time_point takeoverWaitEnd() const
     {
--- a/fleet/route_table.cpp
+++ b/fleet/route_table.cpp
@@ -47,6 +47,14 @@
     return nullptr;
 }
 
+bool route_table::hasOpenJobRoute(std::string_view host) const
+{
+    const auto found = m_byHost.find(lowerCase(host.substr(0, host.rfind(':'))));
+    return found != m_byHost.end() && std::ranges::any_of(found->second, [this](std::size_t index) {
+               return m_document.routes[index].kind == route_kind::Batch && m_document.routes[index].isOpen;
+           });
+}
+
 const service_spec *route_table::service(std::string_view name) const
 {
     const auto found = m_document.services.find(std::string(name));
--- a/fleet/route_table.h
+++ b/fleet/route_table.h
@@ -10,6 +10,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "fleet/customer_directory.h"
 
 #include <cstdint>
 #include <map>
@@ -43,6 +44,7 @@
     std::string prefix; ///< Path prefix, which begins and ends with a slash.
     route_kind kind = route_kind::Idempotent;
     bool isResumable = false; ///< Whether a broken stream may be resumed on another server.
+    bool isOpen = false; ///< Whether requests need no key, also where the deployment has customers.
     bool isSingleVersion = false; ///< Whether all tokens of a sample must come from one weight version.
     duration timeout{}; ///< Maximum time until the final response; zero means no limit.
     duration latencyTarget{}; ///< A response within this time counts as on time.
@@ -85,6 +87,7 @@
     std::vector<route> routes;
     std::map<std::string, service_spec> services;
     caller_limits limits;
+    std::shared_ptr<const customer_directory> customers; ///< Null if the deployment has none, so that nobody needs a key.
 };
 
 /** Finds the route of a request in one configuration. */
@@ -96,6 +99,8 @@
 
     /** Returns the route of @p host whose prefix is the longest that @p path begins with, or null. The host may include a port and is case-insensitive. */
     const route *match(std::string_view host, std::string_view path) const;
+    /** Tells whether a route of @p host takes batch jobs without a key. */
+    bool hasOpenJobRoute(std::string_view host) const;
     /** Returns the service named @p name, or null. */
     const service_spec *service(std::string_view name) const;
     const route_document &document() const
