Uneven servers: how far a server's word of its machine holds, and moves that are worth their cost

Cause: texts moved by speed alone, whatever a move saved and however often the text had moved. Change: routing/pace_forecast learns from the servers' words how long they hold; routing/move_decision weighs the time that a move saves against the time that it takes. Measured times are kept at the usual pace of a server's machine. Without the fourth figure placement is as before.

--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -20,6 +20,8 @@
 constexpr duration minSilenceTimeout = std::chrono::milliseconds(1000); // Between two events; a server slowed down by the usual factor of 4 takes 0.2 s.
 constexpr double silenceLatencyFactor = 8; // Multiple of the server's own time per event after which it counts as silent.
 constexpr std::size_t minEventsBeforeMove = 3; // Events of a run before it may move, so that its server's time per event is known from this run as well.
+constexpr duration initialRestartTime = std::chrono::milliseconds(300); // Reading a prompt and a text again, on a new connection whose server has to be proven.
+constexpr double restartTimeSmoothing = 0.2; // Weight of a new sample; about the last five count.
 constexpr duration maxScoreTimeout = std::chrono::milliseconds(3000); // Deadline sent with score calls: over five times the mean score time of any server type.
 constexpr duration minScoreTimeout = std::chrono::milliseconds(800);
 constexpr double scorePaceFactor = 8; // Multiple of the service's usual time after which a score is requested from another server.
@@ -51,6 +53,7 @@
     , m_metadata(std::move(metadata))
     , m_progress(std::move(spec), {}, knownSince)
     , m_recorder(std::move(record))
+    , m_restartTime(initialRestartTime)
 {
     takeLimits();
 }
@@ -241,7 +244,9 @@
 {
     const auto newRun = std::make_shared<run>();
     newRun->item = index;
+    m_moveBudget.onRunStarted();
     const std::uint64_t lastEvent = m_progress.state(index).lastEvent;
+    newRun->isContinuation = lastEvent > 0;
     m_progress.started(now, index, server.id, matchedRoute.maxAttempts);
     http_request request = platform::itemRequest(m_progress.item(index), matchedRoute.host, server.id, lastEvent);
     const bool hasCustomers = m_fleet.routes().document().customers != nullptr;
@@ -385,6 +390,9 @@
     m_fleet.recordLimit(current.sent, platform::decodeLimit(head), current.answer.isFromServer(requestIdOf(current)));
     if (current.answer.serverLoad) {
         m_fleet.backends().onLoad(current.lastActivityAt, current.server, current.answer.serverLoad->running, current.answer.serverLoad->waiting);
+        if (current.answer.serverLoad->slowdown) {
+            m_fleet.backends().onSlowdown(current.lastActivityAt, current.server, *current.answer.serverLoad->slowdown);
+        }
     }
     if (current.answer.version) {
         current.version = *current.answer.version;
@@ -461,6 +469,8 @@
         }
         if (current.eventCount > 0) {
             m_fleet.backends().onLatency(now, current.server, now - current.lastActivityAt);
+        } else if (current.isContinuation) {
+            m_restartTime += fromSeconds(toSeconds(now - current.startedAt - m_restartTime) * restartTimeSmoothing);
         }
         ++current.eventCount;
         current.lastActivityAt = now;
@@ -519,6 +529,8 @@
     const std::uint16_t status = endedRun.answer.status;
     if (end.error == error_kind::None && !endedRun.isInvalidResponse && status == http_status::ok && endedRun.events.isBetweenEvents()
         && m_progress.state(endedRun.item).lastEvent > 0) {
+        m_finishedEvents += static_cast<double>(m_progress.state(endedRun.item).lastEvent);
+        m_finishedExpectedTokens += m_progress.item(endedRun.item).expectedTokens;
         m_progress.textEnded(now, endedRun.item);
         logRun(endedRun, "text-whole", "");
         return;
@@ -599,23 +611,51 @@
 void job_worker::moveRunFromSlowServer(time_point now)
 {
     const route *matchedRoute = jobRoute();
-    if (matchedRoute == nullptr || matchedRoute->isSingleVersion || matchedRoute->services.empty() || m_progress.nextToRun(now)) {
+    if (matchedRoute == nullptr || matchedRoute->isSingleVersion || matchedRoute->services.empty() || !m_moveBudget.allows(move_options())
+        || m_progress.nextToRun(now)) {
         return; // Free slots go to items that are not running yet.
     }
     std::shared_ptr<run> slowRun;
     for (const auto &current : m_runs) {
         const bool mayMove = !current->isScore && current->eventCount >= minEventsBeforeMove && !m_progress.state(current->item).build.empty();
-        if (mayMove && m_fleet.backends().isWorthMoving(now, current->server, continuationCriteria(current->item, matchedRoute->services.front().service))) {
+        if (!mayMove) {
+            continue;
+        }
+        move_question question =
+            m_fleet.backends().moveProspect(now, current->server, continuationCriteria(current->item, matchedRoute->services.front().service));
+        question.eventsLeft = expectedEventsLeft(static_cast<double>(m_progress.state(current->item).lastEvent), expectedEvents(current->item));
+        question.restartTime = m_restartTime;
+        question.movesBefore = m_moves[current->item];
+        if (isMoveWorthwhile(question)) {
             slowRun = current;
+            logLine(log_level::Info,
+                    "text-moved",
+                    { { "job", m_job },
+                      { "item", m_progress.item(current->item).id },
+                      { "from", current->server },
+                      { "events-left", std::to_string(static_cast<int>(question.eventsLeft)) },
+                      { "event-ms-here", std::to_string(question.eventTimeHere / std::chrono::milliseconds(1)) },
+                      { "event-ms-there", std::to_string(question.eventTimeThere / std::chrono::milliseconds(1)) },
+                      { "restart-ms", std::to_string(question.restartTime / std::chrono::milliseconds(1)) },
+                      { "free-share", std::to_string(question.freeShare) } });
             break;
         }
     }
     if (slowRun) {
         slowRun->wasAbortedToMove = true;
+        ++m_moves[slowRun->item];
+        m_moveBudget.onMoved();
+        m_context.metrics.counter("reedtrail_texts_moved_total", "Texts that this node moved from a slow server to a faster one").add();
         abortRun(*slowRun, "another server is far faster");
     }
 }
 
+/** Returns how many events the text of an item is expected to have, by the caller's estimate and the texts that are complete; 0 if nothing is known. */
+double job_worker::expectedEvents(std::size_t index) const
+{
+    return m_finishedExpectedTokens > 0 ? m_progress.item(index).expectedTokens * m_finishedEvents / m_finishedExpectedTokens : 0;
+}
+
 void job_worker::recordDueResults(time_point now)
 {
     const std::size_t wantedGroups = m_progress.spec().wantedGroups;
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -9,6 +9,7 @@
 #include "edge/fleet_cache.h"
 #include "net/event_stream.h"
 #include "platform/server_wire.h"
+#include "routing/move_decision.h"
 
 #include <functional>
 #include <map>
@@ -81,6 +82,7 @@
         time_point startedAt;
         bool isScore = false; ///< The run scores the item's text.
         bool wasAbortedAsSilent = false; ///< This worker aborted the run because its server sent nothing in time.
+        bool isContinuation = false; ///< The run goes on with a text.
         bool wasAbortedToMove = false; ///< This worker aborted the run to continue it on a faster server.
     };
 
@@ -108,6 +110,7 @@
     void abortRun(run &current, const char *reason);
     void abortSilentRuns(time_point now);
     void moveRunFromSlowServer(time_point now);
+    double expectedEvents(std::size_t index) const;
     backend_criteria selectionCriteria(std::size_t index, std::string_view service) const;
     backend_criteria continuationCriteria(std::size_t index, std::string_view service) const;
     void recordDueResults(time_point now);
@@ -123,6 +126,11 @@
     std::vector<std::shared_ptr<run>> m_runs;
     std::map<std::size_t, server_contact> m_unprovenOrigins; ///< Of texts, by index of the item: contacts that began them and are not certain yet.
     std::set<std::size_t> m_originsBeingProven;
+    std::map<std::size_t, int> m_moves; ///< By index of the item.
+    move_budget m_moveBudget;
+    duration m_restartTime; ///< From the start of a run that goes on with a text until its first event; moving average.
+    double m_finishedEvents = 0; ///< Of the texts that are complete.
+    double m_finishedExpectedTokens = 0; ///< The caller's estimates for the same texts.
     std::uint64_t m_nextRunNumber = 1;
     std::optional<std::uint64_t> m_limitsVersion; ///< Version of the configuration from which the limits of the job's route were taken.
     time_point m_lastRecordedAt;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -298,6 +298,9 @@
     m_fleet.recordLimit(m_sent, platform::decodeLimit(head), m_serverAnswer.isFromServer(m_call.id));
     if (m_serverAnswer.serverLoad) {
         m_fleet.backends().onLoad(m_context.loop.now(), m_server.id, m_serverAnswer.serverLoad->running, m_serverAnswer.serverLoad->waiting);
+        if (m_serverAnswer.serverLoad->slowdown) {
+            m_fleet.backends().onSlowdown(m_context.loop.now(), m_server.id, *m_serverAnswer.serverLoad->slowdown);
+        }
     }
     if (isStream() && m_serverAnswer.status == http_status::ok) {
         if (m_serverAnswer.isUnsignedSuccess()) {
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -23,6 +23,7 @@
             const std::uint32_t running = server.running;
             server = server_state();
             server.running = running;
+            m_forecasts[entry->service].forget(entry->id);
         }
         server.address = entry->address;
         server.service = entry->service;
@@ -159,7 +160,7 @@
     }
     const double newLoad = load(now, server) + 1;
     const double waiting = std::max(0.0, newLoad / slotsFor(server, criteria) - 1) * m_options.queueWeight;
-    double time = latency * (slowdown(server, newLoad) + waiting);
+    double time = latency * machineFactor(now, id, server) * (slowdown(server, newLoad) + waiting);
     time *= id == criteria.preferred ? 1 - m_options.preferredDiscount : 1;
     time *= server.zone == m_options.ownZone ? 1 : 1 + m_options.otherZonePenalty;
     time *= !m_hasConnection || m_hasConnection(server.address) ? 1 : 1 + m_options.newConnectionPenalty;
@@ -199,19 +200,37 @@
     return 1 + m_options.utilizationWeight * std::min(1.0, load / server.slots);
 }
 
-bool backend_table::isWorthMoving(time_point now, std::string_view id, const backend_criteria &criteria) const
+move_question backend_table::moveProspect(time_point now, std::string_view id, const backend_criteria &criteria) const
 {
-    const auto current = m_servers.find(id);
-    const double latency = current == m_servers.end() ? 0 : knownLatency(now, current->second);
-    if (latency == 0) {
-        return false;
+    move_question prospect;
+    double best = 0;
+    double places = 0;
+    double freePlaces = 0;
+    for (const auto &[otherId, other] : m_servers) {
+        if (!isEligible(other, criteria)) {
+            continue;
+        }
+        const double otherLoad = load(now, other);
+        places += slotsFor(other, criteria);
+        freePlaces += std::max(0.0, slotsFor(other, criteria) - otherLoad);
+        const double expected = knownLatency(now, other) * machineFactor(now, otherId, other) * slowdown(other, otherLoad + 1) / slowdown(other, otherLoad);
+        const bool mayGoThere = otherId != id && expected > 0 && mayTake(now, otherId, other, criteria) && !isSuspect(now, other);
+        if (mayGoThere && (best == 0 || expected < best)) {
+            best = expected;
+        }
     }
-    return std::ranges::any_of(m_servers, [&](const auto &other) {
-        const double otherLoad = load(now, other.second);
-        const double expected = knownLatency(now, other.second) * slowdown(other.second, otherLoad + 1) / slowdown(other.second, otherLoad);
-        return other.first != id && expected > 0 && expected * m_options.moveLatencyRatio < latency && mayTake(now, other.first, other.second, criteria)
-            && !isSuspect(now, other.second);
-    });
+    if (const auto current = m_servers.find(id); current != m_servers.end()) {
+        prospect.eventTimeHere = fromSeconds(knownLatency(now, current->second) * machineFactor(now, id, current->second));
+    }
+    prospect.eventTimeThere = fromSeconds(best);
+    prospect.freeShare = places > 0 ? freePlaces / places : 0;
+    return prospect;
+}
+
+double backend_table::machineFactor(time_point now, std::string_view id, const server_state &server) const
+{
+    const auto forecast = m_forecasts.find(server.service);
+    return forecast == m_forecasts.end() ? 1 : forecast->second.factor(now, id);
 }
 
 std::size_t backend_table::registeredCount(std::string_view service) const
@@ -238,7 +257,7 @@
 void backend_table::onLatency(time_point now, std::string_view id, duration time)
 {
     if (server_state *server = find(id)) {
-        const double sample = toSeconds(time);
+        const double sample = toSeconds(time) / machineFactor(now, id, *server);
         const bool isFirst = knownLatency(now, *server) == 0;
         server->latencySeconds = isFirst ? sample : server->latencySeconds + m_options.latencySmoothing * (sample - server->latencySeconds);
         server->latencyUpdatedAt = now;
@@ -328,6 +347,13 @@
     }
 }
 
+void backend_table::onSlowdown(time_point now, std::string_view id, double factor)
+{
+    if (const server_state *server = find(id)) {
+        m_forecasts[server->service].onReport(now, id, factor);
+    }
+}
+
 duration backend_table::meanLatency(time_point now, std::string_view service) const
 {
     double sum = 0;
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -16,6 +16,8 @@
 
 #include "base/random.h"
 #include "fleet/server_directory.h"
+#include "routing/move_decision.h"
+#include "routing/pace_forecast.h"
 
 #include <functional>
 #include <map>
@@ -46,7 +48,6 @@
     duration refusalBackoff = std::chrono::milliseconds(150); ///< Time before a server that refused is asked again; loading weights takes about a second.
     duration paceMemory = std::chrono::seconds(60); ///< Servers differ in speed for good, so an older latency still ranks them for this long.
     double paceSpread = 0.25; ///< Such a latency counts if it is within this share of the typical one. One further off was a passing disturbance.
-    double moveLatencyRatio = 1.2; ///< A stream leaves a server that is this many times slower than another would be with the stream on it.
     std::size_t suspicionThreshold = 2; ///< Servers of a zone that must be unresponsive within suspicionDuration, with no response from
                                         ///< the zone in between, to make it suspect. A single server may just have ended.
     duration suspicionDuration = std::chrono::milliseconds(3000); ///< Counted from the last unresponsive server. When a zone is cut off, the registrations
@@ -104,11 +105,11 @@
     /** Selects a server for a request. @return nothing if no server may take the request now */
     std::optional<backend_choice> choose(time_point now, const backend_criteria &criteria);
     /**
-     * Tells whether a stream on server @p id should continue on another server, because one that may take it now is faster by moveLatencyRatio. Ask only when
-     * nothing waits for a place: a burst ends with its few longest texts, while most places of the faster servers are free again.
+     * Returns the speeds of server @p id and of the fastest other one that may take a stream from it now, and how much room there is. The fields of the
+     * question that concern the text are left to the caller.
      * @param criteria as for choose(); server @p id itself is left out
      */
-    bool isWorthMoving(time_point now, std::string_view id, const backend_criteria &criteria) const;
+    move_question moveProspect(time_point now, std::string_view id, const backend_criteria &criteria) const;
     /** Returns how many servers of the service are registered. */
     std::size_t registeredCount(std::string_view service) const;
     /** Tells whether a server is registered that fits the criteria, whether or not it may take the request now. */
@@ -138,6 +139,8 @@
     void onVersion(std::string_view id, std::string_view model, std::uint64_t version);
     /** Records the load that the server reports, requests of all nodes included. */
     void onLoad(time_point now, std::string_view id, std::uint32_t running, std::uint32_t waiting);
+    /** Records how long work takes on the server's machine at this moment, as a multiple of the usual. */
+    void onSlowdown(time_point now, std::string_view id, double factor);
 
     /** Returns the mean latency of the service's servers per request or event; zero if unknown. */
     duration meanLatency(time_point now, std::string_view service) const;
@@ -162,7 +165,7 @@
         std::uint32_t running = 0; ///< Requests of this node.
         double othersRunning = 0; ///< Running and waiting requests of other nodes, by the server's last load report.
         time_point loadUpdatedAt;
-        double latencySeconds = 0; ///< Moving average; 0 while unknown.
+        double latencySeconds = 0; ///< Moving average, at the usual pace of the server's machine; 0 while unknown.
         time_point latencyUpdatedAt;
         int consecutiveFailures = 0;
         time_point backoffUntil;
@@ -193,6 +196,8 @@
     double typicalLatency(time_point now, std::string_view service) const;
     /** Returns the factor by which @p load requests slow a server down. */
     double slowdown(const server_state &server, double load) const;
+    /** Returns how long work is expected to take on the server's machine now, as a multiple of the usual. */
+    double machineFactor(time_point now, std::string_view id, const server_state &server) const;
     server_state *find(std::string_view id);
 
     backend_table_options m_options;
@@ -201,6 +206,7 @@
     std::function<bool(std::string_view, std::int64_t)> m_hasLimit;
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, zone_state, std::less<>> m_zones;
+    std::map<std::string, pace_forecast, std::less<>> m_forecasts; ///< By service.
 };
 
 } // namespace reedtrail
