Too little room: who goes first, and when those turned away come back

What callers saw: of several jobs on a node the one with the lower id took each place that became free, also when it could not be in time any more; callers turned away by full servers came back together after a fixed pause. Change: routing/room_order chooses the work that can be in time by due time and value (a knapsack in order of due times), puts off the rest, and serves first what waited for three seconds. batch_job_service asks it whenever a place may have become free. routing/return_schedule gives each caller that is turned away a moment of its own.

--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -15,6 +15,7 @@
 constexpr duration readRetryAfter = std::chrono::milliseconds(400); // Retry-After of reads while the store does not answer; callers read about twice a second.
 constexpr duration submitRetryAfter = std::chrono::milliseconds(3000); // Retry-After of submissions: most store outages are over by then, and a job that
                                                                        // is accepted this late can still finish in its target time.
+constexpr duration roomLogInterval = std::chrono::seconds(1); // Between two lines on the order of jobs.
 constexpr duration releaseMargin = std::chrono::milliseconds(2500); // Part of the grace period left to release jobs and send the last responses.
 
 std::string_view outcomeName(accept_outcome outcome)
@@ -447,6 +448,9 @@
         const auto self = weak.lock();
         return self && self->session->isAppending();
     };
+    recorder.onPlaceFreed = [this, job = entry->job] {
+        onPlaceFreed(job);
+    };
     entry->worker = std::make_shared<job_worker>(m_context, m_fleet, entry->job, view.metadata(), std::move(spec), entry->knownSince, std::move(recorder));
     entry->worker->noteRecorded(view.results());
     const std::vector<item_draft> drafts =
@@ -493,10 +497,90 @@
 
 void batch_job_service::advance()
 {
+    for (const std::shared_ptr<job_worker> &worker : workersInOrder(m_context.loop.now())) {
+        worker->advance();
+    }
+}
+
+/** Returns the workers in the order in which they take places: those whose items wait by routing/room_order, and the others after them. */
+std::vector<std::shared_ptr<job_worker>> batch_job_service::workersInOrder(time_point now)
+{
+    struct waiting_job
+    {
+        std::shared_ptr<job_worker> worker;
+        work_claim claim;
+        room_rank rank = room_rank::InTime;
+    };
+    std::vector<std::shared_ptr<job_worker>> idle;
+    std::map<std::string_view, std::vector<waiting_job>> byModel; // Jobs of two models use two sets of servers.
     for (const auto &[id, entry] : m_entries) {
-        if (entry->worker) {
-            entry->worker->advance();
+        if (!entry->worker) {
+            continue;
         }
+        if (const std::optional<work_claim> claim = entry->worker->claim(now)) {
+            byModel[entry->worker->model()].push_back({ entry->worker, *claim });
+        } else {
+            idle.push_back(entry->worker);
+        }
+    }
+    std::vector<waiting_job> ordered;
+    for (auto &[model, jobs] : byModel) {
+        std::vector<work_claim> claims;
+        for (const waiting_job &each : jobs) {
+            claims.push_back(each.claim);
+        }
+        for (const room_place &each : orderWork(now, claims, jobs.size() == 1 ? 1 : jobs.front().worker->places())) {
+            jobs[each.claim].rank = each.rank;
+            ordered.push_back(jobs[each.claim]);
+        }
+    }
+    // Scores of all models use the same servers. The order within a model is kept, as its ranks are in order and its jobs in order of due times.
+    std::ranges::stable_sort(ordered, {}, &waiting_job::rank);
+    std::vector<std::shared_ptr<job_worker>> workers;
+    std::vector<std::string> rows;
+    for (const waiting_job &each : ordered) {
+        workers.push_back(each.worker);
+        rows.push_back(each.worker->job()
+                       + (each.rank == room_rank::Overdue      ? " overdue"
+                              : each.rank == room_rank::InTime ? " in-time"
+                                                               : " put-off")
+                       + " due-ms " + std::to_string((each.claim.due - now) / std::chrono::milliseconds(1)) + " work-ms "
+                       + std::to_string(each.claim.work / std::chrono::milliseconds(1)) + " value " + std::to_string(static_cast<int>(each.claim.value)));
+    }
+    if (rows.size() > 1 && std::ranges::any_of(ordered, [](const waiting_job &each) {
+            return each.worker->isShortOfPlaces();
+        })) {
+        logRoomOrder(now, rows);
+    }
+    workers.insert(workers.end(), idle.begin(), idle.end());
+    return workers;
+}
+
+/** Logs, once a second at most, in which order jobs take places while there are too few. */
+void batch_job_service::logRoomOrder(time_point now, std::span<const std::string> rows)
+{
+    if (now - m_lastRoomLogAt < roomLogInterval) {
+        return;
+    }
+    m_lastRoomLogAt = now;
+    std::string order;
+    for (const std::string &row : rows) {
+        order += (order.empty() ? "" : ", ") + row;
+    }
+    logLine(log_level::Info, "room-order", { { "jobs", order } });
+    m_context.metrics.counter("reedtrail_room_shortages_total", "Seconds in which several jobs waited for places at this node").add();
+}
+
+/** Lets the jobs of this node take the place that a run of @p job has left: others first, if they are short of places and go before it. */
+void batch_job_service::onPlaceFreed(const std::string &job)
+{
+    const bool isContended = std::ranges::any_of(m_entries, [&](const auto &each) {
+        return each.first != job && each.second->worker && each.second->worker->isShortOfPlaces();
+    });
+    if (isContended) {
+        advance();
+    } else if (const auto found = m_entries.find(job); found != m_entries.end() && found->second->worker) {
+        found->second->worker->advance();
     }
 }
 
--- a/edge/batch_job_service.h
+++ b/edge/batch_job_service.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,9 @@
     void onOwnershipLost(job_entry &entry);
     void scheduleAdvance();
     void advance();
+    std::vector<std::shared_ptr<job_worker>> workersInOrder(time_point now);
+    void logRoomOrder(time_point now, std::span<const std::string> rows);
+    void onPlaceFreed(const std::string &job);
     void tick();
     void evictUnused(time_point now);
     std::size_t countUnfinishedOwnedJobs() const;
@@ -105,6 +109,7 @@
     std::function<void()> m_onDrained;
     time_point m_drainDeadline;
     bool m_isAdvanceScheduled = false;
+    time_point m_lastRoomLogAt; ///< When the order of jobs was logged last.
     bool m_isTicking = false;
 };
 
--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -17,8 +17,10 @@
 #include "fleet/service_builds.h"
 #include "kernel/service.h"
 #include "routing/backend_table.h"
+#include "routing/return_schedule.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -109,6 +111,11 @@
         const server_entry *entry = m_directory.find(server);
         return entry != nullptr && entry->startedAt == startedAt ? entry->build : "";
     }
+    /** Returns when callers that a service has no place for are told to come back. */
+    return_schedule &returns(const std::string &service)
+    {
+        return m_returns[service];
+    }
     backend_table &backends()
     {
         return m_backends;
@@ -172,6 +179,7 @@
     route_table m_routes;
     server_directory m_directory;
     backend_table m_backends;
+    std::map<std::string, return_schedule> m_returns; ///< By service.
     server_sightings m_sightings;
     service_builds m_builds;
     std::vector<std::function<void(const std::string &)>> m_uncertainListeners;
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -20,6 +20,9 @@
 constexpr duration minSilenceTimeout = std::chrono::milliseconds(1000); // Between two events; a server slowed down by the usual factor of 4 takes 0.2 s.
 constexpr double silenceLatencyFactor = 8; // Multiple of the server's own time per event after which it counts as silent.
 constexpr std::size_t minEventsBeforeMove = 3; // Events of a run before it may move, so that its server's time per event is known from this run as well.
+constexpr duration defaultJobTarget = std::chrono::seconds(60); // Of a route that names none: its jobs go after those that are due.
+constexpr duration initialTextTime = std::chrono::seconds(1); // Until a text is complete; the median of the texts of trainers.
+constexpr double textTimeSmoothing = 0.1; // Weight of a new sample; about the last ten count.
 constexpr duration initialRestartTime = std::chrono::milliseconds(300); // Reading a prompt and a text again, on a new connection whose server has to be proven.
 constexpr double restartTimeSmoothing = 0.2; // Weight of a new sample; about the last five count.
 constexpr duration maxScoreTimeout = std::chrono::milliseconds(3000); // Deadline sent with score calls: over five times the mean score time of any server type.
@@ -52,6 +55,9 @@
     , m_job(std::move(job))
     , m_metadata(std::move(metadata))
     , m_progress(std::move(spec), {}, knownSince)
+    , m_knownSince(knownSince)
+    , m_lastPlaceAt(context.loop.now())
+    , m_textTime(initialTextTime)
     , m_recorder(std::move(record))
     , m_restartTime(initialRestartTime)
 {
@@ -80,6 +86,34 @@
         options.itemLifetime = matchedRoute->itemLifetime;
     }
     m_progress.setOptions(options);
+    const customer_directory *customers = m_fleet.routes().document().customers.get();
+    const customer *owner = customers == nullptr ? nullptr : customers->named(m_metadata.customer);
+    m_priority = owner != nullptr ? owner->priority.value_or(matchedRoute->priority) : matchedRoute->priority;
+}
+
+std::optional<work_claim> job_worker::claim(time_point now) const
+{
+    const std::size_t waiting = m_progress.count(item_stage::Waiting);
+    if (waiting + m_progress.count(item_stage::AwaitingScore) == 0) {
+        return std::nullopt;
+    }
+    const route *matchedRoute = jobRoute();
+    const std::size_t wanted = m_progress.spec().wantedGroups;
+    const std::size_t complete = m_progress.completeGroups();
+    work_claim claimed;
+    claimed.priority = m_priority;
+    claimed.due = matchedRoute != nullptr && matchedRoute->jobTarget > duration::zero() ? m_knownSince + matchedRoute->jobTarget : now + defaultJobTarget;
+    claimed.work = fromSeconds(toSeconds(m_textTime) * (static_cast<double>(waiting) + static_cast<double>(m_progress.count(item_stage::Running)) / 2));
+    claimed.value = wanted > complete ? static_cast<double>(wanted - complete) : 1;
+    claimed.waitingSince = m_lastPlaceAt;
+    return claimed;
+}
+
+double job_worker::places() const
+{
+    const route *matchedRoute = jobRoute();
+    return matchedRoute == nullptr || matchedRoute->services.empty() ? 0
+                                                                     : m_fleet.backends().places(selectionCriteria(0, matchedRoute->services.front().service));
 }
 
 const route *job_worker::jobRoute() const
@@ -118,6 +152,7 @@
     m_progress.expire(now);
     abortSilentRuns(now);
     if (isFleetCurrent()) {
+        m_isShortOfPlaces = false;
         moveRunFromSlowServer(now);
         startScores(now);
         startItems(now);
@@ -154,6 +189,7 @@
         }
         const std::optional<backend_choice> server = m_fleet.backends().choose(now, selectionCriteria(*index, service));
         if (!server) {
+            m_isShortOfPlaces = true;
             return;
         }
         startItem(now, *index, *matchedRoute, *server);
@@ -270,6 +306,7 @@
         criteria.service = chooseService(*matchedRoute, random);
         const std::optional<backend_choice> server = m_fleet.backends().choose(now, criteria);
         if (!server) {
+            m_isShortOfPlaces = true;
             return;
         }
         startScore(now, *index, *matchedRoute, *server);
@@ -292,6 +329,7 @@
 void job_worker::launch(time_point now, const std::shared_ptr<run> &newRun, const backend_choice &server, http_request request, duration limit)
 {
     newRun->number = m_nextRunNumber++;
+    m_lastPlaceAt = now;
     newRun->server = server.id;
     newRun->configuration = m_fleet.routes().document().version;
     newRun->startedAt = now;
@@ -505,7 +543,7 @@
     } else {
         handleItemRunEnd(now, *endedRun, end);
     }
-    advance();
+    m_recorder.onPlaceFreed ? m_recorder.onPlaceFreed() : advance();
 }
 
 /**
@@ -529,6 +567,7 @@
     const std::uint16_t status = endedRun.answer.status;
     if (end.error == error_kind::None && !endedRun.isInvalidResponse && status == http_status::ok && endedRun.events.isBetweenEvents()
         && m_progress.state(endedRun.item).lastEvent > 0) {
+        m_textTime += fromSeconds(toSeconds(now - endedRun.startedAt - m_textTime) * textTimeSmoothing);
         m_finishedEvents += static_cast<double>(m_progress.state(endedRun.item).lastEvent);
         m_finishedExpectedTokens += m_progress.item(endedRun.item).expectedTokens;
         m_progress.textEnded(now, endedRun.item);
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -10,6 +10,7 @@
 #include "net/event_stream.h"
 #include "platform/server_wire.h"
 #include "routing/move_decision.h"
+#include "routing/room_order.h"
 
 #include <functional>
 #include <map>
@@ -31,6 +32,7 @@
         std::function<void(std::vector<item_result>, std::string drafts)> record; ///< Records results and partial texts; noteRecorded() must follow.
         std::function<void(std::string drafts)> keepDrafts; ///< Stores encoded partial texts only.
         std::function<bool()> isRecording; ///< Tells whether an earlier record is still being written.
+        std::function<void()> onPlaceFreed; ///< Runs after each run in place of advance(), so that another job may go first; may be empty.
     };
 
     /**
@@ -49,6 +51,24 @@
     /** Cancels all runs for good. */
     void stop();
 
+    /** Returns the claim of this job on places at the servers, or nothing if none of its items waits for one. */
+    std::optional<work_claim> claim(time_point now) const;
+    /** Returns how many requests the servers that this job may use run at once. */
+    double places() const;
+    /** Tells whether the last advance() found no place for an item or a score that was due. */
+    bool isShortOfPlaces() const
+    {
+        return m_isShortOfPlaces;
+    }
+    /** Returns the model that the job uses; empty if its items use several. */
+    const std::string &model() const
+    {
+        return m_progress.spec().model;
+    }
+    const std::string &job() const
+    {
+        return m_job;
+    }
     const job_progress &progress() const
     {
         return m_progress;
@@ -122,6 +142,11 @@
     std::string m_job;
     job_metadata m_metadata;
     job_progress m_progress;
+    time_point m_knownSince;
+    time_point m_lastPlaceAt; ///< When a run of this job last began.
+    duration m_textTime; ///< From the start of a run until its text is complete; moving average.
+    int m_priority = 0; ///< Of the job's customer, or of its route.
+    bool m_isShortOfPlaces = false;
     recorder m_recorder;
     std::vector<std::shared_ptr<run>> m_runs;
     std::map<std::size_t, server_contact> m_unprovenOrigins; ///< Of texts, by index of the item: contacts that began them and are not certain yet.
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -14,7 +14,9 @@
 constexpr duration refusalRetryDelay = std::chrono::milliseconds(20); // Before a full service is tried again; about the duration of a short request.
 constexpr double attemptPaceFactor = 6; // An idempotent attempt ends after this multiple of the typical service time; tail latencies reach 5 times it.
 constexpr duration minAttemptTimeout = std::chrono::milliseconds(250); // Covers a new connection and a pause of the server's machine.
-constexpr duration retryAfterWhenFull = std::chrono::milliseconds(150); // Retry-After while all servers are full; slots become free as requests finish.
+constexpr duration retryAfterWhenFull =
+    std::chrono::milliseconds(150); // Shortest Retry-After while all servers are full; slots become free as requests finish.
+constexpr int returnTimeShare = 3; // A caller that comes back later than in this part of its time left has too little of it to be served.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
 constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
@@ -457,6 +459,7 @@
     if (m_serverAnswer.status < http_status::internalError) {
         recordSurvival();
     }
+    m_fleet.returns(m_service).onAnswered(m_context.loop.now());
     http_response response;
     response.status = m_serverAnswer.status;
     response.fields = endToEndFields(m_response.fields);
@@ -552,7 +555,9 @@
 {
     if (m_notRunAttempts + m_possibleRuns > maxRefusals + m_route.maxAttempts) {
         if (m_possibleRuns == 0) {
-            refuse(http_status::unavailable, "all servers asked are full", retryAfterWhenFull);
+            const time_point now = m_context.loop.now();
+            const duration longest = (m_deadline - now) / returnTimeShare;
+            refuse(http_status::unavailable, "all servers asked are full", m_fleet.returns(m_service).nextReturn(now, retryAfterWhenFull, longest));
         } else {
             refuse(http_status::badGateway, "no server answered", duration::zero());
         }
--- a/edge/testing/job_worker_test.cpp
+++ b/edge/testing/job_worker_test.cpp
@@ -154,5 +154,27 @@
     }
 }
 
+/** A job whose items find no place says how much waits, until when and since when, so that another one may go first. */
+TEST(job_worker_test, jobWithoutPlacesMakesNoClaim)
+{
+    testing::node_fixture fixture;
+    fixture.first.isStreaming = fixture.second.isStreaming = true;
+    const auto worker = fixture.startJob(11); // The two servers have four places each.
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return worker->progress().count(item_stage::Running) == 8;
+    }));
+    EXPECT_TRUE(worker->isShortOfPlaces());
+    EXPECT_EQ(worker->places(), 8);
+    const time_point now = fixture.loop.now();
+    const std::optional<work_claim> claim = worker->claim(now);
+    ASSERT_TRUE(claim);
+    EXPECT_EQ(claim->value, 1);
+    EXPECT_GT(claim->due, now);
+    EXPECT_GE(claim->work, std::chrono::seconds(3)) << "three items wait, and a text takes about a second";
+    EXPECT_LE(claim->waitingSince, now);
+    worker->stop();
+    EXPECT_FALSE(fixture.startJob(0)->claim(now)) << "nothing waits";
+}
+
 } // namespace
 } // namespace reedtrail
--- a/fleet/customer_directory.cpp
+++ b/fleet/customer_directory.cpp
@@ -63,6 +63,12 @@
     return found != m_keys.end() && found->key == wanted ? &m_customers[found->holder] : nullptr;
 }
 
+const customer *customer_directory::named(std::string_view name) const
+{
+    const auto found = std::ranges::find(m_customers, name, &customer::name);
+    return found == m_customers.end() ? nullptr : &*found;
+}
+
 std::string customer_directory::label(std::string_view key)
 {
     constexpr std::string_view digits = "0123456789abcdef";
--- a/fleet/customer_directory.h
+++ b/fleet/customer_directory.h
@@ -53,6 +53,8 @@
 
     /** Returns the customer that holds @p key, or null. Takes time that does not depend on how much of a key is right. */
     const customer *find(std::string_view key) const;
+    /** Returns the customer named @p name, or null. */
+    const customer *named(std::string_view name) const;
     std::size_t size() const
     {
         return m_customers.size();
--- a/fleet/testing/customer_directory_test.cpp
+++ b/fleet/testing/customer_directory_test.cpp
@@ -68,6 +68,8 @@
         EXPECT_FALSE(customers->find(key + "0"));
         EXPECT_FALSE(customers->find(key.substr(1)));
     }
+    EXPECT_EQ(customers->named("customer-9999")->name, "customer-9999");
+    EXPECT_FALSE(customers->named("customer-10000"));
     EXPECT_FALSE(customers->find(""));
     EXPECT_FALSE(customers->find("customer-1"));
 }
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -67,6 +67,15 @@
     return leavesRoom ? std::max(1.0, std::floor(server.slots * (1 - m_options.continuationShare))) : server.slots;
 }
 
+double backend_table::places(const backend_criteria &criteria) const
+{
+    double sum = 0;
+    for (const auto &[id, server] : m_servers) {
+        sum += isEligible(server, criteria) ? slotsFor(server, criteria) : 0;
+    }
+    return sum;
+}
+
 bool backend_table::hasEligible(const backend_criteria &criteria) const
 {
     return std::ranges::any_of(m_servers, [&](const auto &each) {
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -112,6 +112,8 @@
     move_question moveProspect(time_point now, std::string_view id, const backend_criteria &criteria) const;
     /** Returns how many servers of the service are registered. */
     std::size_t registeredCount(std::string_view service) const;
+    /** Returns the requests that the servers that fit the criteria may run at once, those of other nodes included. */
+    double places(const backend_criteria &criteria) const;
     /** Tells whether a server is registered that fits the criteria, whether or not it may take the request now. */
     bool hasEligible(const backend_criteria &criteria) const;
 
