--- a/edge/usage_report_service.cpp
+++ b/edge/usage_report_service.cpp
@@ -341,7 +341,7 @@
     const auto isOfThisZone = [this](const std::string &node) {
         return m_zones[node] == m_zones[m_context.settings.node];
     };
-    std::ranges::stable_partition(others, isOfThisZone);
+    std::stable_partition(others.begin(), others.end(), isOfThisZone);
     const auto border = std::ranges::partition_point(others, isOfThisZone) - others.begin();
     const auto all = static_cast<std::ptrdiff_t>(others.size());
     random_source random(m_context.randomSeed);
--- a/routing/testing/room_order_test.cpp
+++ b/routing/testing/room_order_test.cpp
@@ -23,6 +23,7 @@
 std::vector<std::size_t> indexes(const std::vector<room_place> &order)
 {
     std::vector<std::size_t> result;
+    result.reserve(order.size());
     for (const room_place &each : order) {
         result.push_back(each.claim);
     }
@@ -160,6 +161,7 @@
     }
     EXPECT_NEAR(schedule.rateAt(now), 100, 20);
     std::vector<double> returns;
+    returns.reserve(50);
     for (int i = 0; i < 50; ++i) {
         returns.push_back(toSeconds(schedule.nextReturn(now, 150ms, 1s)));
     }
