--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -21,7 +21,7 @@
 constexpr double silenceLatencyFactor = 8; // Multiple of the server's own time per event after which it counts as silent.
 constexpr std::size_t minEventsBeforeMove = 3; // Events of a run before it may move, so that its server's time per event is known from this run as well.
 constexpr duration defaultJobTarget = std::chrono::seconds(60); // Of a route that names none: its jobs go after those that are due.
-constexpr duration initialTextTime = std::chrono::seconds(1); // Until a text is complete; the median of the texts of trainers.
+constexpr duration initialTextTime = std::chrono::seconds(1); // Assumed until a text is complete.
 constexpr double textTimeSmoothing = 0.1; // Weight of a new sample; about the last ten count.
 constexpr duration initialRestartTime = std::chrono::milliseconds(300); // Reading a prompt and a text again, on a new connection whose server has to be proven.
 constexpr double restartTimeSmoothing = 0.2; // Weight of a new sample; about the last five count.
@@ -112,8 +112,8 @@
 double job_worker::places() const
 {
     const route *matchedRoute = jobRoute();
-    return matchedRoute == nullptr || matchedRoute->services.empty() ? 0
-                                                                     : m_fleet.backends().places(selectionCriteria(0, matchedRoute->services.front().service));
+    const bool hasServers = matchedRoute != nullptr && !matchedRoute->services.empty() && !m_progress.spec().items.empty();
+    return !hasServers ? 0 : m_fleet.backends().places(selectionCriteria(0, matchedRoute->services.front().service));
 }
 
 const route *job_worker::jobRoute() const
