--- a/routing/move_decision.h
+++ b/routing/move_decision.h
@@ -20,6 +20,7 @@
 struct move_options
 {
     double gainOverCost = 1.5; ///< Time saved for each unit of time that the move takes; with less, a wrong estimate of the length makes the text later.
+    double minSpeedRatio = 1.2; ///< Of the times for an event here and there; smaller differences are the noise of measured times.
     double maxMovedShare = 0.25; ///< Of the runs of this node that moves may end; each reads a prompt again that other texts wait for.
     double minFreeShare = 0.2; ///< Of the places of the servers in question. With fewer, a place is worth more to a text that has not begun.
     int maxMovesOfText = 3; ///< The speeds of two servers are compared on a few events, so further moves rest on noise.
@@ -76,6 +77,9 @@
     if (question.movesBefore >= options.maxMovesOfText || question.freeShare < options.minFreeShare || question.eventTimeThere <= duration::zero()) {
         return false;
     }
+    if (toSeconds(question.eventTimeHere) < options.minSpeedRatio * toSeconds(question.eventTimeThere)) {
+        return false;
+    }
     const double saved = question.eventsLeft * toSeconds(question.eventTimeHere - question.eventTimeThere);
     return saved > options.gainOverCost * toSeconds(question.restartTime);
 }
--- a/routing/testing/move_decision_test.cpp
+++ b/routing/testing/move_decision_test.cpp
@@ -24,6 +24,7 @@
         { "a long text on a slow server", { 40, 90ms, 40ms, 200ms, 0, 0.8 }, true },
         { "few events are left", { 4, 90ms, 40ms, 200ms, 0, 0.8 }, false },
         { "the other server is hardly faster", { 40, 45ms, 40ms, 200ms, 0, 0.8 }, false },
+        { "the difference is noise, however long the text", { 4000, 45ms, 40ms, 200ms, 0, 0.8 }, false },
         { "the other server is slower", { 40, 40ms, 90ms, 1ms, 0, 0.8 }, false },
         { "nothing is known of the other server", { 40, 90ms, 0ms, 200ms, 0, 0.8 }, false },
         { "reading the text again takes long", { 40, 90ms, 40ms, 1500ms, 0, 0.8 }, false },
