Fewer looks at all servers: slowdowns of servers that say nothing of one, moves checked each 100 ms

Cause, by reading: each choice of a server looked up each server's last word, and each advance of a job compared each running text with all servers. Not confirmed by a profile. Change: servers whose machine is at its usual pace, or that said nothing for 10 s, are not looked up; a job checks its texts for moves each 100 ms.

--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -19,6 +19,7 @@
 constexpr duration serverConnectTimeout = std::chrono::milliseconds(400); // A hundred times the network latency between zones plus the server's accept time.
 constexpr duration minSilenceTimeout = std::chrono::milliseconds(1000); // Between two events; a server slowed down by the usual factor of 4 takes 0.2 s.
 constexpr double silenceLatencyFactor = 8; // Multiple of the server's own time per event after which it counts as silent.
+constexpr duration moveCheckInterval = std::chrono::milliseconds(100); // Each check looks at all servers for each text that runs.
 constexpr std::size_t minEventsBeforeMove = 3; // Events of a run before it may move, so that its server's time per event is known from this run as well.
 constexpr duration defaultJobTarget = std::chrono::seconds(60); // Of a route that names none: its jobs go after those that are due.
 constexpr duration initialTextTime = std::chrono::seconds(1); // Assumed until a text is complete.
@@ -649,6 +650,10 @@
 /** Moves a text from a slow server to a faster one, which first reads the partial text as part of the prompt; that takes a few milliseconds. */
 void job_worker::moveRunFromSlowServer(time_point now)
 {
+    if (now < m_nextMoveCheckAt) {
+        return;
+    }
+    m_nextMoveCheckAt = now + moveCheckInterval;
     const route *matchedRoute = jobRoute();
     if (matchedRoute == nullptr || matchedRoute->isSingleVersion || matchedRoute->services.empty() || !m_moveBudget.allows(move_options())
         || m_progress.nextToRun(now)) {
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -153,6 +153,7 @@
     std::set<std::size_t> m_originsBeingProven;
     std::map<std::size_t, int> m_moves; ///< By index of the item.
     move_budget m_moveBudget;
+    time_point m_nextMoveCheckAt;
     duration m_restartTime; ///< From the start of a run that goes on with a text until its first event; moving average.
     double m_finishedEvents = 0; ///< Of the texts that are complete.
     double m_finishedExpectedTokens = 0; ///< The caller's estimates for the same texts.
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -8,6 +8,7 @@
 namespace reedtrail {
 namespace {
 
+constexpr duration slowdownLifetime = std::chrono::seconds(10); // Of a word of a server's machine.
 constexpr double unknownLatencySeconds = 1e-3; // While nothing is known of any server; any positive value ranks them by load alone.
 
 } // namespace
@@ -238,6 +239,9 @@
 
 double backend_table::machineFactor(time_point now, std::string_view id, const server_state &server) const
 {
+    if (server.slowdownUntil <= now) {
+        return 1; // Most servers, of the thousands that one choice may look at.
+    }
     const auto forecast = m_forecasts.find(server.service);
     return forecast == m_forecasts.end() ? 1 : forecast->second.factor(now, id);
 }
@@ -358,7 +362,8 @@
 
 void backend_table::onSlowdown(time_point now, std::string_view id, double factor)
 {
-    if (const server_state *server = find(id)) {
+    if (server_state *server = find(id)) {
+        server->slowdownUntil = factor == 1 ? time_point() : now + slowdownLifetime;
         m_forecasts[server->service].onReport(now, id, factor);
     }
 }
