Reports of use: true time needs most clocks, questions name only what a node has given

What callers saw: nothing yet; read from the code. (1) The reporting node heard itself first, so its own clock was true time for a moment: an hour ahead, all windows until then were never reported; an hour behind, old ones were made up. (2) Each question named what was known of all processes: 300 nodes were sent 300 numbers each, twice a window, and each was encoded anew. (3) All nodes were asked in the same moment. (4) A record read again after a lost answer forgot which windows the platform had accepted, which were then sent again. Change: no window is closed before most nodes have answered, or 2 s have passed; a question names the processes whose rows its node has given; a round of questions is spread over 0.8 s; accepted windows are remembered. Evidence: wrongClockOfReportingNodeSkipsWindows and questionGrowsWithNumberOfNodes fail with the former two functions (0 reports for 2; 300 entries for 1 and for 2) and pass now; the other six tests of usage_windows_test as before.

--- a/edge/usage_report_service.cpp
+++ b/edge/usage_report_service.cpp
@@ -17,6 +17,7 @@
 
 constexpr duration tickInterval = std::chrono::milliseconds(250); // Between two passes of the holder.
 constexpr duration askTimeout = std::chrono::milliseconds(400); // A hundred times the network latency between zones.
+constexpr duration askSpread = std::chrono::milliseconds(800); // Of the questions of one round.
 constexpr duration handOverTimeout = std::chrono::milliseconds(300); // Of a node that stops; it has two others to hand its ledger to.
 constexpr duration callTimeout = std::chrono::milliseconds(500); // Shorter than the time after which a duty's successor takes a call for delivered.
 constexpr duration maxDeliveryTime = std::chrono::milliseconds(600); // As duty_holder_options::maxDeliveryTime.
@@ -99,6 +100,7 @@
         }
         m_isRecording = false;
         m_recordRevision = 0;
+        const std::int64_t lastAccepted = m_record.lastAccepted; // The platform has them, whether or not the record says so yet.
         m_record = {};
         for (const store_key_value &item : answer.items) {
             if (item.key != usageRecordKey) {
@@ -111,11 +113,13 @@
             }
             m_record = stored.value_or(usage_record());
         }
+        m_record.lastAccepted = std::max(m_record.lastAccepted, lastAccepted);
         if (!m_windows) {
             usage_window_options options;
             options.length = m_context.settings.usage->window;
             options.due = m_context.settings.usage->due;
             m_windows.emplace(options);
+            m_reportedLate = 0;
             m_windows->begin(m_context.loop.now(), m_record.lastWindow());
             m_askedAt = {};
         }
@@ -147,18 +151,24 @@
     });
 }
 
+/** Asks all nodes, one after the other, so that the answers of hundreds of nodes don't arrive at once. */
 void usage_report_service::askNodes()
 {
     m_askedAt = m_context.loop.now();
-    for (const std::string &node : m_nodes) {
-        askNode(node);
+    const duration step = askSpread / std::max<std::size_t>(m_nodes.size(), 1);
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        m_context.loop.after(step * i, [this, node = m_nodes[i], term = m_term] {
+            if (term == m_term && m_windows) {
+                askNode(node);
+            }
+        });
     }
 }
 
 void usage_report_service::askNode(const std::string &node)
 {
     const time_point askedAt = m_context.loop.now();
-    const usage_ask question = m_windows->question();
+    const usage_ask question = m_windows->question(node);
     if (node == m_context.settings.node) {
         usage_answer own = m_context.usage->answer(askedAt, question);
         own.wallClockMs = unixMilliseconds();
@@ -206,7 +216,7 @@
         }
         m_isRecording = false;
         m_recordRevision = answer.revision;
-        const std::int64_t lastAccepted = m_record.lastAccepted;
+        const std::int64_t lastAccepted = m_record.lastAccepted; // May have risen since the write began.
         m_record = next;
         m_record.lastAccepted = std::max(m_record.lastAccepted, lastAccepted);
         sendNext();
@@ -252,6 +262,7 @@
     const time_point now = m_context.loop.now();
     const platform::duty_answer answer = end.error == error_kind::None ? platform::decodeDutyAnswer(response.status) : platform::duty_answer::Later;
     const bool isOver = answer != platform::duty_answer::Later;
+    const char *outcome = answer == platform::duty_answer::Accepted ? "accepted" : isOver ? "rejected" : "later";
     std::uint64_t requests = 0;
     if (const auto found = std::ranges::find(m_record.reports, window, &usage_report::window); found != m_record.reports.end()) {
         for (const auto &[name, count] : found->counts) {
@@ -262,23 +273,12 @@
             "usage-report",
             { { "window", std::to_string(window) },
               { "requests", std::to_string(requests) },
-              { "outcome",
-                answer == platform::duty_answer::Accepted ? "accepted"
-                    : isOver                              ? "rejected"
-                                                          : "later" },
+              { "outcome", outcome },
               { "status", std::to_string(response.status) },
               { "token", std::to_string(m_duty.leadership().fencingToken()) },
               { "ms", std::to_string((now - startedAt) / std::chrono::milliseconds(1)) },
               { "detail", end.detail } });
-    m_context.metrics
-        .counter("reedtrail_usage_reports_total",
-                 "Reports of use by the platform's answer",
-                 std::string("outcome=\"")
-                     + (answer == platform::duty_answer::Accepted ? "accepted"
-                            : isOver                              ? "rejected"
-                                                                  : "later")
-                     + "\"")
-        .add();
+    m_context.metrics.counter("reedtrail_usage_reports_total", "Reports of use by the platform's answer", std::string("outcome=\"") + outcome + "\"").add();
     if (isOver) {
         m_record.lastAccepted = std::max(m_record.lastAccepted, window);
         m_sendPause = duration::zero();
@@ -292,10 +292,10 @@
 /** Logs requests that came too late for their window's report. */
 void usage_report_service::reportLosses()
 {
-    if (const std::uint64_t late = m_windows->lateRequests(); late != m_reportedLate) {
-        logLine(log_level::Warning, "usage-late", { { "requests", std::to_string(late - std::min(late, m_reportedLate)) } });
-        m_context.metrics.counter("reedtrail_usage_late_requests_total", "Requests that no report of use counts").add(late - std::min(late, m_reportedLate));
-        m_reportedLate = late;
+    if (const std::uint64_t late = m_windows->lateRequests() - m_reportedLate; late > 0) {
+        logLine(log_level::Warning, "usage-late", { { "requests", std::to_string(late) } });
+        m_context.metrics.counter("reedtrail_usage_late_requests_total", "Requests that no report of use counts").add(late);
+        m_reportedLate += late;
     }
 }
 
--- a/edge/usage_report_service.h
+++ b/edge/usage_report_service.h
@@ -67,7 +67,7 @@
     time_point m_askedAt; ///< When all nodes were asked last.
     time_point m_nextSendAt;
     duration m_sendPause{};
-    std::uint64_t m_reportedLate = 0;
+    std::uint64_t m_reportedLate = 0; ///< Late requests of m_windows that were logged.
     bool m_isHolding = false;
     bool m_isRecording = false;
     bool m_isSending = false;
--- a/fleet/testing/usage_windows_test.cpp
+++ b/fleet/testing/usage_windows_test.cpp
@@ -36,7 +36,7 @@
     {
         for (const fake_node &node : nodes) {
             if (node.isAlive && now >= node.silentUntil) {
-                usage_answer answer = node.ledger->answer(now, windows.question());
+                usage_answer answer = node.ledger->answer(now, windows.question(node.name));
                 answer.wallClockMs = epochMs + now.time_since_epoch() / 1ms + node.clockErrorMs;
                 windows.onAnswer(now, node.name, now, answer);
             }
@@ -115,6 +115,48 @@
     EXPECT_EQ(reports[0].counts.at("x"), 1U);
 }
 
+/** The reporting node hears itself first, and its clock is an hour ahead: the windows until then were never reported. */
+TEST(usage_windows_test, wrongClockOfReportingNodeSkipsWindows)
+{
+    for (const std::int64_t errorMs : { 3'600'000, -3'600'000 }) {
+        fake_fleet fleet(5);
+        fleet.nodes[0].clockErrorMs = errorMs;
+        const time_point start(100s);
+        usage_windows windows({});
+        windows.begin(start, windowAt(start) - 2);
+        usage_answer own = fleet.nodes[0].ledger->answer(start, windows.question(fleet.names[0]));
+        own.wallClockMs = epochMs + start.time_since_epoch() / 1ms + errorMs;
+        windows.onAnswer(start, fleet.names[0], start, own);
+        EXPECT_TRUE(windows.takeDue(start, fleet.names).empty());
+        fleet.nodes[1].ledger->record(start, "x", start);
+        fleet.ask(windows, start + 7s);
+        const auto reports = windows.takeDue(start + 7s, fleet.names);
+        ASSERT_EQ(reports.size(), 2U);
+        EXPECT_EQ(reports[1].window, windowAt(start));
+        EXPECT_EQ(reports[1].counts.at("x"), 1U);
+    }
+}
+
+/** Each question named what was known of all nodes, so that the questions of one round grew with the square of their number. */
+TEST(usage_windows_test, questionGrowsWithNumberOfNodes)
+{
+    fake_fleet fleet(300);
+    const time_point start(100s);
+    usage_windows windows({});
+    windows.begin(start, std::nullopt);
+    for (const fake_node &node : fleet.nodes) {
+        node.ledger->record(start, "x", start);
+    }
+    fleet.nodes[7].ledger->take(start, fleet.nodes[8].ledger->answer(start, {}));
+    fleet.ask(windows, start + 1s);
+    EXPECT_EQ(windows.question("node-3").known.size(), 1U);
+    EXPECT_EQ(windows.question("node-7").known.size(), 2U) << "its own, and that of a node that stopped";
+    EXPECT_TRUE(windows.question("another").known.empty());
+    for (const fake_node &node : fleet.nodes) {
+        EXPECT_TRUE(node.ledger->answer(start + 1s, windows.question(node.name)).batches.empty()) << node.name;
+    }
+}
+
 /** A window waits for a node that is silent for a moment, and not longer than its report may. */
 TEST(usage_windows_test, windowIsClosedWithoutSilentNode)
 {
--- a/fleet/usage_windows.cpp
+++ b/fleet/usage_windows.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-void usage_windows::begin(time_point, std::optional<std::int64_t> lastReported)
+void usage_windows::begin(time_point now, std::optional<std::int64_t> lastReported)
 {
+    m_begunAt = now;
     m_nodes.clear();
     m_known.clear();
     m_rows.clear();
@@ -25,9 +26,15 @@
     m_lastReported = lastReported;
 }
 
-usage_ask usage_windows::question() const
+usage_ask usage_windows::question(const std::string &node) const
 {
-    return { m_known };
+    usage_ask ask;
+    if (const auto found = m_nodes.find(node); found != m_nodes.end()) {
+        for (const std::string &origin : found->second.origins) {
+            ask.known[origin] = m_known.at(origin);
+        }
+    }
+    return ask;
 }
 
 void usage_windows::onAnswer(time_point now, const std::string &node, time_point askedAt, const usage_answer &answer)
@@ -43,6 +50,7 @@
     std::ranges::nth_element(offsets, offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2));
     m_clockOffsetMs = offsets[offsets.size() / 2];
     for (const usage_batch &batch : answer.batches) {
+        state.origins.insert(batch.origin);
         std::uint64_t &next = m_known[batch.origin];
         for (std::size_t i = 0; i < std::min(batch.rows.size(), batch.agesMs.size()); ++i) {
             if (batch.firstNumber + i < next || batch.rows[i] >= batch.customers.size()) {
@@ -64,6 +72,12 @@
     return time_point(std::chrono::milliseconds((window + 1) * windowMs() - *m_clockOffsetMs));
 }
 
+/** Tells whether the median is that of most nodes, or of those that can be reached. */
+bool usage_windows::isTrueTimeKnown(time_point now, std::size_t nodeCount) const
+{
+    return m_clockOffsetMs && (m_nodes.size() * 2 > nodeCount || now - m_begunAt >= m_options.clockWait);
+}
+
 /** Tells whether a window can be closed: all nodes that answer have been asked after its requests were recorded, or its report is due. */
 bool usage_windows::isComplete(time_point now, std::int64_t window, std::span<const std::string> nodes) const
 {
@@ -83,7 +97,7 @@
 std::vector<usage_report> usage_windows::takeDue(time_point now, std::span<const std::string> nodes)
 {
     std::vector<usage_report> due;
-    if (!m_clockOffsetMs) {
+    if (!isTrueTimeKnown(now, nodes.size())) {
         return due;
     }
     const std::int64_t current = *trueTimeMs(now) / windowMs();
--- a/fleet/usage_windows.h
+++ b/fleet/usage_windows.h
@@ -41,7 +41,8 @@
                                                            ///< takes that is answered late.
     duration sendTime = std::chrono::milliseconds(3500); ///< Kept back of the due time for recording and sending, and one repetition.
     duration answerLifetime = std::chrono::seconds(12); ///< Nodes that have not answered for this long are not waited for.
-    std::int64_t maxBacklog = 8; ///< Windows that are still reported after a gap; older ones are given up, because the nodes no longer hold their requests.
+    duration clockWait = std::chrono::seconds(2); ///< After the begin, until the clocks of a minority of the nodes are taken for true time.
+    std::int64_t maxBacklog = 8; ///< Largest number of windows reported after a gap. Older ones are skipped, because the ledgers no longer hold their rows.
 };
 
 /** Collects the ledgers of all nodes and closes windows. */
@@ -55,8 +56,8 @@
 
     /** Begins to collect. @param lastReported newest window that was ever recorded; nothing if none was, and the first window is the one under way */
     void begin(time_point now, std::optional<std::int64_t> lastReported);
-    /** Returns the question to a node. */
-    usage_ask question() const;
+    /** Returns the question to a node: what is already known of the processes whose rows it has given. */
+    usage_ask question(const std::string &node) const;
     /** Takes a node's answer to a question that was asked at @p askedAt. */
     void onAnswer(time_point now, const std::string &node, time_point askedAt, const usage_answer &answer);
     /** Returns the reports that are complete, oldest first, each once. @param nodes names of all nodes known */
@@ -75,7 +76,9 @@
     {
         time_point askedAt; ///< When the last question was asked that it has answered.
         std::int64_t clockOffsetMs = 0; ///< Its wall clock less this node's steady time.
+        std::set<std::string> origins; ///< Of the rows that it has given.
     };
+    bool isTrueTimeKnown(time_point now, std::size_t nodeCount) const;
     bool isComplete(time_point now, std::int64_t window, std::span<const std::string> nodes) const;
     std::int64_t windowMs() const
     {
@@ -95,6 +98,7 @@
     std::vector<pending_row> m_rows; ///< Of windows that are not closed.
     std::optional<std::int64_t> m_clockOffsetMs; ///< Median of the nodes' offsets.
     std::optional<std::int64_t> m_nextWindow; ///< The first window that is not closed.
+    time_point m_begunAt;
     std::optional<std::int64_t> m_lastReported; ///< As given to begin().
     std::uint64_t m_lateRequests = 0;
 };
