A caller with little time left does not reset the schedule of returns

What callers saw: nothing yet; read from the code. A refused caller with little time left got an early time, which became the latest one given, so the callers after it were given times again that others already had. Cause: the clamped time was kept as the schedule's state. Change: the schedule only moves forward. The function that only the test of the order used is in the test now. Evidence: callerWithLittleTimeTakesBackTimesOfOthers fails with the former header and passes now.

--- a/routing/return_schedule.h
+++ b/routing/return_schedule.h
@@ -3,7 +3,7 @@
  * Tells callers that are turned away when to come back. Pure core: no I/O and no clock of its own.
  *
  * Load pattern: a burst finds all servers full and is turned away within milliseconds. With one fixed pause all of it comes back at once and finds them full
- * again. So each caller is told a moment of its own, as far apart as places become free by what this node has seen lately.
+ * again. So each caller gets a time of its own, spaced by the rate at which this node has seen places become free.
  *
  *     schedule.onAnswered(now);                               // a request of the service was answered, so a place is free again
  *     duration pause = schedule.nextReturn(now, 150ms, 2s);   // for one caller
@@ -28,7 +28,7 @@
         m_updatedAt = now;
     }
     /**
-     * Returns when a caller should come back, and counts it as told.
+     * Returns when a caller should come back, and reserves that time.
      * @param shortest pause, for instance the time that a request takes
      * @param longest pause that still leaves the caller time to be served; returned if all moments before it are taken
      */
@@ -38,8 +38,9 @@
         const duration gap = rate > 0 ? fromSeconds(1 / rate) : duration::zero();
         const time_point earliest = now + shortest;
         const time_point latest = now + std::max(shortest, longest);
-        m_lastReturn = std::min(std::max(earliest, m_lastReturn + gap), latest);
-        return m_lastReturn - now;
+        const time_point chosen = std::min(std::max(earliest, m_lastReturn + gap), latest);
+        m_lastReturn = std::max(m_lastReturn, chosen);
+        return chosen - now;
     }
     /** Returns the requests answered per second lately. */
     double rateAt(time_point now) const
@@ -52,7 +53,7 @@
 
     double m_rate = 0;
     time_point m_updatedAt;
-    time_point m_lastReturn; ///< The last moment that a caller was told.
+    time_point m_lastReturn; ///< Latest time given to a caller.
 };
 
 } // namespace reedtrail
--- a/routing/room_order.cpp
+++ b/routing/room_order.cpp
@@ -89,15 +89,4 @@
     return order;
 }
 
-double valueInTime(time_point now, std::span<const work_claim> claims, std::span<const std::size_t> order, double places)
-{
-    double busy = 0;
-    double value = 0;
-    for (const std::size_t index : order) {
-        busy += toSeconds(claims[index].work) / std::max(places, 1.0);
-        value += busy <= toSeconds(claims[index].due - now) ? claims[index].value : 0;
-    }
-    return value;
-}
-
 } // namespace reedtrail
--- a/routing/room_order.h
+++ b/routing/room_order.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <vector>
 
@@ -57,7 +58,4 @@
  */
 std::vector<room_place> orderWork(time_point now, std::span<const work_claim> claims, double places, const room_order_options &options = {});
 
-/** Returns the value of the claims that are in time if they are served one after the other in this order, each on all places. */
-double valueInTime(time_point now, std::span<const work_claim> claims, std::span<const std::size_t> order, double places);
-
 } // namespace reedtrail
--- a/routing/testing/room_order_test.cpp
+++ b/routing/testing/room_order_test.cpp
@@ -59,6 +59,18 @@
     }));
 }
 
+/** Returns the value of the claims that are in time if they are served one after the other in this order, each on all places. */
+double valueInTime(time_point now, std::span<const work_claim> claims, std::span<const std::size_t> order, double places)
+{
+    double busy = 0;
+    double value = 0;
+    for (const std::size_t index : order) {
+        busy += toSeconds(claims[index].work) / std::max(places, 1.0);
+        value += busy <= toSeconds(claims[index].due - now) ? claims[index].value : 0;
+    }
+    return value;
+}
+
 /** Returns the most value that any set of claims can have in time, by trying all. */
 double bestValue(std::span<const work_claim> claims)
 {
@@ -178,5 +190,21 @@
     EXPECT_EQ(unknown.nextReturn(now, 150ms, 1s), 150ms) << "nothing was ever answered";
 }
 
+/** A caller with little time left got an early time, and all callers after it got the times again that others had. */
+TEST(room_order_test, callerWithLittleTimeTakesBackTimesOfOthers)
+{
+    return_schedule schedule;
+    for (int i = 0; i < 100; ++i) {
+        schedule.onAnswered(start + i * 10ms);
+    }
+    const time_point now = start + 1s;
+    duration last{};
+    for (int i = 0; i < 10; ++i) {
+        last = schedule.nextReturn(now, 150ms, 1s);
+    }
+    EXPECT_EQ(schedule.nextReturn(now, 10ms, 20ms), 20ms);
+    EXPECT_GT(schedule.nextReturn(now, 150ms, 1s), last);
+}
+
 } // namespace
 } // namespace reedtrail
