Order of jobs: a module of its own, a job alone at its model is not put off, a freed place concerns its model only

What callers saw: nothing yet; read from the code. (1) A job that competed with no other was ranked as if it had a single place, so its scores went behind those of other models' jobs. (2) While any job of a node was short of places, each end of a run advanced all its jobs, each with one or two looks at all servers; a job whose weight version no server had yet was short all the time. (3) The text of a log line was made on each advance and used once a second. Change: edge/job_order orders the waiting jobs; a job alone at its model needs no count of places. The end of a run advances its own job and the jobs of the same model that found no place. The line is made when it is due. batch/text_statistics keeps what a job's texts have taken. Evidence: jobThatIsAloneIsPutOff (its claim is too much for one place and is ranked in time), text_statistics_test; the rest of edge_test.

--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -1,5 +1,6 @@
 #include "edge/batch_job_service.h"
 
+#include "edge/job_order.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
 
@@ -242,7 +243,7 @@
     return !error;
 }
 
-/** Tells whether a caller must be told that there is no such job. Forgets a job that the store does not have. */
+/** Tells whether a call gets the response for an unknown job. Drops the entry of a job that the store does not have. */
 bool batch_job_service::isHidden(const job_entry &entry, load_outcome outcome, const std::optional<std::string> &customer)
 {
     if (outcome == load_outcome::Absent) {
@@ -497,91 +498,50 @@
 
 void batch_job_service::advance()
 {
-    for (const std::shared_ptr<job_worker> &worker : workersInOrder(m_context.loop.now())) {
-        worker->advance();
-    }
+    advanceInOrder([](const job_worker &) {
+        return true;
+    });
 }
 
-/** Returns the workers in the order in which they take places: those whose items wait by routing/room_order, and the others after them. */
-std::vector<std::shared_ptr<job_worker>> batch_job_service::workersInOrder(time_point now)
+/** Advances the jobs that @p isAffected selects, those that wait for places in their order. */
+void batch_job_service::advanceInOrder(const std::function<bool(const job_worker &)> &isAffected)
 {
-    struct waiting_job
-    {
-        std::shared_ptr<job_worker> worker;
-        work_claim claim;
-        room_rank rank = room_rank::InTime;
-    };
-    std::vector<std::shared_ptr<job_worker>> idle;
-    std::map<std::string_view, std::vector<waiting_job>> byModel; // Jobs of two models use two sets of servers.
+    std::vector<std::shared_ptr<job_worker>> workers;
     for (const auto &[id, entry] : m_entries) {
-        if (!entry->worker) {
-            continue;
-        }
-        if (const std::optional<work_claim> claim = entry->worker->claim(now)) {
-            byModel[entry->worker->model()].push_back({ entry->worker, *claim });
-        } else {
-            idle.push_back(entry->worker);
+        if (entry->worker && isAffected(*entry->worker)) {
+            workers.push_back(entry->worker);
         }
     }
-    std::vector<waiting_job> ordered;
-    for (auto &[model, jobs] : byModel) {
-        std::vector<work_claim> claims;
-        for (const waiting_job &each : jobs) {
-            claims.push_back(each.claim);
-        }
-        for (const room_place &each : orderWork(now, claims, jobs.size() == 1 ? 1 : jobs.front().worker->places())) {
-            jobs[each.claim].rank = each.rank;
-            ordered.push_back(jobs[each.claim]);
-        }
+    const time_point now = m_context.loop.now();
+    const std::vector<waiting_job> waiting = orderWaitingJobs(now, workers);
+    if (isRoomShort(waiting) && now - m_lastRoomLogAt >= roomLogInterval) {
+        m_lastRoomLogAt = now;
+        logLine(log_level::Info, "room-order", { { "jobs", describeOrder(now, waiting) } });
+        m_context.metrics.counter("reedtrail_room_shortages_total", "Seconds in which several jobs waited for places at this node").add();
     }
-    // Scores of all models use the same servers. The order within a model is kept, as its ranks are in order and its jobs in order of due times.
-    std::ranges::stable_sort(ordered, {}, &waiting_job::rank);
-    std::vector<std::shared_ptr<job_worker>> workers;
-    std::vector<std::string> rows;
-    for (const waiting_job &each : ordered) {
-        workers.push_back(each.worker);
-        rows.push_back(each.worker->job()
-                       + (each.rank == room_rank::Overdue      ? " overdue"
-                              : each.rank == room_rank::InTime ? " in-time"
-                                                               : " put-off")
-                       + " due-ms " + std::to_string((each.claim.due - now) / std::chrono::milliseconds(1)) + " work-ms "
-                       + std::to_string(each.claim.work / std::chrono::milliseconds(1)) + " value " + std::to_string(static_cast<int>(each.claim.value)));
-    }
-    if (rows.size() > 1 && std::ranges::any_of(ordered, [](const waiting_job &each) {
-            return each.worker->isShortOfPlaces();
-        })) {
-        logRoomOrder(now, rows);
-    }
-    workers.insert(workers.end(), idle.begin(), idle.end());
-    return workers;
-}
-
-/** Logs, once a second at most, in which order jobs take places while there are too few. */
-void batch_job_service::logRoomOrder(time_point now, std::span<const std::string> rows)
-{
-    if (now - m_lastRoomLogAt < roomLogInterval) {
-        return;
+    for (const waiting_job &job : waiting) {
+        job.worker->advance();
+        std::erase(workers, job.worker);
     }
-    m_lastRoomLogAt = now;
-    std::string order;
-    for (const std::string &row : rows) {
-        order += (order.empty() ? "" : ", ") + row;
+    for (const std::shared_ptr<job_worker> &worker : workers) {
+        worker->advance();
     }
-    logLine(log_level::Info, "room-order", { { "jobs", order } });
-    m_context.metrics.counter("reedtrail_room_shortages_total", "Seconds in which several jobs waited for places at this node").add();
 }
 
-/** Lets the jobs of this node take the place that a run of @p job has left: others first, if they are short of places and go before it. */
+/**
+ * Lets the jobs of this node take the place that a run of @p job has left. Jobs of the same model that found no place take part; each of them looks at all
+ * servers, so the others wait for the next tick.
+ */
 void batch_job_service::onPlaceFreed(const std::string &job)
 {
-    const bool isContended = std::ranges::any_of(m_entries, [&](const auto &each) {
-        return each.first != job && each.second->worker && each.second->worker->isShortOfPlaces();
-    });
-    if (isContended) {
-        advance();
-    } else if (const auto found = m_entries.find(job); found != m_entries.end() && found->second->worker) {
-        found->second->worker->advance();
+    const auto found = m_entries.find(job);
+    if (found == m_entries.end() || !found->second->worker) {
+        return;
     }
+    const std::shared_ptr<job_worker> freeing = found->second->worker;
+    advanceInOrder([&freeing](const job_worker &each) {
+        return &each == freeing.get() || (each.isShortOfPlaces() && each.model() == freeing->model());
+    });
 }
 
 /** Runs every tickInterval while there are jobs: advances the workers, answers expired reads, evicts unused entries and continues the drain. */
--- a/edge/batch_job_service.h
+++ b/edge/batch_job_service.h
@@ -94,8 +94,7 @@
     void onOwnershipLost(job_entry &entry);
     void scheduleAdvance();
     void advance();
-    std::vector<std::shared_ptr<job_worker>> workersInOrder(time_point now);
-    void logRoomOrder(time_point now, std::span<const std::string> rows);
+    void advanceInOrder(const std::function<bool(const job_worker &)> &isAffected);
     void onPlaceFreed(const std::string &job);
     void tick();
     void evictUnused(time_point now);
--- a/edge/job_worker.cpp
+++ b/edge/job_worker.cpp
@@ -22,10 +22,6 @@
 constexpr duration moveCheckInterval = std::chrono::milliseconds(100); // Each check looks at all servers for each text that runs.
 constexpr std::size_t minEventsBeforeMove = 3; // Events of a run before it may move, so that its server's time per event is known from this run as well.
 constexpr duration defaultJobTarget = std::chrono::seconds(60); // Of a route that names none: its jobs go after those that are due.
-constexpr duration initialTextTime = std::chrono::seconds(1); // Assumed until a text is complete.
-constexpr double textTimeSmoothing = 0.1; // Weight of a new sample; about the last ten count.
-constexpr duration initialRestartTime = std::chrono::milliseconds(300); // Reading a prompt and a text again, on a new connection whose server has to be proven.
-constexpr double restartTimeSmoothing = 0.2; // Weight of a new sample; about the last five count.
 constexpr duration maxScoreTimeout = std::chrono::milliseconds(3000); // Deadline sent with score calls: over five times the mean score time of any server type.
 constexpr duration minScoreTimeout = std::chrono::milliseconds(800);
 constexpr double scorePaceFactor = 8; // Multiple of the service's usual time after which a score is requested from another server.
@@ -58,9 +54,7 @@
     , m_progress(std::move(spec), {}, knownSince)
     , m_knownSince(knownSince)
     , m_lastPlaceAt(context.loop.now())
-    , m_textTime(initialTextTime)
     , m_recorder(std::move(record))
-    , m_restartTime(initialRestartTime)
 {
     takeLimits();
 }
@@ -104,7 +98,7 @@
     work_claim claimed;
     claimed.priority = m_priority;
     claimed.due = matchedRoute != nullptr && matchedRoute->jobTarget > duration::zero() ? m_knownSince + matchedRoute->jobTarget : now + defaultJobTarget;
-    claimed.work = fromSeconds(toSeconds(m_textTime) * (static_cast<double>(waiting) + static_cast<double>(m_progress.count(item_stage::Running)) / 2));
+    claimed.work = fromSeconds(toSeconds(m_texts.textTime()) * (static_cast<double>(waiting) + static_cast<double>(m_progress.count(item_stage::Running)) / 2));
     claimed.value = wanted > complete ? static_cast<double>(wanted - complete) : 1;
     claimed.waitingSince = m_lastPlaceAt;
     return claimed;
@@ -509,7 +503,7 @@
         if (current.eventCount > 0) {
             m_fleet.backends().onLatency(now, current.server, now - current.lastActivityAt);
         } else if (current.isContinuation) {
-            m_restartTime += fromSeconds(toSeconds(now - current.startedAt - m_restartTime) * restartTimeSmoothing);
+            m_texts.onContinued(now - current.startedAt);
         }
         ++current.eventCount;
         current.lastActivityAt = now;
@@ -568,9 +562,7 @@
     const std::uint16_t status = endedRun.answer.status;
     if (end.error == error_kind::None && !endedRun.isInvalidResponse && status == http_status::ok && endedRun.events.isBetweenEvents()
         && m_progress.state(endedRun.item).lastEvent > 0) {
-        m_textTime += fromSeconds(toSeconds(now - endedRun.startedAt - m_textTime) * textTimeSmoothing);
-        m_finishedEvents += static_cast<double>(m_progress.state(endedRun.item).lastEvent);
-        m_finishedExpectedTokens += m_progress.item(endedRun.item).expectedTokens;
+        m_texts.onTextComplete(now - endedRun.startedAt, m_progress.state(endedRun.item).lastEvent, m_progress.item(endedRun.item).expectedTokens);
         m_progress.textEnded(now, endedRun.item);
         logRun(endedRun, "text-whole", "");
         return;
@@ -667,8 +659,9 @@
         }
         move_question question =
             m_fleet.backends().moveProspect(now, current->server, continuationCriteria(current->item, matchedRoute->services.front().service));
-        question.eventsLeft = expectedEventsLeft(static_cast<double>(m_progress.state(current->item).lastEvent), expectedEvents(current->item));
-        question.restartTime = m_restartTime;
+        question.eventsLeft = expectedEventsLeft(static_cast<double>(m_progress.state(current->item).lastEvent),
+                                                 m_texts.expectedEvents(m_progress.item(current->item).expectedTokens));
+        question.restartTime = m_texts.continuationTime();
         question.movesBefore = m_moves[current->item];
         if (isMoveWorthwhile(question)) {
             slowRun = current;
@@ -694,12 +687,6 @@
     }
 }
 
-/** Returns how many events the text of an item is expected to have, by the caller's estimate and the texts that are complete; 0 if nothing is known. */
-double job_worker::expectedEvents(std::size_t index) const
-{
-    return m_finishedExpectedTokens > 0 ? m_progress.item(index).expectedTokens * m_finishedEvents / m_finishedExpectedTokens : 0;
-}
-
 void job_worker::recordDueResults(time_point now)
 {
     const std::size_t wantedGroups = m_progress.spec().wantedGroups;
--- a/edge/job_worker.h
+++ b/edge/job_worker.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "batch/job_progress.h"
+#include "batch/text_statistics.h"
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "net/event_stream.h"
@@ -102,7 +103,7 @@
         time_point startedAt;
         bool isScore = false; ///< The run scores the item's text.
         bool wasAbortedAsSilent = false; ///< This worker aborted the run because its server sent nothing in time.
-        bool isContinuation = false; ///< The run goes on with a text.
+        bool isContinuation = false; ///< The run continues a text that an earlier run began.
         bool wasAbortedToMove = false; ///< This worker aborted the run to continue it on a faster server.
     };
 
@@ -130,7 +131,6 @@
     void abortRun(run &current, const char *reason);
     void abortSilentRuns(time_point now);
     void moveRunFromSlowServer(time_point now);
-    double expectedEvents(std::size_t index) const;
     backend_criteria selectionCriteria(std::size_t index, std::string_view service) const;
     backend_criteria continuationCriteria(std::size_t index, std::string_view service) const;
     void recordDueResults(time_point now);
@@ -144,7 +144,7 @@
     job_progress m_progress;
     time_point m_knownSince;
     time_point m_lastPlaceAt; ///< When a run of this job last began.
-    duration m_textTime; ///< From the start of a run until its text is complete; moving average.
+    text_statistics m_texts;
     int m_priority = 0; ///< Of the job's customer, or of its route.
     bool m_isShortOfPlaces = false;
     recorder m_recorder;
@@ -154,9 +154,6 @@
     std::map<std::size_t, int> m_moves; ///< By index of the item.
     move_budget m_moveBudget;
     time_point m_nextMoveCheckAt;
-    duration m_restartTime; ///< From the start of a run that goes on with a text until its first event; moving average.
-    double m_finishedEvents = 0; ///< Of the texts that are complete.
-    double m_finishedExpectedTokens = 0; ///< The caller's estimates for the same texts.
     std::uint64_t m_nextRunNumber = 1;
     std::optional<std::uint64_t> m_limitsVersion; ///< Version of the configuration from which the limits of the job's route were taken.
     time_point m_lastRecordedAt;
--- a/edge/testing/job_worker_test.cpp
+++ b/edge/testing/job_worker_test.cpp
@@ -1,5 +1,7 @@
 #include "edge/job_worker.h"
 
+#include "edge/job_order.h"
+
 #include "platform/testing/node_fixture.h"
 #include "platform/testing/scripted_engine.h"
 
@@ -176,5 +178,19 @@
     EXPECT_FALSE(fixture.startJob(0)->claim(now)) << "nothing waits";
 }
 
+/** A job that competes with no other one was ranked as if it had a single place, and was put off behind the scores of jobs of other models. */
+TEST(job_worker_test, jobThatIsAloneIsPutOff)
+{
+    testing::node_fixture fixture;
+    fixture.first.isStreaming = fixture.second.isStreaming = true;
+    const std::vector<std::shared_ptr<job_worker>> workers = { fixture.startJob(100) };
+    const std::vector<waiting_job> order = orderWaitingJobs(fixture.loop.now(), workers);
+    ASSERT_EQ(order.size(), 1U);
+    EXPECT_GT(order[0].claim.work, order[0].claim.due - fixture.loop.now()) << "too much for one place";
+    EXPECT_EQ(order[0].rank, room_rank::InTime);
+    EXPECT_FALSE(isRoomShort(order));
+    workers[0]->stop();
+}
+
 } // namespace
 } // namespace reedtrail
