Start of a request's run tracked apart from the relay; wording; the platform's names out of edge/testing

Change: fleet/run_start_tracker decides when a request counts for the reports of use (three members of the relay before), with its tests. Comments and tests say report and time in place of figurative words. The fixture in platform/testing names keys and customers for the tests of edge/, which no longer spell the platform's names. No behaviour changes.

--- a/edge/fleet_cache.h
+++ b/edge/fleet_cache.h
@@ -111,7 +111,7 @@
         const server_entry *entry = m_directory.find(server);
         return entry != nullptr && entry->startedAt == startedAt ? entry->build : "";
     }
-    /** Returns when callers that a service has no place for are told to come back. */
+    /** Returns the schedule by which refused callers of a service come back. */
     return_schedule &returns(const std::string &service)
     {
         return m_returns[service];
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -212,7 +212,7 @@
     m_isHeld = false;
     m_heldBytes.clear();
     m_heldEnd.reset();
-    m_handedOverAt.reset();
+    m_runStart.onAttempt();
     m_attemptStartedAt = m_context.loop.now();
     const duration timeLeft = m_deadline - m_attemptStartedAt;
     const http_request &original = m_exchange->request();
@@ -227,7 +227,7 @@
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
         const bool isAllowed = isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
         if (isAllowed) {
-            self->m_handedOverAt = self->m_context.loop.now();
+            self->m_runStart.onHandedOver(self->m_context.loop.now());
         }
         return isAllowed;
     };
@@ -291,8 +291,8 @@
     m_build = m_fleet.buildOf(m_server.id, m_server.startedAt);
     m_contact = { m_server.id, m_server.startedAt, m_context.loop.now() - m_attempt->connectionAge() };
     m_fleet.backends().onResponse(m_server.id);
-    if (!m_serverAnswer.isNotStarted && m_handedOverAt) {
-        recordUse(*m_handedOverAt);
+    if (!m_serverAnswer.isNotStarted) {
+        recordUse(m_runStart.onAnswered());
     }
     if (m_serverAnswer.isLeaving) {
         m_fleet.recordLeaving(m_server.id, "request");
@@ -367,11 +367,11 @@
     m_attempt.reset();
 }
 
-/** Records once, for the reports of use, that the request began to run. @param beganAt when it was handed to a server, which begins at once if it has room */
-void request_relay::recordUse(time_point beganAt)
+/** Records for the reports of use that the request began to run. @param beganAt nothing if there is nothing to record */
+void request_relay::recordUse(const std::optional<time_point> &beganAt)
 {
-    if (m_context.usage && m_customer && !m_customer->empty() && !std::exchange(m_isUseRecorded, true)) {
-        m_context.usage->record(m_context.loop.now(), *m_customer, beganAt);
+    if (beganAt && m_context.usage && m_customer && !m_customer->empty()) {
+        m_context.usage->record(m_context.loop.now(), *m_customer, *beganAt);
     }
 }
 
@@ -383,8 +383,8 @@
         return;
     }
     m_hasGrant = m_hasGrant && !end.isHandedOver;
-    if (end.isHandedOver && !end.hasHead && !m_unansweredSince) {
-        m_unansweredSince = m_handedOverAt;
+    if (end.isHandedOver && !end.hasHead) {
+        m_runStart.onUnanswered();
     }
     if (end.isForeignResponse) {
         handleForeignResponse(end);
@@ -720,12 +720,10 @@
         return;
     }
     m_isDone = true;
-    if (m_attempt && !m_unansweredSince) {
-        m_unansweredSince = m_handedOverAt;
-    }
-    if (m_unansweredSince) {
-        recordUse(*m_unansweredSince);
+    if (m_attempt) {
+        m_runStart.onUnanswered();
     }
+    recordUse(m_runStart.onEnd());
     m_timer.cancel();
     const bool hadOpenAttempt = m_attempt != nullptr;
     if (!hadOpenAttempt) {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -15,6 +15,7 @@
 #include "edge/fleet_cache.h"
 #include "edge/stream_origins.h"
 #include "fleet/request_identity.h"
+#include "fleet/run_start_tracker.h"
 #include "net/event_stream.h"
 #include "net/http_server.h"
 #include "platform/caller_wire.h"
@@ -83,7 +84,7 @@
     void refuse(std::uint16_t status, const char *reason, duration retryAfter);
     void finish(const char *outcome, std::uint16_t status);
     void releaseServer();
-    void recordUse(time_point beganAt);
+    void recordUse(const std::optional<time_point> &beganAt);
 
     edge_context &m_context;
     fleet_cache &m_fleet;
@@ -120,9 +121,7 @@
     std::optional<http_call_end> m_heldEnd; ///< End of the current attempt, handled after m_heldBytes.
     std::string m_build; ///< Build of the server that answered the current attempt; empty until its answer begins, or if unknown.
     std::size_t m_attemptEvents = 0; ///< Events that the current attempt has brought.
-    std::optional<time_point> m_handedOverAt; ///< When the current attempt reached its connection.
-    std::optional<time_point> m_unansweredSince; ///< When the first attempt was handed over that may have run and was not answered.
-    bool m_isUseRecorded = false;
+    run_start_tracker m_runStart;
     bool m_hasStreamStarted = false;
     bool m_isDone = false;
     boost::asio::steady_timer m_timer;
--- a/edge/testing/customer_keys_test.cpp
+++ b/edge/testing/customer_keys_test.cpp
@@ -6,8 +6,9 @@
 namespace reedtrail {
 namespace {
 
+using testing::customerField;
+using testing::keyField;
 using testing::node_fixture;
-using json = nlohmann::json;
 
 const endpoint callersAddress{ "127.0.0.1", 28831 };
 
@@ -18,7 +19,7 @@
     {
         context->settings.callers = callersAddress;
         context->settings.readiness = { "127.0.0.1", 28832 };
-        putCustomers(2, { { { "name", "a" }, { "apiKeys", { "key-a" } } }, { { "name", "b" }, { "apiKeys", { "key-b" } } } });
+        putCustomers(2, { { "a", "key-a" }, { "b", "key-b" } });
         readAgain();
         jobs = std::make_unique<batch_job_service>(*context, *fleet);
         callers = std::make_unique<caller_service>(*context, *fleet, *crashes, *origins, *jobs, forwarder);
@@ -29,23 +30,10 @@
             exchange->respond({ http_status::ok, testing::serverFields(exchange->request()), "ok" });
         });
     }
-    /** Writes a configuration with customers, a route that needs a key, and an open one. */
-    void putCustomers(int version, const json &customers)
-    {
-        const auto routeRow = [](const char *name, const char *prefix, const char *kind, bool isOpen) {
-            return json{ { "name", name }, { "hostname", "h" }, { "prefix", prefix }, { "kind", kind }, { "service", "s" }, { "public", isOpen } };
-        };
-        transport.put(
-            "op/config",
-            { { "version", version },
-              { "routes", { routeRow("r", "/p/", "idempotent", false), routeRow("o", "/o/", "idempotent", true), routeRow("j", "/j/", "rollout", false) } },
-              { "services", json::array({ { { "name", "s" } } }) },
-              { "tenants", customers } });
-    }
     /** Sends a call of a caller. @return its status */
     int call(const std::string &method, const std::string &path, const http_fields &fields)
     {
-        http_request request{ method, path, { { "Host", "h" }, { "Request-Id", "r" }, { "Deadline-Ms", "2000" } }, "" };
+        http_request request{ method, path, testing::callerFields(), "" };
         for (const http_field &field : fields.all()) {
             request.fields.add(field.name, field.value);
         }
@@ -70,29 +58,24 @@
 TEST(customer_keys_test, serverIsToldCallersOwnCustomer)
 {
     customer_fixture fixture;
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-a" }, { "Tenant", "b" } }), http_status::ok);
-    EXPECT_EQ(fixture.seen.get("Tenant"), "a");
-    EXPECT_EQ(fixture.seen.get("X-Api-Key"), "");
-    EXPECT_EQ(fixture.call("GET", "/o/1", { { "Tenant", "b" } }), http_status::ok);
-    EXPECT_EQ(fixture.seen.get("Tenant"), "") << "an open route, of which nobody is the customer";
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-a"), customerField("b") }), http_status::ok);
+    EXPECT_EQ(testing::customerIn(fixture.seen), "a");
+    EXPECT_EQ(testing::keyIn(fixture.seen), "");
+    EXPECT_EQ(fixture.call("GET", "/o/1", { customerField("b") }), http_status::ok);
+    EXPECT_EQ(testing::customerIn(fixture.seen), "") << "an open route, of which nobody is the customer";
 }
 
 TEST(customer_keys_test, callerWithoutCustomersKeyReachesServer)
 {
     customer_fixture fixture;
     const http_fields rows[] = {
-        {},
-        { { "X-Api-Key", "" } },
-        { { "X-Api-Key", "key-c" } },
-        { { "X-Api-Key", "a" } },
-        { { "X-Api-Key", "key-a" }, { "x-api-key", "key-a" } },
-        { { "X-Api-Key", std::string(5000, 'k') } },
+        {}, { keyField("") }, { keyField("key-c") }, { keyField("a") }, { keyField("key-a"), keyField("key-a", true) }, { keyField(std::string(5000, 'k')) },
     };
     for (const http_fields &fields : rows) {
         EXPECT_EQ(fixture.call("GET", "/p/1", fields), http_status::unauthorized);
     }
-    EXPECT_EQ(fixture.call("POST", "/j/1", { { "X-Api-Key", "key-c" } }), http_status::unauthorized);
-    EXPECT_EQ(fixture.call("GET", "/-/lots/job", { { "X-Api-Key", "key-c" } }), http_status::unauthorized);
+    EXPECT_EQ(fixture.call("POST", "/j/1", { keyField("key-c") }), http_status::unauthorized);
+    EXPECT_EQ(fixture.call("GET", testing::jobReadTarget("job"), { keyField("key-c") }), http_status::unauthorized);
     EXPECT_EQ(fixture.first.requests + fixture.second.requests, 0);
     EXPECT_EQ(fixture.call("GET", "/nowhere/1", {}), http_status::notFound);
 }
@@ -101,31 +84,31 @@
 TEST(customer_keys_test, nodeGoesOnWithKeysOfOlderConfiguration)
 {
     customer_fixture fixture;
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-a" } }), http_status::ok);
-    fixture.putCustomers(3, { { { "name", "a" }, { "apiKeys", { "key-new" } } } });
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-a") }), http_status::ok);
+    fixture.putCustomers(3, { { "a", "key-new" } });
     fixture.run(std::chrono::milliseconds(1300)); // The state at hand becomes too old.
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-a" } }), http_status::unauthorized);
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-new" } }), http_status::ok);
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-a") }), http_status::unauthorized);
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-new") }), http_status::ok);
 }
 
-/** The node can't know whether a newer configuration has the key, so it must not say that nobody has it. */
+/** The node can't know whether a newer configuration has the key, so it must not deny it. */
 TEST(customer_keys_test, nodeCutFromStoreDeniesKeyThatMayBeNew)
 {
     customer_fixture fixture;
     fixture.transport.isCut = true;
     fixture.run(std::chrono::milliseconds(1300));
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-new" } }), http_status::unavailable);
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-a" } }), http_status::ok);
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-new") }), http_status::unavailable);
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-a") }), http_status::ok);
 }
 
 /** A customer may not be two, and a key may not be two customers'. The configuration before stays in force. */
 TEST(customer_keys_test, ambiguousCustomersReplaceThoseInForce)
 {
     customer_fixture fixture;
-    fixture.putCustomers(3, { { { "name", "b" }, { "apiKeys", { "key-a" } } }, { { "name", "c" }, { "apiKeys", { "key-a" } } } });
+    fixture.putCustomers(3, { { "b", "key-a" }, { "c", "key-a" } });
     fixture.run(std::chrono::milliseconds(1300));
-    EXPECT_EQ(fixture.call("GET", "/p/1", { { "X-Api-Key", "key-a" } }), http_status::ok);
-    EXPECT_EQ(fixture.seen.get("Tenant"), "a");
+    EXPECT_EQ(fixture.call("GET", "/p/1", { keyField("key-a") }), http_status::ok);
+    EXPECT_EQ(testing::customerIn(fixture.seen), "a");
 }
 
 /** An item's own fields may name another customer, or carry a key. */
@@ -136,7 +119,7 @@
     job_item item;
     item.id = "i";
     item.path = "/j/1";
-    item.fields = { { "Tenant", "b" }, { "X-Api-Key", "key-b" } };
+    item.fields = { customerField("b"), keyField("key-b") };
     spec.items.push_back(item);
     fixture.setScript([&fixture](const std::shared_ptr<http_exchange> &exchange) {
         fixture.seen = exchange->request().fields;
@@ -146,8 +129,8 @@
     });
     fixture.jobCustomer = "a";
     EXPECT_EQ(fixture.runJob(spec).size(), 1U);
-    EXPECT_EQ(fixture.seen.get("Tenant"), "a");
-    EXPECT_EQ(fixture.seen.get("X-Api-Key"), "");
+    EXPECT_EQ(testing::customerIn(fixture.seen), "a");
+    EXPECT_EQ(testing::keyIn(fixture.seen), "");
 }
 
 } // namespace
--- a/edge/usage_report_service.cpp
+++ b/edge/usage_report_service.cpp
@@ -1,5 +1,5 @@
-// A report is written to the store, on condition that this node still holds the duty and that nobody wrote since, before it is sent for the first time. So
-// there is one set of counts for each window, whoever sends it and however often. The fencing token and the waits between two holders are those of the duty.
+// A report is written to the store before it is sent for the first time, on condition that this node still holds the duty and that the record is unchanged. So
+// each window has one set of counts, whichever node sends it and however often. The fencing token and the waits between two holders are those of the duty.
 
 #include "edge/usage_report_service.h"
 
--- a/fleet/customer_directory.h
+++ b/fleet/customer_directory.h
@@ -41,7 +41,7 @@
 class customer_directory
 {
 public:
-    static constexpr std::size_t maxKeyBytes = 256; ///< Longer keys belong to nobody.
+    static constexpr std::size_t maxKeyBytes = 256; ///< Longer keys are unknown.
     static constexpr std::size_t maxNameBytes = 200; ///< As long as a key of the platform's store.
 
     /**
--- a/fleet/route_table.h
+++ b/fleet/route_table.h
@@ -87,7 +87,7 @@
     std::vector<route> routes;
     std::map<std::string, service_spec> services;
     caller_limits limits;
-    std::shared_ptr<const customer_directory> customers; ///< Null if the deployment has none, so that nobody needs a key.
+    std::shared_ptr<const customer_directory> customers; ///< Null if the deployment has none; then no request needs a key.
 };
 
 /** Finds the route of a request in one configuration. */
--- a/fleet/testing/usage_windows_test.cpp
+++ b/fleet/testing/usage_windows_test.cpp
@@ -157,8 +157,8 @@
     }
 }
 
-/** A window waits for a node that is silent for a moment, and not longer than its report may. */
-TEST(usage_windows_test, windowIsClosedWithoutSilentNode)
+/** A window is kept open for a node without answers, until its report must be sent. */
+TEST(usage_windows_test, windowIsClosedWithoutNodeThatAnswersLater)
 {
     fake_fleet fleet(3);
     const time_point start(100s); // A window begins here.
@@ -181,8 +181,8 @@
 }
 
 /**
- * Nodes are killed, stopped, silent, with clocks that step, and the reporting node changes; the record is the store's. Each window is reported once, with the
- * requests of all nodes but those that were killed before they were asked.
+ * Nodes stop in order, leave questions unanswered and have clocks that step, and the reporting node changes. Each window is reported once and in time, with at
+ * least 95 % of the requests.
  */
 TEST(usage_windows_test, eachWindowIsReportedOnceWhateverFails)
 {
--- a/routing/backend_table.cpp
+++ b/routing/backend_table.cpp
@@ -8,7 +8,7 @@
 namespace reedtrail {
 namespace {
 
-constexpr duration slowdownLifetime = std::chrono::seconds(10); // Of a word of a server's machine.
+constexpr duration slowdownLifetime = std::chrono::seconds(10); // Age up to which a reported slowdown counts.
 constexpr double unknownLatencySeconds = 1e-3; // While nothing is known of any server; any positive value ranks them by load alone.
 
 } // namespace
--- a/routing/backend_table.h
+++ b/routing/backend_table.h
@@ -169,7 +169,7 @@
         time_point loadUpdatedAt;
         double latencySeconds = 0; ///< Moving average, at the usual pace of the server's machine; 0 while unknown.
         time_point latencyUpdatedAt;
-        time_point slowdownUntil; ///< Its machine may be slow or fast until then; afterwards no word of it counts.
+        time_point slowdownUntil; ///< Until then its last report of its machine's slowdown counts.
         int consecutiveFailures = 0;
         time_point backoffUntil;
         time_point limitedUntil; ///< The server's limit has no place before this.
--- a/routing/pace_forecast.h
+++ b/routing/pace_forecast.h
@@ -1,13 +1,13 @@
 /**
  * @file
- * Predicts how long work takes on a server's machine from what its last response said of it, and learns from the responses for how long such a word holds.
+ * Predicts the slowdown of a server's machine from its last report, and learns from consecutive reports how long one stays valid.
  * Pure core: no I/O and no clock of its own.
  *
- * Load pattern: servers share their machines with others, so for a moment work takes two or three times as long as usual, and then as long as before. A word of
- * it that is some hundred milliseconds old says much where neighbours stay for seconds and nothing where they come and go many times a second.
+ * Load pattern: servers share their machines with others, so for some time work takes two or three times as long as usual. A report
+ * that is some hundred milliseconds old is still valid where such a time lasts seconds, and says nothing where it changes many times a second.
  *
  *     forecast.onReport(now, "s1", 2.5);                 // work takes 2.5 times as long as usual there
- *     double factor = forecast.factor(now + 80ms, "s1"); // between 1 and 2.5, by how the words of all servers have held so far
+ *     double factor = forecast.factor(now + 80ms, "s1"); // between 1 and 2.5, by how long the reports of all servers stayed valid so far
  */
 #pragma once
 
@@ -26,11 +26,11 @@
 class pace_forecast
 {
 public:
-    /** Factors outside this range are cut to it: nobody's word makes a server seem endlessly fast or slow. */
+    /** Reported factors are clamped to this range. */
     static constexpr double minFactor = 0.2;
     static constexpr double maxFactor = 10;
 
-    /** Takes what a server says. @param factor time that work takes on its machine now, as a multiple of the usual; other than finite and positive is ignored
+    /** Records a report. @param factor time that work takes on its machine now, as a multiple of the usual; other than finite and positive is ignored
      */
     void onReport(time_point now, std::string_view server, double factor)
     {
@@ -38,19 +38,19 @@
             return;
         }
         const double deviation = std::fmin(std::fmax(factor, minFactor), maxFactor) - 1;
-        const auto found = m_words.find(server);
-        if (found == m_words.end()) {
-            m_words.emplace(server, word{ deviation, now });
+        const auto found = m_reports.find(server);
+        if (found == m_reports.end()) {
+            m_reports.emplace(server, last_report{ deviation, now });
             return;
         }
         learn(now - found->second.at, found->second.deviation, deviation);
         found->second = { deviation, now };
     }
-    /** Returns the expected factor of a server; 1 if it has said nothing. */
+    /** Returns the expected factor of a server; 1 if it has reported nothing. */
     double factor(time_point now, std::string_view server) const
     {
-        const auto found = m_words.find(server);
-        return found == m_words.end() ? 1 : 1 + found->second.deviation * persistence(now - found->second.at);
+        const auto found = m_reports.find(server);
+        return found == m_reports.end() ? 1 : 1 + found->second.deviation * persistence(now - found->second.at);
     }
     /** Returns the share of a deviation that is expected to be left after @p age, from 0 to 1. */
     double persistence(duration age) const
@@ -60,19 +60,19 @@
     /** Forgets a server, for instance because it has started again. */
     void forget(std::string_view server)
     {
-        if (const auto found = m_words.find(server); found != m_words.end()) {
-            m_words.erase(found);
+        if (const auto found = m_reports.find(server); found != m_reports.end()) {
+            m_reports.erase(found);
         }
     }
 
 private:
-    /** The last word of one server. */
-    struct word
+    /** The last report of one server. */
+    struct last_report
     {
         double deviation = 0; ///< Of the factor from 1.
         time_point at;
     };
-    /** How deviations of one span of ages have held: the least-squares slope of the later one over the earlier one. */
+    /** How deviations of one span of ages have lasted: the least-squares slope of the later one over the earlier one. */
     struct age_bucket
     {
         double products = 0;
@@ -104,7 +104,7 @@
             bucket.squares = priorWeight; // Servers at their usual pace say nothing about how long a deviation holds.
         }
     }
-    /** Without any experience a word holds while it is fresh and for nothing later. */
+    /** Without any samples, half of a deviation is expected to be left after each doubling of the age. */
     static std::array<age_bucket, bucketCount> priors()
     {
         std::array<age_bucket, bucketCount> buckets;
@@ -114,7 +114,7 @@
         return buckets;
     }
 
-    std::map<std::string, word, std::less<>> m_words;
+    std::map<std::string, last_report, std::less<>> m_reports;
     std::array<age_bucket, bucketCount> m_ages = priors();
 };
 
--- a/routing/testing/backend_table_test.cpp
+++ b/routing/testing/backend_table_test.cpp
@@ -165,7 +165,7 @@
     EXPECT_EQ(choose(makeCriteria()), "s0");
 }
 
-/** A neighbour on its machine slows a server down for a moment. Its last word of it is fresh, then old. */
+/** A neighbour on its machine slows a server down for some time. The report of it is fresh, then old. */
 TEST_F(backend_table_test, serverBesideBusyNeighbourGetsWork)
 {
     for (int i = 0; i < 3; ++i) {
@@ -174,7 +174,7 @@
     table.onSlowdown(now, "s0", 2.5);
     EXPECT_NE(choose(makeCriteria()), "s0");
     now += 3s;
-    EXPECT_EQ(choose(makeCriteria()), "s0") << "an old word; the server in this node's zone is preferred again";
+    EXPECT_EQ(choose(makeCriteria()), "s0") << "an old report; the server in this node's zone is preferred again";
     table.onSlowdown(now, "s0", 2.5);
     table.onLatency(now, "s0", 100ms);
     table.onSlowdown(now, "s0", 1);
--- a/routing/testing/move_decision_test.cpp
+++ b/routing/testing/move_decision_test.cpp
@@ -74,7 +74,7 @@
     int samples = 0;
     bool isThere = false;
     double nextChange = 0;
-    double lastWord = 1;
+    double lastReport = 1;
     double at = 0;
     for (int i = 0; i < 20000; ++i) {
         at += random.uniform(0.005, 0.2);
@@ -85,18 +85,18 @@
         const double truth = isThere ? others.factor : 1;
         const time_point now(fromSeconds(at));
         if (i > 2000) {
-            const double predicted = persistence < 0 ? forecast.factor(now, "s") : 1 + (lastWord - 1) * persistence;
+            const double predicted = persistence < 0 ? forecast.factor(now, "s") : 1 + (lastReport - 1) * persistence;
             sum += (predicted - truth) * (predicted - truth);
             ++samples;
         }
         forecast.onReport(now, "s", truth);
-        lastWord = truth;
+        lastReport = truth;
     }
     return sum / samples;
 }
 
-/** Neighbours that stay for seconds, for some hundred milliseconds, or for an instant. One fixed trust in a server's word is wrong for two of the three. */
-TEST(move_decision_test, oldWordOfServerIsTrustedTooLongOrTooShort)
+/** Slowdowns that last seconds, some hundred milliseconds, or an instant. Any fixed rule for how long a report stays valid is wrong for two of the three. */
+TEST(move_decision_test, reportOfSlowdownIsUsedTooLongOrTooShort)
 {
     const neighbour rows[] = { { 3, 9, 2.5 }, { 0.6, 3, 2.5 }, { 0.02, 0.1, 2.5 } };
     for (const neighbour &row : rows) {
@@ -108,8 +108,8 @@
     }
 }
 
-// Guards against words that make a server seem endlessly fast or slow, or the process end.
-TEST(move_decision_test, oddWordsOfServerAreCut)
+// Guards against reports that make a server seem endlessly fast or slow, or end the process.
+TEST(move_decision_test, oddReportsAreClamped)
 {
     pace_forecast forecast;
     const time_point now(1s);
@@ -119,7 +119,7 @@
     }
     forecast.onReport(now, "s", 1e300);
     EXPECT_DOUBLE_EQ(forecast.factor(now, "s"), pace_forecast::maxFactor);
-    EXPECT_LT(forecast.factor(now + 10s, "s"), 1.1) << "an old word";
+    EXPECT_LT(forecast.factor(now + 10s, "s"), 1.1) << "an old report";
     forecast.onReport(now, "t", 1e-300);
     EXPECT_DOUBLE_EQ(forecast.factor(now, "t"), pace_forecast::minFactor);
     forecast.forget("s");
