Review, case 10: a node goes on with batch jobs whose end it did not hear of for lack of one answer

Cause: an owner hears of the end of its job from a watch alone. If the answer to that long poll is lost while the connection lives, the poll is given up after 16.5 s only, and the node starts items of the job meanwhile.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 flags=(-std=c++20 -O1 -I. -DBOOST_ALL_DYN_LINK -Wall -Wextra -Wno-psabi -Wno-restrict)
 g++ "${flags[@]}" -c review/standins-2/deployment.cpp -o target/review/deployment.o
 g++ "${flags[@]}" -c platform/testing/soak/store_standin.cpp -o target/review/store_standin.o
-for source in review/[6-9]/case.cpp review/10/case.cpp; do
+for source in review/[6-9]/play.cpp review/10/play.cpp; do
     [ -f "$source" ] || continue
     number="$(basename "$(dirname "$source")")"
     g++ "${flags[@]}" "$source" target/review/deployment.o target/review/store_standin.o "${libraries[@]}" "${libraries[@]}" \
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -106,6 +106,7 @@
 bool deployment::start()
 {
     m_storeAddress = freeEndpoint();
+    m_storePath = m_storeAddress;
     m_store = std::make_unique<soak::store_standin>(m_io, m_storeAddress, randomNumbers()());
     return static_cast<bool>(m_store->start());
 }
@@ -172,16 +173,30 @@
     });
 }
 
-bool deployment::startNodes(int count)
+entry_node deployment::makeNode()
+{
+    entry_node node;
+    node.zone = std::string("zone-") + static_cast<char>('a' + m_nodes.size());
+    node.name = "edge-" + node.zone + "-1";
+    node.callers = freeEndpoint();
+    node.readiness = freeEndpoint();
+    node.peers = freeEndpoint();
+    node.store = m_storePath;
+    return node;
+}
+
+void deployment::addNode()
+{
+    entry_node node = makeNode();
+    node.isFirstStart = false;
+    m_nodes.push_back(std::move(node));
+    startProcess(m_nodes.back());
+}
+
+void deployment::startNodes(int count)
 {
     for (int i = 0; i < count; ++i) {
-        entry_node node;
-        node.zone = std::string("zone-") + static_cast<char>('a' + i);
-        node.name = "edge-" + node.zone + "-1";
-        node.callers = freeEndpoint();
-        node.readiness = freeEndpoint();
-        node.peers = freeEndpoint();
-        m_nodes.push_back(std::move(node));
+        m_nodes.push_back(makeNode());
     }
     for (entry_node &node : m_nodes) {
         startProcess(node);
@@ -192,7 +207,6 @@
     m_storagePid = startProgram("target/bin/reedtrail-storage", settings, m_folder + "/storage.log");
     superviseProcesses();
     probeReadiness();
-    return true;
 }
 
 void deployment::startProcess(entry_node &node)
@@ -215,7 +229,7 @@
         << "bounds.ackMs=4000\nbounds.catchUpS=5\nbounds.drainMs=2000\nbounds.graceS=" << graceSeconds
         << "\nbounds.lossSlackMs=200\nbounds.configApplyMs=2000\nbounds.rollbackSlackMs=250\nbounds.outerMs=5000\nbounds.recoverS=12\nbounds.passMs=120\n"
         << "bounds.retryAfterS=0\nbounds.finishS=10\nbounds.statusS=120\nbounds.cancelMs=3000\nbounds.settleMs=1000\nbounds.quotaOver=0.1\n"
-        << "bounds.checksFence=false\nbounds.leaseMs=3000\nbounds.thawMs=300\nprovider.address=" << m_storeAddress.text()
+        << "bounds.checksFence=false\nbounds.leaseMs=3000\nbounds.thawMs=300\nprovider.address=" << node.store.text()
         << "\nprovider.form=kv\nprovider.writesPerS=400\nprovider.readsPerS=2000\nprovider.historyS=20\nprovider.valueBytes=1048576\nprovider.ttlMinMs=1000\n";
     node.pid = startProgram("target/bin/reedtrail-edge", settings, m_folder + "/" + node.name + ".log");
     node.isStopping = false;
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -43,6 +43,7 @@
     endpoint callers;
     endpoint readiness;
     endpoint peers;
+    endpoint store; ///< Address of the platform's store, as this node has it.
     pid_t pid = 0; ///< 0 while no process runs.
     bool isFirstStart = true;
     bool isStopping = false; ///< It was sent SIGTERM and has not ended.
@@ -99,7 +100,21 @@
     /** Ends a backend server at once, as a crash does; its entry stays until three heartbeats are missed. */
     void crashServer(const std::string &id);
     /** Starts @p count entry nodes and one storage node, in zones of their own. */
-    bool startNodes(int count);
+    void startNodes(int count);
+    /** Adds an entry node to those that run. */
+    void addNode();
+    /** Makes all nodes that start from now on reach the store at @p address, which leads there. */
+    void setStorePath(const endpoint &address)
+    {
+        m_storePath = address;
+    }
+    /** Returns the address of the store itself. */
+    const endpoint &storeAddress() const
+    {
+        return m_storeAddress;
+    }
+    /** Returns an address on which nothing listens. */
+    endpoint freeEndpoint();
     /** Sends SIGTERM to a node, SIGKILL after graceS, and starts it again when it has ended. */
     void restartNode(std::size_t index);
     /** Ends a node's process at once, as the platform does when it uses more than its memory. It starts again. */
@@ -126,7 +141,7 @@
     static constexpr int graceSeconds = 8;
 
 private:
-    endpoint freeEndpoint();
+    entry_node makeNode();
     void startProcess(entry_node &node);
     void superviseProcesses();
     void probeReadiness();
@@ -137,6 +152,7 @@
     http_client m_client;
     std::unique_ptr<soak::store_standin> m_store;
     endpoint m_storeAddress;
+    endpoint m_storePath; ///< Address by which nodes reach the store.
     std::vector<entry_node> m_nodes;
     pid_t m_storagePid = 0;
     std::map<std::string, server_place> m_servers;
