--- a/review/10/play.cpp
+++ b/review/10/play.cpp
@@ -12,7 +12,7 @@
 
 using nlohmann::json;
 
-constexpr int jobCount = 6;
+constexpr int jobCount = 8;
 constexpr int itemsOfJob = 20;
 constexpr int itemsOfFirstJob = 260; // It takes most places of the servers for some 15 s.
 constexpr milliseconds firstTextTime(2000);
