Batch jobs: a session asks for owner and end when its watch has been silent, so a lost answer does not let an ended job go on

Callers saw: a trainer ended eight batch jobs, and eight seconds after the acknowledgement five further items of them ran (UNASKED allows three seconds).

Cause: the owner hears of an end from its watch. The answer to that long poll was lost while its connection stayed open, which looks like a poll without events for watchWait and callTimeout, 16.5 s. Until an append is refused nothing else tells the owner, and an owner of long texts appends nothing.

Change: job_session knows when the store last confirmed owner and end: by a read, a report, or a write of its own that is conditional on the owner key. When that is older than 1.2 s at an owner, or 2.5 s at a reader, which takes over a job without an owner, it reads the two keys. What it finds unheard it logs as job-state-unheard and reads the job again. An owner that records results or drafts reads nothing.

Evidence: with the check switched off, ownerWithSilentlyLostWatchHearsOfEnd, readerWithSilentlyLostWatchTakesJobOver and ownerThatWritesDoesNotReadState fail; with it they pass. readerResumesWithoutReadingDocumentAgain counts the reads of both nodes exactly, so it now runs with these checks left out; what they read has a test of its own.

--- a/batch/job_session.h
+++ b/batch/job_session.h
@@ -11,6 +11,9 @@
  * readers claim it, the store lets one succeed. catchUp() resumes a watch from the revision at which it was cancelled. A watch without events does not prove
  * that nothing was written, so verify() queries the store unless a recent answer of the store is known.
  *
+ * Neither does the silence of a watch prove that the job goes on: an answer to a long poll may be lost, and its connection stays open. So a watching session
+ * reads the owner and the end of the job when no answer of the store has confirmed them for a while. An owner's writes confirm them at no cost.
+ *
  * Owner: watches only the owner key and the end of the job. A write whose answer was lost is repeated unchanged until the store gives a definite answer, so a
  * batch of results is recorded at most once. The owner's view is complete only while its owner key is unchanged; when that is in doubt, the next read goes to
  * the store.
@@ -65,6 +68,10 @@
     duration appendOverdueAfter = std::chrono::milliseconds(300);
     /** How long an answer of the store counts as current: half of the time within which results shown by one node must be visible at every node. */
     duration confirmationValidity = std::chrono::milliseconds(500);
+    /** Age from which an owner reads the state of its job again. Less than half of the time after its end by which no item of a job may start. */
+    duration ownerStateValidity = std::chrono::milliseconds(1200);
+    /** The same for a reader, which takes the job over if it has no owner; half of the time for which an item may be at no server. */
+    duration readerStateValidity = std::chrono::milliseconds(2500);
     /** Interval of watch reports to a reader; callers poll about twice a second. */
     duration watchReportInterval = std::chrono::milliseconds(250);
 };
@@ -164,7 +171,12 @@
     void keepDrafts(const std::string &drafts)
     {
         if (m_isOwner && !m_isClaiming) {
-            m_store.txn(keepDraftsTransaction(m_job, m_ownerRevision, drafts), [](const store_txn_answer &) {});
+            m_store.txn(keepDraftsTransaction(m_job, m_ownerRevision, drafts), [weak = weakSelf(), sentAt = m_loop.now()](const store_txn_answer &answer) {
+                const auto self = weak.lock();
+                if (self && !answer.error && answer.isSucceeded) {
+                    self->noteStateConfirmed(sentAt);
+                }
+            });
         }
     }
     /** Returns the encoded drafts of the previous owner; empty if none were read. */
@@ -235,6 +247,24 @@
 
     void onWatchReport(const store_watch_report &report);
 
+    void noteStateConfirmed(time_point at)
+    {
+        m_stateConfirmedAt = std::max(m_stateConfirmedAt, at);
+    }
+
+    duration stateValidity() const
+    {
+        return m_isOwner ? m_options.ownerStateValidity : m_options.readerStateValidity;
+    }
+
+    /** Reads the state of the job when its confirmation has become too old, but not before @p delay, as long as @p watch is open. */
+    void scheduleStateCheck(store_watch_id watch, duration delay);
+
+    void checkState(store_watch_id watch);
+
+    /** Compares the keys under job_key::statePrefix() with the view. */
+    bool isStateInView(std::span<const store_key_value> items) const;
+
     /** Schedules a complete read, because only that shows what was missed: a store that compacts its history cancels watches of older revisions. */
     void onWatchEnd(const store_watch_end &);
 
@@ -322,6 +352,8 @@
     std::string m_draftsToKeep; ///< Encoded drafts, written together with m_pendingResults.
     std::string m_inheritedDrafts; ///< Encoded drafts of the previous owner.
     time_point m_appendStartedAt;
+    time_point m_appendSentAt; ///< When the newest attempt to append was sent.
+    time_point m_stateConfirmedAt; ///< The view shows the owner and the end that the store had at this time.
     duration m_retryDelay{};
     std::uint64_t m_appendAttempt = 0; ///< Number of the newest attempt to append; answers to earlier attempts are ignored.
     bool m_isAppending = false;
--- a/batch/job_session_impl.h
+++ b/batch/job_session_impl.h
@@ -205,6 +205,7 @@
         m_view.apply({ put.key, put.value, revision, revision, 1, put.lease });
     }
     m_knownRevision = std::max(m_knownRevision, revision);
+    noteStateConfirmed(m_loop.now());
     becomeOwner(revision, revision);
     done(accept_outcome::Accepted);
 }
@@ -218,6 +219,7 @@
     m_knownRevision = answer.revision;
     m_needsListing = false;
     noteConfirmed(askedAt);
+    noteStateConfirmed(askedAt);
     const std::size_t before = m_view.results().size();
     const bool wasEnded = m_view.isEnded();
     m_view.clear();
@@ -262,6 +264,68 @@
                                   }
                               } });
     m_watchedRevision = revision;
+    scheduleStateCheck(m_watch, stateValidity());
+}
+
+template<store_client Store, event_loop Loop>
+void job_session<Store, Loop>::scheduleStateCheck(store_watch_id watch, duration delay)
+{
+    const duration untilDue = std::max(delay, m_stateConfirmedAt + stateValidity() - m_loop.now());
+    if (untilDue <= duration::zero()) {
+        checkState(watch);
+        return;
+    }
+    m_loop.after(untilDue, [weak = weakSelf(), watch] {
+        const auto self = weak.lock();
+        if (self && self->m_watch == watch) {
+            self->scheduleStateCheck(watch, duration::zero());
+        }
+    });
+}
+
+template<store_client Store, event_loop Loop>
+void job_session<Store, Loop>::checkState(store_watch_id watch)
+{
+    m_store.range({ job_key::statePrefix(m_job), true, 0 }, [weak = weakSelf(), watch, askedAt = m_loop.now()](const store_range_answer &answer) {
+        const auto self = weak.lock();
+        if (!self || self->m_watch != watch) {
+            return;
+        }
+        if (answer.error) {
+            self->scheduleStateCheck(watch, self->m_options.retryDelay);
+            return;
+        }
+        const bool isOutdated = answer.revision >= self->m_knownRevision && !self->isStateInView(answer.items);
+        if (!isOutdated) {
+            self->noteStateConfirmed(askedAt);
+            self->scheduleStateCheck(watch, self->m_options.retryDelay);
+            return;
+        }
+        logLine(log_level::Warning,
+                "job-state-unheard",
+                { { "job", self->m_job }, { "owner", self->m_isOwner ? "yes" : "no" }, { "revision", std::to_string(answer.revision) } });
+        self->scheduleStateCheck(watch, self->m_options.maximumRetryDelay);
+        if (self->m_isOwner) {
+            self->readAndReconcile(false);
+        } else {
+            self->load([](load_outcome) {});
+        }
+    });
+}
+
+template<store_client Store, event_loop Loop>
+bool job_session<Store, Loop>::isStateInView(std::span<const store_key_value> items) const
+{
+    store_revision ownerRevision = 0;
+    for (const store_key_value &item : items) {
+        if (item.key == job_key::end(m_job)) {
+            return m_view.isEnded();
+        }
+        if (item.key == job_key::owner(m_job)) {
+            ownerRevision = item.modRevision;
+        }
+    }
+    return ownerRevision == m_view.ownerRevision();
 }
 
 template<store_client Store, event_loop Loop>
@@ -271,6 +335,7 @@
     const bool wasEnded = m_view.isEnded();
     m_watchedRevision = std::max(m_watchedRevision, report.revision);
     m_knownRevision = std::max(m_knownRevision, report.revision);
+    noteStateConfirmed(m_loop.now());
     for (const store_watch_event &event : report.events) {
         if (event.type == store_watch_event::kind::Put) {
             m_view.apply(event.item);
@@ -458,6 +523,7 @@
         finishAppend();
         return;
     }
+    m_appendSentAt = m_loop.now();
     const store_txn txn = appendTransaction(m_job, m_ownerRevision, m_view.nextBatch(), m_pendingResults, m_draftsToKeep);
     m_store.txn(txn, [weak = weakSelf(), attempt = ++m_appendAttempt](const store_txn_answer &answer) {
         const auto self = weak.lock();
@@ -472,6 +538,7 @@
 {
     if (!answer.error && answer.isSucceeded) {
         m_knownRevision = std::max(m_knownRevision, answer.revision);
+        noteStateConfirmed(m_appendSentAt);
         finishAppend();
         return;
     }
--- a/batch/testing/job_session_test.cpp
+++ b/batch/testing/job_session_test.cpp
@@ -245,6 +245,46 @@
     EXPECT_EQ(second.session->view().results().size(), 3U);
 }
 
+/** Guards against an owner that goes on with a job for as long as its long poll lasts, because the answer that reported the end was lost. */
+TEST_F(job_session_test, ownerWithSilentlyLostWatchHearsOfEnd)
+{
+    ASSERT_EQ(accept(first), accept_outcome::Accepted);
+    ASSERT_EQ(load(second), load_outcome::Present);
+    run(2s);
+    store.dropWatchesSilently();
+    second.session->end({}, [](bool) {});
+    run(2s);
+    EXPECT_TRUE(first.session->view().isEnded());
+    EXPECT_FALSE(first.session->isOwner());
+}
+
+/** Guards against a job that nobody runs, because the answer that told its only reader of the owner's loss was lost. */
+TEST_F(job_session_test, readerWithSilentlyLostWatchTakesJobOver)
+{
+    ASSERT_EQ(accept(first), accept_outcome::Accepted);
+    ASSERT_EQ(load(second), load_outcome::Present);
+    store.dropWatchesSilently();
+    first.session->release([] {});
+    first.hasReader = false;
+    run(4s);
+    EXPECT_TRUE(second.session->isOwner());
+}
+
+/** Guards against reads that cost the store a call although the owner's writes show already that the job goes on. */
+TEST_F(job_session_test, ownerThatWritesDoesNotReadState)
+{
+    ASSERT_EQ(accept(first), accept_outcome::Accepted);
+    const std::uint64_t readsBefore = store.count(store_call_kind::Read);
+    for (int i = 0; i < 8; ++i) {
+        first.appendNext(1);
+        run(1s);
+    }
+    EXPECT_EQ(store.count(store_call_kind::Read), readsBefore);
+    run(12s);
+    EXPECT_GE(store.count(store_call_kind::Read), readsBefore + 5);
+    EXPECT_LE(store.count(store_call_kind::Read), readsBefore + 12);
+}
+
 /** Guards against a reader that reports no further results although it cannot query the store. */
 TEST_F(job_session_test, readerWithoutStoreIsNotCaughtUp)
 {
@@ -306,8 +346,13 @@
     }
 }
 
+/** Both nodes leave out their checks of the job's state, which are reads of their own. */
 TEST_F(job_session_test, readerResumesWithoutReadingDocumentAgain)
 {
+    for (session_node *each : { &first, &second }) {
+        each->options = { .ownerStateValidity = 1h, .readerStateValidity = 1h };
+        each->start();
+    }
     ASSERT_EQ(accept(first), accept_outcome::Accepted);
     second.hasReader = false;
     ASSERT_EQ(load(second), load_outcome::Present);
--- a/batch/testing/session_node.h
+++ b/batch/testing/session_node.h
@@ -52,7 +52,7 @@
         handlers.hasReaders = [this] {
             return hasReader;
         };
-        session = std::make_shared<session_type>(client, world, lease, "job-1", job_owner_record{ name, std::to_string(incarnation) }, handlers);
+        session = std::make_shared<session_type>(client, world, lease, "job-1", job_owner_record{ name, std::to_string(incarnation) }, handlers, options);
     }
 
     /** Appends results of the next @p count unrecorded items if this node owns the job and no append is in progress. */
@@ -77,6 +77,7 @@
         }
     }
 
+    job_session_options options; ///< Of the next start().
     bool hasReader = true;
     std::string name;
     harness::virtual_time &world;
