Streams: a node tells keepers of its streams until others can infer their begin, and hands them over when it is stopped

Callers saw: three nodes restarted in turn, one of them again 47 s later; the 18 streams that this cut were refused with 503 at both other nodes while all new ones began (LOST).

Cause: a node stopped to tell keepers of its streams once a service had had one build for 30 s. To infer the build instead, a keeper must have observed the service for the longest time of a stream, timeoutMs and 2 s. On routes above 28 s there is a time in which a stream is neither recorded nor inferred; after a restart of all nodes, ten seconds without the store or a release that holds for all of them. A node that stopped told nobody what only it knew.

Change: record() gets the longest time of the route's streams, and leaves the keepers out only if this node has observed the build for that long and by another ten seconds, by which others may have begun later. With the stop signal a node sends all entries, and from then on each new one (streams-handed-over).

Evidence: with the old figure, none of the streams is known 39 and 61 s after a start of all nodes (streamsAreKnownHoweverLongAgoAllNodesStarted); without the handover, none of a stopped node's (streamsOfStoppedNodeAreKnownToNodesThatHaveJustStarted). Both pass now.

--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -132,6 +132,7 @@
         });
         m_services.add("peers", std::move(peers));
         m_callers = callers.get();
+        m_origins = origins.get();
         // Services drain in reverse order: jobs and the leadership are released while callers are still served.
         m_services.add("fleet", std::move(fleet));
         m_services.add("usage", std::move(usage)); // Hands its ledger over once no caller is served any more.
@@ -230,6 +231,7 @@
         m_context.drainStartedAt = m_loop.now();
         logLine(log_level::Info, "draining", {});
         m_callers->announceShutdown();
+        m_origins->prepareToLeave();
         m_services.drain([this] {
             m_io.stop();
         });
@@ -287,6 +289,7 @@
     job_forwarder m_forwarder{ m_loop, m_peerClient, m_metrics, m_context.settings.node };
     kernel m_services;
     caller_service *m_callers = nullptr;
+    stream_origins *m_origins = nullptr;
     std::uint64_t m_reportedConnections = 0; ///< Connections to backend servers up to the last report.
     std::map<std::string, std::uint64_t> m_storeCalls; ///< Since the last report, by kind and subject.
     boost::asio::signal_set m_signals;
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -80,9 +80,8 @@
         refuse(http_status::badRequest, "the request names no stream that can be taken up", duration::zero());
         return;
     }
-    const duration maximumAge = (m_route.timeout > duration::zero() ? m_route.timeout : defaultTimeout) + takeUpTime;
     const auto claim =
-        std::make_shared<stream_claim>(m_context, m_fleet, m_origins, claimed_stream{ m_route, m_call, m_service, identity().digest, maximumAge });
+        std::make_shared<stream_claim>(m_context, m_fleet, m_origins, claimed_stream{ m_route, m_call, m_service, identity().digest, maximumStreamAge() });
     claim->judge([self = shared_from_this()](const claim_verdict &verdict) {
         if (self->m_isDone) {
             return;
@@ -592,7 +591,7 @@
             m_origin = stream_origin{ identity().digest, m_service, m_build, m_contact.server, m_contact.startedAt, isProven, age.count() };
             m_originContact = m_contact;
         }
-        m_origins.record(m_call.resumedRequest.empty() ? m_call.id : m_call.resumedRequest, *m_origin, timeToTakeUp());
+        m_origins.record(m_call.resumedRequest.empty() ? m_call.id : m_call.resumedRequest, *m_origin, timeToTakeUp(), maximumStreamAge());
     }
     http_response head;
     head.status = m_serverAnswer.status;
@@ -607,6 +606,12 @@
     return m_startedAt + callerTimeout - m_context.loop.now() + takeUpTime;
 }
 
+/** Returns the longest time that a stream of the route lasts, until its caller has taken it up. */
+duration request_relay::maximumStreamAge() const
+{
+    return (m_route.timeout > duration::zero() ? m_route.timeout : defaultTimeout) + takeUpTime;
+}
+
 void request_relay::forwardEvents(std::string_view part)
 {
     for (const server_event &event : m_events.feed(part)) {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -70,6 +70,7 @@
     void countBreak(const char *then);
     void continueStream();
     duration timeToTakeUp() const;
+    duration maximumStreamAge() const;
     void handleSentAttemptFailure(const char *reason);
     void handleBrokenAttempt(const char *reason, std::function<void()> next);
     bool mayServerEndCount() const;
--- a/edge/stream_origins.cpp
+++ b/edge/stream_origins.cpp
@@ -34,13 +34,19 @@
     scheduleExpiry();
 }
 
-void stream_origins::record(const std::string &stream, const stream_origin &origin, duration keep)
+void stream_origins::record(const std::string &stream, const stream_origin &origin, duration keep, duration maximumAge)
 {
     if (!stream.empty()) {
-        m_client->record(stream, origin, keep);
+        m_client->record(stream, origin, keep, maximumAge);
     }
 }
 
+void stream_origins::prepareToLeave()
+{
+    logLine(log_level::Info, "streams-handed-over", { { "streams", std::to_string(m_client->size()) } });
+    m_client->prepareToLeave();
+}
+
 void stream_origins::serve(const std::shared_ptr<http_exchange> &exchange)
 {
     const std::optional<stream_message> message = decodePeerMessage<stream_message>(exchange->request().body);
--- a/edge/stream_origins.h
+++ b/edge/stream_origins.h
@@ -48,7 +48,9 @@
         m_client->setNodes(nodes);
     }
     /** Enters the origin of a stream, as stream_origin_client::record(). */
-    void record(const std::string &stream, const stream_origin &origin, duration keep);
+    void record(const std::string &stream, const stream_origin &origin, duration keep, duration maximumAge);
+    /** Hands all entries over to other nodes, as stream_origin_client::prepareToLeave(). */
+    void prepareToLeave();
     /** Finds the origin of a stream, as stream_origin_client::find(). */
     void find(const std::string &stream, const std::string &service, duration maximumAge, std::function<void(const found_origin &)> onEnd)
     {
--- a/edge/testing/mixed_builds_test.cpp
+++ b/edge/testing/mixed_builds_test.cpp
@@ -220,7 +220,7 @@
     for (const std::string build : { "v1", "v2" }) {
         SCOPED_TRACE(build);
         mixed_fixture fixture;
-        fixture.origins->record("begun", mixed_fixture::originAt(build), 5s);
+        fixture.origins->record("begun", mixed_fixture::originAt(build), 5s, 60s);
         const auto exchange = fixture.stream({ { "Last-Event-Id", "2" }, { "Resumes", "begun" } });
         EXPECT_EQ(exchange->response.status, http_status::ok);
         EXPECT_EQ(buildsIn(exchange->response.body), std::set<std::string>{ build });
@@ -268,18 +268,18 @@
         { "garbage", { { "Last-Event-Id", "2" }, { "Resumes", "a\x01 b" } }, http_status::badRequest },
     };
     mixed_fixture fixture;
-    fixture.origins->record("begun", mixed_fixture::originAt("v1"), 60s);
-    fixture.origins->record("other", mixed_fixture::originAt("v1", "another prompt"), 60s);
-    fixture.origins->record("unknown-build", mixed_fixture::originAt(""), 60s);
-    fixture.origins->record("v0", mixed_fixture::originAt("v0"), 60s);
+    fixture.origins->record("begun", mixed_fixture::originAt("v1"), 60s, 60s);
+    fixture.origins->record("other", mixed_fixture::originAt("v1", "another prompt"), 60s, 60s);
+    fixture.origins->record("unknown-build", mixed_fixture::originAt(""), 60s, 60s);
+    fixture.origins->record("v0", mixed_fixture::originAt("v0"), 60s, 60s);
     stream_origin elsewhere = mixed_fixture::originAt("v1");
     elsewhere.service = "another service";
-    fixture.origins->record("elsewhere", elsewhere, 60s);
+    fixture.origins->record("elsewhere", elsewhere, 60s, 60s);
     stream_origin unproven = mixed_fixture::originAt("v1");
     unproven.isProven = false;
     unproven.server = "i-9";
     unproven.startedAt = 100;
-    fixture.origins->record("unproven", unproven, 60s);
+    fixture.origins->record("unproven", unproven, 60s, 60s);
     const std::size_t known = fixture.origins->size();
     for (const row &each : rows) {
         SCOPED_TRACE(each.what);
@@ -301,7 +301,7 @@
     origin.isProven = false;
     origin.server = "i-1";
     origin.startedAt = 100;
-    fixture.origins->record("begun", origin, 60s);
+    fixture.origins->record("begun", origin, 60s, 60s);
     fixture.transport.isCut = true;
     const http_fields claim{ { "Last-Event-Id", "2" }, { "Resumes", "begun" } };
     const auto refused = fixture.stream(claim);
@@ -366,7 +366,7 @@
 TEST(mixed_builds_test, eventsOfRestartedServerAreNotPassedOn)
 {
     mixed_fixture fixture({ .idleTimeout = 0ms }); // Each request opens a connection.
-    fixture.origins->record("begun", mixed_fixture::originAt("v2"), 5s);
+    fixture.origins->record("begun", mixed_fixture::originAt("v2"), 5s, 60s);
     EXPECT_EQ(fixture.stream({ { "Request-Id", "warm" } })->response.status, http_status::ok) << "the registrations are read";
     fixture.secondEngine.build = "v3";
     fixture.enter(fixture.second.id, fixture.second.address, "ready", 900, "v3");
--- a/fleet/stream_origin_client.h
+++ b/fleet/stream_origin_client.h
@@ -3,17 +3,17 @@
  * Which build, version of a server's software, began a caller's stream, known at all nodes at which the caller may take the stream up again.
  *
  * What two builds write does not fit together, so a stream goes on only at the build that began it, which is entered under the id of the request that brought
- * the first event, before that event leaves the node. While a service has servers of several builds, and until it has had one for a while, the entry is also
- * sent to the stream's keepers, nodes of different zones that rendezvous hashing finds from its id. Nobody waits for them: an entry that does not arrive costs
- * the caller its stream, never a stream of two builds. While a service has one build, nothing is sent; the entries of its streams follow when a second one
- * registers.
+ * the first event, before that event leaves the node. While a service has servers of several builds, and until it has had one for as long as another node has
+ * to have observed it to infer the origin, the entry is also sent to the stream's keepers, nodes of different zones that rendezvous hashing finds from its id.
+ * Nobody waits for them: an entry that does not arrive costs the caller its stream, never a stream of two builds. While a service has one build, nothing is
+ * sent; the entries of its streams follow when a second one registers, or when this node is stopped.
  *
  * A stream of which neither this node nor a keeper has an entry began at the only build of its service, if this node sees no other one, none that answers has
  * seen another one for as long as a stream lasts, and one of them has observed the service without a gap all the while. Otherwise its origin is unknown, and it
  * is refused. What this node sees must be read after the caller has taken the stream up: isSoleBuildStill(), after a read.
  *
  *     stream_origin_client<Peers, Loop> origins(peers, loop, "node-1", builds);
- *     origins.record("request-7", origin, keep);
+ *     origins.record("request-7", origin, keep, maximumAge);
  *     origins.find("request-7", "chat", maximumAge, [](const found_origin &found) { ... });
  */
 #pragma once
@@ -31,6 +31,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,7 +50,7 @@
 struct stream_origin_options
 {
     std::size_t keepers = 3; ///< Nodes that keep the origin of a stream, in as many zones as there are.
-    duration soleBuildTime = std::chrono::seconds(30); ///< Nothing is sent once a service has had one build for as long as most streams last.
+    duration observationSkew = service_builds::maxGap; ///< By which other nodes may have begun later than this one to observe the only build of a service.
     std::size_t recordsInMessage = 200; ///< Of the streams that are entered when a second build registers.
     std::size_t tableCapacity = stream_origin_table::defaultCapacity;
 };
@@ -119,8 +120,9 @@
      * Enters the origin of a stream; called before its first event leaves this node.
      * @param stream id of the caller's request
      * @param keep for how long the caller may take the stream up
+     * @param maximumAge longest time that a stream of its route lasts, as for find()
      */
-    void record(const std::string &stream, const stream_origin &origin, duration keep)
+    void record(const std::string &stream, const stream_origin &origin, duration keep, duration maximumAge)
     {
         const time_point now = m_loop.now();
         if (keep <= duration::zero()) {
@@ -129,7 +131,7 @@
         m_table.put(now, stream, origin, keep);
         const std::optional<service_builds::sole_build> sole = m_builds.sole(origin.service);
         const bool isCurrent = sole && now - sole->asOf <= service_builds::maxGap;
-        if (isCurrent && sole->build == origin.build && now - sole->since >= m_options.soleBuildTime) {
+        if (!m_isLeaving && isCurrent && sole->build == origin.build && now - sole->since >= maximumAge + m_options.observationSkew) {
             return;
         }
         stream_message message;
@@ -139,24 +141,17 @@
         }
     }
 
+    /** Sends all entries to their keepers, and from now on each new one: this node is being stopped, and the others may have started too recently to infer. */
+    void prepareToLeave()
+    {
+        m_isLeaving = true;
+        sendToKeepers(m_table.recordsOf(m_loop.now()));
+    }
+
     /** Sends the entries of a service to their keepers; called when they can no longer be inferred, as service_builds::update() tells. */
     void sendEntriesOf(const std::string &service)
     {
-        std::map<std::string, stream_message> messages;
-        for (const stream_record &each : m_table.recordsOf(m_loop.now(), service)) {
-            for (const std::string &keeper : otherKeepersOf(each.stream)) {
-                stream_message &message = messages[keeper];
-                message.records.push_back(each);
-                if (message.records.size() == m_options.recordsInMessage) {
-                    send(keeper, std::exchange(message, {}));
-                }
-            }
-        }
-        for (const auto &[keeper, message] : messages) {
-            if (!message.records.empty()) {
-                send(keeper, message);
-            }
-        }
+        sendToKeepers(m_table.recordsOf(m_loop.now(), service));
     }
 
     /**
@@ -250,6 +245,25 @@
         m_peers.send(keeper, message, [](peer_ask_end, const stream_reply &) {});
     }
 
+    void sendToKeepers(std::span<const stream_record> records)
+    {
+        std::map<std::string, stream_message> messages;
+        for (const stream_record &each : records) {
+            for (const std::string &keeper : otherKeepersOf(each.stream)) {
+                stream_message &message = messages[keeper];
+                message.records.push_back(each);
+                if (message.records.size() == m_options.recordsInMessage) {
+                    send(keeper, std::exchange(message, {}));
+                }
+            }
+        }
+        for (const auto &[keeper, message] : messages) {
+            if (!message.records.empty()) {
+                send(keeper, message);
+            }
+        }
+    }
+
     void takeReply(pending_question &question, const std::string &keeper, peer_ask_end end, const stream_reply &reply)
     {
         --question.open;
@@ -318,6 +332,7 @@
     const service_builds &m_builds;
     stream_origin_table m_table;
     std::map<std::string, std::string> m_zoneOf; ///< The zone of each node, this one included.
+    bool m_isLeaving = false;
 };
 
 } // namespace reedtrail
--- a/fleet/stream_origin_table.cpp
+++ b/fleet/stream_origin_table.cpp
@@ -37,11 +37,11 @@
     return record;
 }
 
-std::vector<stream_record> stream_origin_table::recordsOf(time_point now, std::string_view service) const
+std::vector<stream_record> stream_origin_table::recordsOf(time_point now, std::optional<std::string_view> service) const
 {
     std::vector<stream_record> records;
     for (const auto &[stream, kept] : m_rows) {
-        if (kept.origin.service == service && kept.keepUntil > now) {
+        if ((!service || kept.origin.service == *service) && kept.keepUntil > now) {
             records.push_back(recordOf(now, stream, kept));
         }
     }
--- a/fleet/testing/stream_origin_client_test.cpp
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -4,6 +4,8 @@
 #include "fleet/stream_origin_client.h"
 #include "harness/virtual_time.h"
 
+#include <algorithm>
+#include <array>
 #include <gtest/gtest.h>
 
 namespace reedtrail {
@@ -12,7 +14,6 @@
 using namespace std::chrono_literals;
 
 constexpr int nodeCount = 9;
-constexpr duration streamLife = 6s;
 const std::string service = "s";
 
 /** What is played. */
@@ -27,6 +28,11 @@
     double cutShare = 0; ///< Of the nodes: from 7.5 s on they can't read the store for up to 14 s.
     double stillShare = 0; ///< Of the nodes: they stand still as long, from then on.
     double lostShare = 0; ///< Of the entries sent to other nodes: they do not arrive.
+    duration streamLife = 6s; ///< Longest time that a stream lasts, and that a caller has to take it up.
+    std::size_t spared = 0; ///< Nodes that are not killed while all others are, at allKilledAt.
+    duration allKilledAt{}; ///< Zero: never.
+    duration lastFailureAt{}; ///< The only failure after that; zero: the four at their usual times.
+    bool isAnnounced = false; ///< The first node is stopped then, a second after it was told, instead of nodes that are killed.
 };
 
 /** What was seen. */
@@ -80,6 +86,10 @@
         m_time.at(time_point(7500ms), [this] {
             putNodesOutOfStep();
         });
+        if (m_options.allKilledAt > duration::zero()) {
+            killAllAndFailOnce();
+            return;
+        }
         for (const duration at : { 11s, 16s, 21s, 27s }) {
             m_time.at(time_point(at), [this] {
                 failNodes();
@@ -89,7 +99,7 @@
 
     counts run()
     {
-        m_time.runUntil(time_point(32s));
+        m_time.runUntil(time_point(std::max<duration>(32s, m_options.lastFailureAt + 5s)));
         return m_counts;
     }
 
@@ -201,9 +211,19 @@
         } while (!m_nodes[index].isUp || m_time.now() < m_nodes[index].frozenUntil);
         return index;
     }
+    bool isAnyNodeUp() const
+    {
+        return std::ranges::any_of(m_nodes, &simulated_node::isUp);
+    }
     /** A stream begins at a server that its node knows. It breaks off if its node fails before it ends. */
     void beginStream()
     {
+        if (!isAnyNodeUp()) {
+            m_time.after(100ms, [this] {
+                beginStream();
+            });
+            return;
+        }
         const int index = anyNode();
         simulated_node &node = m_nodes[index];
         std::vector<std::string> builds = currentBuilds();
@@ -217,7 +237,7 @@
         origin.service = service;
         origin.build = build;
         origin.isProven = true;
-        node.client->record(id, origin, streamLife);
+        node.client->record(id, origin, m_options.streamLife, m_options.streamLife);
         m_open[index].push_back({ id, build, m_time.now() + duration(500000 + static_cast<std::int64_t>(m_random.below(4000000))) });
         m_time.after(duration(static_cast<std::int64_t>(m_random.exponential(8000))), [this] {
             beginStream();
@@ -234,6 +254,24 @@
             }
         }
     }
+    /** All nodes but those spared start again at once. Streams that break off then are not counted. */
+    void killAllAndFailOnce()
+    {
+        m_time.at(time_point(m_options.allKilledAt), [this] {
+            for (std::size_t i = m_options.spared; i < nodeCount; ++i) {
+                m_open[i].clear();
+                kill(static_cast<int>(i));
+            }
+        });
+        m_time.at(time_point(m_options.lastFailureAt - 1s), [this] {
+            if (m_options.isAnnounced) {
+                m_nodes[0].client->prepareToLeave();
+            }
+        });
+        m_time.at(time_point(m_options.lastFailureAt), [this] {
+            m_options.isAnnounced ? kill(0) : failNodes();
+        });
+    }
     void putNodesOutOfStep()
     {
         for (simulated_node &node : m_nodes) {
@@ -264,7 +302,7 @@
         ++m_counts.takenUp;
         const int index = anyNode();
         const time_point takenUpAt = m_time.now();
-        m_nodes[index].client->find(id, service, streamLife, [this, index, build, takenUpAt](const found_origin &found) {
+        m_nodes[index].client->find(id, service, m_options.streamLife, [this, index, build, takenUpAt](const found_origin &found) {
             bool isAccepted = found.source != origin_source::SoleBuild;
             if (!isAccepted) { // What is inferred from a sole build is read from the store once more (request_relay::judgeOrigin).
                 readState(index);
@@ -382,6 +420,29 @@
     std::printf("one build: %d of %d streams known\n", seen.known, seen.takenUp);
 }
 
+/**
+ * Guards against streams that nobody can take up for a while after all nodes have started: their nodes told no keeper of them any more, and no other node had
+ * observed their service for as long as a stream of the route may last.
+ */
+TEST(stream_origin_client_test, streamsAreKnownHoweverLongAgoAllNodesStarted)
+{
+    for (const duration after : { 5s, 25s, 39s, 61s, 66s, 90s }) {
+        const counts seen = playSeeds({ .killedShare = 0.35, .hasRelease = false, .streamLife = 62s, .allKilledAt = 10s, .lastFailureAt = 10s + after }, 8);
+        EXPECT_EQ(seen.wrong, 0);
+        EXPECT_GT(seen.takenUp, 500);
+        EXPECT_GT(shareKnown(seen), 0.5) << toSeconds(after) << " s after the start of all nodes";
+    }
+}
+
+/** Guards against streams of a node that is stopped while all others have just started: neither could they infer what began them, nor had they been told. */
+TEST(stream_origin_client_test, streamsOfStoppedNodeAreKnownToNodesThatHaveJustStarted)
+{
+    const counts seen = playSeeds({ .hasRelease = false, .streamLife = 62s, .spared = 1, .allKilledAt = 10s, .lastFailureAt = 16s, .isAnnounced = true }, 40);
+    EXPECT_EQ(seen.wrong, 0);
+    EXPECT_GT(seen.takenUp, 500);
+    EXPECT_EQ(seen.known, seen.takenUp);
+}
+
 stream_origin originOf(const std::string &build)
 {
     stream_origin origin;
@@ -397,8 +458,8 @@
     simulated_peers peers;
     const service_builds builds;
     const auto client = std::make_shared<stream_origin_client<simulated_peers, harness::virtual_time>>(peers, time, "node-0", builds);
-    client->record("late", originOf("v1"), -1s);
-    client->record("endless", originOf("v1"), 100000h);
+    client->record("late", originOf("v1"), -1s, 62s);
+    client->record("endless", originOf("v1"), 100000h, 62s);
     EXPECT_EQ(client->size(), 1U);
     time.runUntil(time_point(1h));
     client->expire();
