Requests that may run once: a server's 503 without its statement is answered 502, so that no caller sends again what has run

Callers saw: a server ran requests and answered 503 without Not-Executed; callers took the status for the promise that nothing had run, and filed records twice (REFUSED).

Cause: the relay counts such an answer as a possible run, but passed its status on as it came.

Change: 408, 429 and 503 without the statement become 502 without body and signature, for requests that may run once and streams that may not be resumed. The server counts as failed for a moment, so that the next requests go elsewhere. Requests that may be repeated get the server's answer unchanged.

--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -455,6 +455,18 @@
         retryOrRefuse();
         return;
     }
+    if (!isRetrySafe() && http_status::isPromiseNotToRun(m_serverAnswer.status)) {
+        // The server does not state that it did not run the request, so its status must not tell the caller so.
+        m_fleet.backends().onFailure(m_context.loop.now(), m_server.id);
+        logLine(log_level::Info,
+                "refusal-without-proof",
+                { { "request", m_call.id }, { "server", m_server.id }, { "status", std::to_string(m_serverAnswer.status) } });
+        m_context.metrics
+            .counter("reedtrail_refusals_without_proof_total", "Refusals by servers of requests that may run once, without the statement that they did not run")
+            .add();
+        refuse(http_status::badGateway, "the server refused the request and may have run it", duration::zero());
+        return;
+    }
     if (m_serverAnswer.status < http_status::internalError) {
         recordSurvival();
     }
--- a/net/http_status.h
+++ b/net/http_status.h
@@ -29,4 +29,10 @@
 inline constexpr std::uint16_t unavailable = 503;
 inline constexpr std::uint16_t gatewayTimeout = 504;
 
+/** Tells whether a caller takes the status for a promise that its request has not run and never will. */
+constexpr bool isPromiseNotToRun(std::uint16_t status)
+{
+    return status == requestTimeout || status == misdirected || status == tooMany || status == unavailable;
+}
+
 } // namespace reedtrail::http_status
