HTTP client: a status that no final response has ends the call, so bytes behind it are not taken for an answer

With 101 and with 600 to 999 it gets that status as an answer.

Cause: each status below 200 but 101 counted as an interim response. The client read the next head from the bytes behind it, and interim responses have no body, so the body's bytes became the answer.

Change: only 100 and 102 to 199 without a body announce an answer, only 200 to 599 are one. Anything else ends the call as broken off by the server after the request was handed over; the connection is closed. A caller gets 502, or another server is tried where the request may be repeated.

Result: no answer without a final status, and none from the bytes behind one.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -304,12 +304,12 @@
             return;
         }
         const auto status = static_cast<std::uint16_t>(m_parser->get().result_int());
-        if (status < http_status::ok && status != http_status::switchingProtocols) {
-            if (++m_interimResponses > maxInterimResponses) {
-                end(error_kind::ServerFailed, "too many interim responses");
-            } else {
-                readHead();
-            }
+        if (http_status::isInterim(status)) {
+            onInterimResponse();
+            return;
+        }
+        if (!http_status::isFinal(status)) {
+            end(error_kind::ServerFailed, "status " + std::to_string(status) + " is none of a final response");
             return;
         }
         http_response head;
@@ -329,6 +329,19 @@
         readBody();
     }
 
+    /** Reads on after an interim response. One with a body is refused, because the bytes of that body would be taken for the final response. */
+    void onInterimResponse()
+    {
+        const auto &fields = m_parser->get();
+        if (fields.count(http::field::content_length) > 0 || fields.count(http::field::transfer_encoding) > 0) {
+            end(error_kind::ServerFailed, "interim response with a body");
+        } else if (++m_interimResponses > maxInterimResponses) {
+            end(error_kind::ServerFailed, "too many interim responses");
+        } else {
+            readHead();
+        }
+    }
+
     void readBody()
     {
         if (m_hasEnded) {
--- a/net/http_status.h
+++ b/net/http_status.h
@@ -29,6 +29,21 @@
 inline constexpr std::uint16_t unavailable = 503;
 inline constexpr std::uint16_t gatewayTimeout = 504;
 
+inline constexpr std::uint16_t firstInterim = 100;
+inline constexpr std::uint16_t firstUndefined = 600;
+
+/** Tells whether a response with the status announces another one (RFC 9110, 15.2). What follows 101 is no HTTP, and no request here asks for it. */
+constexpr bool isInterim(std::uint16_t status)
+{
+    return status >= firstInterim && status < ok && status != switchingProtocols;
+}
+
+/** Tells whether the status is that of a final response (RFC 9110, 15). */
+constexpr bool isFinal(std::uint16_t status)
+{
+    return status >= ok && status < firstUndefined;
+}
+
 /** Tells whether a caller takes the status for a promise that its request has not run and never will. */
 constexpr bool isPromiseNotToRun(std::uint16_t status)
 {
--- a/net/testing/doubling_server.h
+++ b/net/testing/doubling_server.h
@@ -40,6 +40,7 @@
     std::vector<http_request> requests; ///< All that were read.
     std::size_t connections = 0; ///< Accepted so far.
     std::size_t doubled = 0; ///< Second responses sent so far.
+    bool closesAfterResponse = false; ///< Closes each connection after its first response.
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -86,7 +87,7 @@
         on->out = std::exchange(on->pending, late ? late(request) : "") + m_answer(request);
         requests.push_back(std::move(request));
         boost::asio::async_write(on->socket, boost::asio::buffer(on->out), [this, on](const boost::system::error_code &error, std::size_t) {
-            if (!error) {
+            if (!error && !closesAfterResponse) {
                 readNext(on);
             }
         });
