Drain: a request that this node's end may cut is refused with a time to return instead of passed on

Callers would see: in a planned stop, a request that comes late on a kept connection is passed on and cut at the end of the grace period with no answer, also one that may not be repeated (LOST).

Cause: a drain stops jobs, accepting and what is in flight, but a request that arrives meanwhile was passed on whatever time it had. Between the last answer and the end of the process, while use is handed over, one was passed on as well. A batch job was accepted at any time of the drain.

In the first 2.5 s, while the ingress still sends callers here, one that may be repeated is passed on if six times the mean time of its service fits. After the last answer nothing is passed on. A stopping node accepts no batch job.

--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -16,6 +16,7 @@
 constexpr duration readRetryAfter = std::chrono::milliseconds(400); // Retry-After of reads while the store does not answer; callers read about twice a second.
 constexpr duration submitRetryAfter = std::chrono::milliseconds(3000); // Retry-After of submissions: most store outages are over by then, and a job that
                                                                        // is accepted this late can still finish in its target time.
+constexpr duration drainRetryAfter = std::chrono::milliseconds(50); // Retry-After of a node that is being stopped; others serve the caller at once.
 constexpr duration roomLogInterval = std::chrono::seconds(1); // Between two lines on the order of jobs.
 constexpr duration releaseMargin = std::chrono::milliseconds(2500); // Part of the grace period left to release jobs and send the last responses.
 
@@ -136,6 +137,7 @@
     http_response response = platform::encodeRefusal(status,
                                                      reason,
                                                      status != http_status::unavailable         ? duration::zero()
+                                                         : m_context.isDraining                 ? drainRetryAfter
                                                          : exchange->request().method == "POST" ? submitRetryAfter
                                                                                                 : readRetryAfter);
     platform::echoRequestId(exchange->request(), response);
@@ -174,6 +176,10 @@
         refuse(exchange, http_status::unavailable, "this node is cut off", job);
         return;
     }
+    if (m_context.isDraining && !mayBeRecorded) {
+        refuse(exchange, http_status::unavailable, "this node is being stopped", job);
+        return;
+    }
     entry->total = spec->items.size();
     double expectedTokens = 0;
     for (const job_item &item : spec->items) {
--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -12,6 +12,10 @@
 constexpr duration drainCheckInterval = std::chrono::milliseconds(50);
 constexpr duration exitMargin = std::chrono::milliseconds(700); // Part of the grace period left for the process to exit by itself.
 constexpr duration ingressRemovalTime = std::chrono::milliseconds(2500); // The ingress probes every second and removes a node after two failed probes.
+constexpr duration lastAnswerTime = std::chrono::milliseconds(200); // For the answer to a request that has used all of its time.
+constexpr duration longestRequest = std::chrono::seconds(60); // Without a deadline, on a route without a timeout.
+constexpr double slowRequestFactor = 6; // Multiple of the mean time of a service that hardly any of its requests exceeds.
+constexpr duration retryAfterWhileStopping = std::chrono::milliseconds(50); // Other nodes serve the caller at once.
 constexpr duration retryAfterWhileStarting = std::chrono::milliseconds(500); // Retry-After before the configuration is known: one or two store reads.
 
 } // namespace
@@ -84,6 +88,10 @@
 
 void caller_service::dispatch(std::shared_ptr<http_exchange> exchange)
 {
+    if (m_isDrained) {
+        refuse(exchange, http_status::unavailable, "this node is about to end", retryAfterWhileStopping);
+        return;
+    }
     if (!m_fleet.isReady()) {
         refuse(exchange, http_status::unavailable, "this node knows no configuration yet", retryAfterWhileStarting);
         return;
@@ -213,6 +221,10 @@
     if (isRefusedByKey(exchange, verdict)) {
         return;
     }
+    if (m_context.isDraining && mayOutliveProcess(*matchedRoute, call)) {
+        refuse(exchange, http_status::unavailable, "this node stops before the request may be answered", retryAfterWhileStopping);
+        return;
+    }
     std::make_shared<request_relay>(m_context, m_fleet, m_crashes, m_origins, std::move(exchange), *matchedRoute, std::move(call), verdict.customer)->start();
 }
 
@@ -235,9 +247,34 @@
     m_callerServer->closeAfterAnswers();
 }
 
+/** Returns when requests that are still in flight are cut by the end of this process. */
+time_point caller_service::drainDeadline() const
+{
+    return m_context.drainStartedAt + m_context.settings.shutdownGracePeriod - exitMargin;
+}
+
+/**
+ * Tells whether a request that arrives during the drain may be cut by the end of this process. While callers are still sent to this node, those that may be
+ * repeated only have to be answered in time most likely.
+ */
+bool caller_service::mayOutliveProcess(const route &matchedRoute, const platform::service_call &call) const
+{
+    const time_point now = m_context.loop.now();
+    const duration remaining = drainDeadline() - now;
+    const duration callerTimeout = call.timeLeft > duration::zero() ? call.timeLeft : longestRequest;
+    const duration longest = matchedRoute.timeout > duration::zero() ? std::min(callerTimeout, matchedRoute.timeout) : callerTimeout;
+    if (longest + lastAnswerTime <= remaining) {
+        return false;
+    }
+    const bool mayRepeat = matchedRoute.kind == route_kind::Idempotent || (matchedRoute.kind == route_kind::Streaming && matchedRoute.isResumable);
+    if (!mayRepeat || matchedRoute.services.empty() || now - m_context.drainStartedAt > ingressRemovalTime) {
+        return true;
+    }
+    return toSeconds(m_fleet.backends().meanLatency(now, matchedRoute.services.front().service)) * slowRequestFactor > toSeconds(remaining);
+}
+
 void caller_service::drain(std::function<void()> done)
 {
-    m_drainDeadline = m_context.drainStartedAt + m_context.settings.shutdownGracePeriod - exitMargin;
     checkDrainComplete(std::move(done));
 }
 
@@ -250,10 +287,11 @@
         m_callerServer->stopAccepting();
     }
     const bool isIdle = m_hasStoppedAccepting && m_callerServer->exchangesInFlight() == 0;
-    if (isIdle || now >= m_drainDeadline) {
+    if (isIdle || now >= drainDeadline()) {
         if (!isIdle) {
             logLine(log_level::Warning, "answers-cut-by-stop", { { "count", std::to_string(m_callerServer->exchangesInFlight()) } });
         }
+        m_isDrained = true; // Connections stay open until the process ends; nothing that comes on them is passed on.
         done();
         return;
     }
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -45,6 +45,8 @@
                       const std::optional<std::string> &customer,
                       bool mayHaveExecuted);
     void relayToBackend(std::shared_ptr<http_exchange> exchange, platform::service_call call);
+    bool mayOutliveProcess(const route &matchedRoute, const platform::service_call &call) const;
+    time_point drainDeadline() const;
     void serveDiagnostics(const std::shared_ptr<http_exchange> &exchange);
     void checkDrainComplete(std::function<void()> done);
     void refuse(const std::shared_ptr<http_exchange> &exchange, std::uint16_t status, const char *reason, duration retryAfter);
@@ -58,8 +60,8 @@
     kernel *m_process = nullptr;
     std::unique_ptr<http_server> m_callerServer;
     std::unique_ptr<http_server> m_readinessServer;
-    time_point m_drainDeadline;
     bool m_hasStoppedAccepting = false;
+    bool m_isDrained = false;
     bool m_wasReady = false; ///< Readiness reported to the last probe, to log changes only.
 };
 
