Kernel: services are destroyed in reverse order, and workers of jobs are stopped, so that the end of a process uses no destroyed service

Cause: job_worker::stop() uses the fleet cache. A kernel destroyed its services in the order of adding, the cache before the jobs; and handlers that are still pending keep workers alive beyond both. The soak under the address sanitizer ended with a heap-use-after-free at a node that had accepted a job while it drained.

Change: ~kernel() destroys in reverse order, batch_job_service::stop() stops the workers.

Evidence: serviceIsDestroyedBeforeThoseItUses fails before ("abc") and passes now.

--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -631,6 +631,14 @@
     finishDrain();
 }
 
+/** Stops the workers: pending handlers keep them alive beyond the services that they use. */
+void batch_job_service::stop()
+{
+    for (const auto &[id, entry] : m_entries) {
+        onOwnershipLost(*entry);
+    }
+}
+
 /** Lets owned jobs finish until the drain deadline, then releases the remaining ones, so that another node can claim them at once. */
 void batch_job_service::finishDrain()
 {
--- a/edge/batch_job_service.h
+++ b/edge/batch_job_service.h
@@ -34,6 +34,7 @@
 
     result<void> start(kernel &process) override;
     void drain(std::function<void()> done) override;
+    void stop() override;
     nlohmann::json dump() const override;
 
     /** Retries pending store calls at once. Called when the store serves this node again after an outage. */
--- a/kernel/service.cpp
+++ b/kernel/service.cpp
@@ -9,6 +9,13 @@
 
 namespace reedtrail {
 
+kernel::~kernel()
+{
+    while (!m_entries.empty()) {
+        m_entries.pop_back();
+    }
+}
+
 void kernel::add(std::string name, std::unique_ptr<service> part)
 {
     REEDTRAIL_CHECK(findUntyped(name) == nullptr, "service names must differ");
--- a/kernel/service.h
+++ b/kernel/service.h
@@ -55,6 +55,12 @@
 class kernel
 {
 public:
+    kernel() = default;
+    /** Destroys the services in reverse order: a later one may still refer to an earlier one. */
+    ~kernel();
+    kernel(const kernel &) = delete;
+    kernel &operator=(const kernel &) = delete;
+
     /** Adds a service under a name that no other has. */
     void add(std::string name, std::unique_ptr<service> part);
     /** Starts all services in order. @return the first failure; those started before it are stopped */
--- a/kernel/testing/kernel_test.cpp
+++ b/kernel/testing/kernel_test.cpp
@@ -59,6 +59,37 @@
     EXPECT_TRUE(drained);
 }
 
+/** Guards against a service that uses another one at its end, which has been destroyed before. */
+TEST(kernel, serviceIsDestroyedBeforeThoseItUses)
+{
+    struct named_service : service
+    {
+        named_service(std::string name, std::string &destroyed)
+            : name(std::move(name))
+            , destroyed(destroyed)
+        {
+        }
+        ~named_service() override
+        {
+            destroyed += name;
+        }
+        result<void> start(kernel &) override
+        {
+            return {};
+        }
+        std::string name;
+        std::string &destroyed;
+    };
+    std::string destroyed;
+    {
+        kernel process;
+        for (const char *name : { "a", "b", "c" }) {
+            process.add(name, std::make_unique<named_service>(name, destroyed));
+        }
+    }
+    EXPECT_EQ(destroyed, "cba");
+}
+
 TEST(kernel, stopsWhatWasStartedWhenALaterServiceFails)
 {
     std::string calls;
