HTTP client: beyond the limit for all responses the longest are given up, so that a body without end costs no other call its response

Callers would see: beside a faulty server whose bodies never end, requests to sound servers fail, with 502 or on another server. Part of a report of operators of other systems; the rest of it (memory without bound) is held by limits that were there.

Change: the calls that have received most are given up until the rest has room.

Result: a response of 40 KB is read whole beside one that has taken the room.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <netinet/tcp.h>
+#include <set>
 #include <sys/socket.h>
 
 namespace reedtrail {
@@ -70,6 +71,8 @@
     return parsed.ec == std::errc() ? std::optional(seconds) : std::nullopt;
 }
 
+class client_call;
+
 struct connection_pool
 {
     http_client_options options;
@@ -77,6 +80,7 @@
     std::map<endpoint, std::deque<idle_connection>> idle;
     std::uint64_t opened = 0; ///< Connections that calls have begun to open.
     std::size_t bytesInFlight = 0; ///< Bytes of bodies that calls have received which have not ended.
+    std::set<client_call *> receiving; ///< Calls that have received such bytes.
 };
 
 /** Returns true if a peek at an idle connection finds neither end of stream nor unexpected bytes. */
@@ -371,14 +375,14 @@
             error = {};
         }
         const std::size_t count = m_readBuffer.size() - m_parser->get().body().size;
-        const auto pool = m_pool.lock();
-        if (pool && pool->bytesInFlight + count > pool->options.maximumBytesInFlight) {
-            end(error_kind::ServerFailed, "response too long while others are under way");
-            return;
-        }
-        m_bodyBytes += count;
-        if (pool) {
+        if (const auto pool = m_pool.lock(); pool && count > 0) {
+            m_bodyBytes += count;
             pool->bytesInFlight += count;
+            pool->receiving.insert(this);
+            endLongestResponses(*pool);
+            if (m_hasEnded) {
+                return;
+            }
         }
         if (count > 0 && m_handlers.onBody) {
             m_handlers.onBody(std::string_view(m_readBuffer.data(), count));
@@ -390,6 +394,17 @@
         readBody();
     }
 
+    /** Ends the calls that have received most until the others have room, so that one server whose body does not end costs no other call its response. */
+    static void endLongestResponses(connection_pool &pool)
+    {
+        while (pool.bytesInFlight > pool.options.maximumBytesInFlight) {
+            const auto longest = std::ranges::max_element(pool.receiving, {}, [](const client_call *each) {
+                return each->m_bodyBytes;
+            });
+            (*longest)->shared_from_this()->end(error_kind::ServerFailed, "response too long while others are under way");
+        }
+    }
+
     void returnConnectionToPool()
     {
         const auto pool = m_pool.lock();
@@ -427,6 +442,7 @@
         m_deadlineTimer.cancel();
         if (const auto pool = m_pool.lock()) {
             pool->bytesInFlight -= m_bodyBytes;
+            pool->receiving.erase(this);
         }
         if (m_socket) {
             beast::error_code ignored;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -85,7 +85,7 @@
     std::size_t maximumIdlePerEndpoint = 16;
     duration idleTimeout = std::chrono::seconds(30); ///< Connections idle for longer are closed at the next attempt to reuse them.
     std::size_t maximumBodyBytes = 64U << 20U; ///< Largest accepted response body.
-    std::size_t maximumBytesInFlight = 256U << 20U; ///< Bytes of the bodies of all calls that are not complete; a call that goes beyond it fails.
+    std::size_t maximumBytesInFlight = 256U << 20U; ///< Bytes of the bodies of all calls that are not complete; beyond it those that have received most fail.
     /**
      * Enables TCP keep-alive probes. They detect a dead peer during a long poll, but the connection then ends without a reset, so that bytes already sent and
      * delayed in the network may still arrive. Without probes, the timers of each call detect the dead peer and reset the connection.
--- a/net/testing/endless_response_test.cpp
+++ b/net/testing/endless_response_test.cpp
@@ -1,4 +1,5 @@
 #include "net/http_client.h"
+#include "net/testing/doubling_server.h"
 #include "net/testing/endless_server.h"
 
 #include <gtest/gtest.h>
@@ -7,6 +8,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using testing::doubling_server;
 using testing::endless_bytes;
 using testing::endless_server;
 
@@ -73,5 +75,37 @@
     EXPECT_LE(mostHeld, sumLimit + (64U << 10U));
 }
 
+/** Guards against a response that is given up because another server's body, which never ends, has taken the room for all of them. */
+TEST(endless_response_test, shortResponseFailsBesideLongOnes)
+{
+    constexpr std::size_t sumLimit = 1 << 20;
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + std::string(40000, 'x');
+    boost::asio::io_context io;
+    // Stops before the end of its body and keeps the connection, so that what it has sent stays in flight.
+    doubling_server stalling(io, port, [](const http_request &) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n" + std::string(sumLimit - 20000, 'x');
+    });
+    doubling_server healthy(io, port + 1, [&](const http_request &) {
+        return whole;
+    });
+    http_client client(io, { .maximumBodyBytes = 16 << 20, .maximumBytesInFlight = sumLimit });
+    std::optional<error_kind> longEnd;
+    client.call({ "127.0.0.1", port }, {}, { .silenceTimeout = 25s, .deadline = 25s }, [&](const http_call_end &end, const http_response &) {
+        longEnd = end.error;
+    });
+    io.run_for(300ms);
+    ASSERT_FALSE(longEnd);
+    std::optional<error_kind> shortEnd;
+    client.call({ "127.0.0.1", port + 1 }, {}, { .silenceTimeout = 25s, .deadline = 25s }, [&](const http_call_end &end, const http_response &response) {
+        shortEnd = end.error;
+        EXPECT_EQ(response.body.size(), 40000U);
+        io.stop();
+    });
+    io.restart();
+    io.run_for(20s);
+    EXPECT_EQ(shortEnd, error_kind::None);
+    EXPECT_EQ(longEnd, error_kind::ServerFailed);
+}
+
 } // namespace
 } // namespace reedtrail
