HTTP client: idle connections to servers that are gone are closed, and all together have a bound, so that descriptors do not run out

Cause: an idle connection was looked at only by the next call to the same address, and no call goes to a server that does not come back. Up to 24 sockets for each stayed open, and the list of each address.

Change: connections whose time is over are closed when a call ends, once a second at most; all idle ones together are at most a quarter of limits.maxFds, the oldest goes first; the idle ones of a server are closed when its entry is gone and has not lapsed with the store.

--- a/edge/fleet_cache.cpp
+++ b/edge/fleet_cache.cpp
@@ -387,6 +387,9 @@
         logLine(log_level::Info, "server-unregistered", { { "server", id }, { "may-have-lapsed", mayHaveLapsed ? "yes" : "no" } });
         if (const server_entry *gone = m_directory.find(id)) {
             m_sightings.onGone(id, gone->startedAt);
+            if (!mayHaveLapsed) {
+                m_context.serverClient.closeIdle(gone->address);
+            }
         }
         m_directory.remove(m_context.loop.now(), id, mayHaveLapsed ? std::optional(m_serverMirror->lapseEnd()) : std::nullopt);
         return;
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -15,6 +15,7 @@
 #include "kernel/log.h"
 #include "platform/node_file.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
@@ -29,6 +30,8 @@
 constexpr duration serverIdleTimeout = std::chrono::seconds(30); // For idle connections to servers that announce no keep-alive time.
 constexpr std::size_t maxServerBodyBytes = 8U << 20U; // Twice what callers may send; a server in trouble may send bytes without end.
 constexpr std::size_t maxServerBytesInFlight = 16U << 20U; // Of all responses under way; the smallest machines have 88 MB.
+constexpr double maxDescriptors = 1 << 20; // More than any process may have open.
+constexpr double idleDescriptorShare = 0.25; // Of all descriptors, for idle connections to servers; callers and calls under way need the rest.
 constexpr std::size_t maxIdleServerConnections = 24; // Per server: twice the slots of the largest server, so that a burst reuses existing connections.
 
 /** Owns the event loop, the clients and the services of the process, and handles its signals. */
@@ -39,7 +42,7 @@
         : m_startSettings(std::move(settings))
         , m_loop(m_io)
         , m_storeClient(m_io, storeClientOptions())
-        , m_serverClient(m_io, serverClientOptions())
+        , m_serverClient(m_io, serverClientOptions(m_startSettings))
         , m_peerClient(m_io, {})
         , m_transport(m_loop, m_storeClient, m_startSettings)
         , m_outages(m_startSettings.serverHeartbeat)
@@ -161,11 +164,14 @@
     }
 
 private:
-    static http_client_options serverClientOptions()
+    static http_client_options serverClientOptions(const edge_settings &settings)
     {
         http_client_options options;
         options.idleTimeout = serverIdleTimeout;
         options.maximumIdlePerEndpoint = maxIdleServerConnections;
+        if (settings.descriptors > 0) {
+            options.maximumIdle = static_cast<std::size_t>(std::min(settings.descriptors, maxDescriptors) * idleDescriptorShare);
+        }
         options.maximumBodyBytes = maxServerBodyBytes;
         options.maximumBytesInFlight = maxServerBytesInFlight;
         return options;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -35,12 +35,15 @@
 constexpr int probeCount = 2;
 constexpr unsigned userTimeoutMilliseconds = 3000; // Applies the same limit to sent bytes that are not acknowledged.
 
+constexpr std::chrono::seconds expiryInterval(1); // Between two looks at all idle connections.
+
 // A server closes an idle connection when the timeout of its Keep-Alive field expires. A request sent shortly before that would race with the close.
 constexpr std::chrono::milliseconds keepAliveMargin(800);
 
 struct idle_connection
 {
     std::unique_ptr<tcp::socket> socket;
+    clock_type::time_point idleSince;
     clock_type::time_point usableUntil;
     clock_type::time_point establishedAt;
     std::string lastRequestId; ///< http_call_options::requestId of the call that used it last.
@@ -77,12 +80,51 @@
 {
     http_client_options options;
     std::optional<tls_context_source> tlsContexts;
-    std::map<endpoint, std::deque<idle_connection>> idle;
+    std::map<endpoint, std::deque<idle_connection>> idle; ///< Never an empty list; the oldest connection of each comes first.
+    std::size_t idleCount = 0;
+    clock_type::time_point nextExpiryAt;
     std::uint64_t opened = 0; ///< Connections that calls have begun to open.
     std::size_t bytesInFlight = 0; ///< Bytes of bodies that calls have received which have not ended.
     std::set<client_call *> receiving; ///< Calls that have received such bytes.
 };
 
+/** Removes a list of idle connections that has become empty, so that addresses that were used once take no memory. */
+void dropIfEmpty(connection_pool &pool, const endpoint &where)
+{
+    if (const auto found = pool.idle.find(where); found != pool.idle.end() && found->second.empty()) {
+        pool.idle.erase(found);
+    }
+}
+
+/** Closes the connections whose servers may have closed them by now; nothing else tells of a server that is gone. Looks at them once an interval at most. */
+void closeExpired(connection_pool &pool)
+{
+    const auto now = clock_type::now();
+    if (now < pool.nextExpiryAt) {
+        return;
+    }
+    pool.nextExpiryAt = now + expiryInterval;
+    for (auto &[where, connections] : pool.idle) {
+        pool.idleCount -= std::erase_if(connections, [now](const idle_connection &each) {
+            return each.usableUntil <= now;
+        });
+    }
+    std::erase_if(pool.idle, [](const auto &each) {
+        return each.second.empty();
+    });
+}
+
+/** Closes the connection that has been idle for longest. */
+void closeOldest(connection_pool &pool)
+{
+    const auto oldest = std::ranges::min_element(pool.idle, {}, [](const auto &each) {
+        return each.second.front().idleSince;
+    });
+    oldest->second.pop_front();
+    --pool.idleCount;
+    dropIfEmpty(pool, endpoint(oldest->first));
+}
+
 /** Returns true if a peek at an idle connection finds neither end of stream nor unexpected bytes. */
 bool isReusable(tcp::socket &socket)
 {
@@ -241,7 +283,18 @@
         if (!pool || pool->tlsContexts) {
             return false;
         }
-        std::deque<idle_connection> &idleAtEndpoint = pool->idle[m_where];
+        const auto found = pool->idle.find(m_where);
+        if (found == pool->idle.end()) {
+            return false;
+        }
+        const bool isTaken = takeFrom(*pool, found->second);
+        dropIfEmpty(*pool, m_where);
+        return isTaken;
+    }
+
+    /** Takes the newest connection that can be used. */
+    bool takeFrom(connection_pool &pool, std::deque<idle_connection> &idleAtEndpoint)
+    {
         for (auto next = idleAtEndpoint.end(); next != idleAtEndpoint.begin();) {
             --next;
             if (!m_options.requestId.empty() && next->lastRequestId == m_options.requestId) {
@@ -249,6 +302,7 @@
             }
             idle_connection candidate = std::move(*next);
             next = idleAtEndpoint.erase(next);
+            --pool.idleCount;
             if (clock_type::now() < candidate.usableUntil && isReusable(*candidate.socket)) {
                 m_socket = std::move(candidate.socket);
                 m_establishedAt = candidate.establishedAt;
@@ -411,14 +465,20 @@
         if (!pool || m_tls || !m_parser->keep_alive() || m_buffer.size() > 0) {
             return;
         }
+        closeExpired(*pool);
         std::deque<idle_connection> &idleAtEndpoint = pool->idle[m_where];
         if (idleAtEndpoint.size() < pool->options.maximumIdlePerEndpoint) {
             clock_type::duration idleLimit = pool->options.idleTimeout;
             if (const std::optional<int> serverTimeout = keepAliveSeconds(m_parser->get()[http::field::keep_alive])) {
                 idleLimit = std::min<clock_type::duration>(idleLimit, std::chrono::seconds(*serverTimeout) - keepAliveMargin);
             }
-            idleAtEndpoint.push_back(
-                { std::move(m_socket), clock_type::now() + idleLimit, m_establishedAt.value_or(clock_type::now()), std::move(m_options.requestId) });
+            const auto now = clock_type::now();
+            idleAtEndpoint.push_back({ std::move(m_socket), now, now + idleLimit, m_establishedAt.value_or(now), std::move(m_options.requestId) });
+            ++pool->idleCount;
+        }
+        dropIfEmpty(*pool, m_where);
+        if (pool->idleCount > pool->options.maximumIdle) {
+            closeOldest(*pool);
         }
     }
 
@@ -530,6 +590,15 @@
     return start(where, std::move(request), std::move(options), std::move(handlers));
 }
 
+void http_client::closeIdle(const endpoint &where)
+{
+    connection_pool &pool = *m_implementation->pool;
+    if (const auto found = pool.idle.find(where); found != pool.idle.end()) {
+        pool.idleCount -= found->second.size();
+        pool.idle.erase(found);
+    }
+}
+
 bool http_client::hasIdle(const endpoint &where) const
 {
     const auto found = m_implementation->pool->idle.find(where);
@@ -546,11 +615,7 @@
 
 std::size_t http_client::idleConnections() const
 {
-    std::size_t count = 0;
-    for (const auto &[where, idleAtEndpoint] : m_implementation->pool->idle) {
-        count += idleAtEndpoint.size();
-    }
-    return count;
+    return m_implementation->pool->idleCount;
 }
 
 } // namespace reedtrail
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -83,7 +83,8 @@
 struct http_client_options
 {
     std::size_t maximumIdlePerEndpoint = 16;
-    duration idleTimeout = std::chrono::seconds(30); ///< Connections idle for longer are closed at the next attempt to reuse them.
+    std::size_t maximumIdle = 1024; ///< To all endpoints together; beyond it the one that has been idle for longest is closed.
+    duration idleTimeout = std::chrono::seconds(30); ///< Connections idle for longer are closed, at the latest when a call made a second later ends.
     std::size_t maximumBodyBytes = 64U << 20U; ///< Largest accepted response body.
     std::size_t maximumBytesInFlight = 256U << 20U; ///< Bytes of the bodies of all calls that are not complete; beyond it those that have received most fail.
     /**
@@ -111,6 +112,8 @@
     /** Starts a call and buffers the complete response. */
     std::shared_ptr<http_call> call(const endpoint &where, http_request request, http_call_options options, response_handler onResponse);
 
+    /** Closes the idle connections to @p where, for a server that is gone. */
+    void closeIdle(const endpoint &where);
     /** Returns true if an idle connection to @p where has not expired; the server may have closed it nevertheless. */
     bool hasIdle(const endpoint &where) const;
     /** Returns the number of idle connections in the pool. */
