Callers' bodies: held once, and within a budget of the process's memory, so that large requests to slow servers do not end a node

Callers saw: two requests of 30 MB at once to servers that read slowly take a node above its 110 MB; it is killed, and ordinary requests on kept connections are cut (LOST).

Cause: a body was held by the caller's exchange and copied into the request to the server, and nothing bounded the sum over all requests.

Change: the request to the server refers to the exchange's body. What does not fit is refused with 503, Retry-After and "not run" (body-refused); an eighth is kept for small bodies, one large body always fits.

--- a/base/error_kind.cpp
+++ b/base/error_kind.cpp
@@ -19,6 +19,7 @@
     { error_kind::Forbidden, "forbidden", 403, NotRun, false, 4, "the token's role does not allow this" },
     { error_kind::NotFound, "not-found", 404, NotRun, false, 4, "there is no such thing" },
     { error_kind::TooLarge, "too-large", 413, NotRun, false, 4, "the request is over a size limit" },
+    { error_kind::MemoryFull, "memory-full", 503, NotRun, true, 4, "there is no room for the request's body now" },
     { error_kind::CustomerLimit, "customer-limit", 429, NotRun, true, 4, "the customer's share of the queue is full" },
     { error_kind::QueueDeadline, "queue-deadline", 503, NotRun, true, 4, "the request could not start before its deadline" },
     { error_kind::NoServer, "no-server", 503, NotRun, true, 5, "no backend server can take the request" },
--- a/base/error_kind.h
+++ b/base/error_kind.h
@@ -30,6 +30,7 @@
     Forbidden, ///< The token's role does not allow this.
     NotFound, ///< No such pool, run, plan or path.
     TooLarge, ///< Header or body over the limit.
+    MemoryFull, ///< There is no room for the body beside those that are held; it was not read.
     CustomerLimit, ///< The customer has its full share waiting already.
     QueueDeadline, ///< The request could not have started before its deadline.
     NoServer, ///< No backend server that may serve it is left.
--- a/edge/edge_settings.h
+++ b/edge/edge_settings.h
@@ -38,6 +38,7 @@
     endpoint store; ///< Address of the platform's store.
     bool isFirstStart = false; ///< Whether the whole deployment starts for the first time, so that all nodes register together.
     double processorShare = 0; ///< Share of one processor core that this process may use; 0 if unknown.
+    double memoryMegabytes = 0; ///< Memory that this process may use, in MiB; 0 if unknown.
     double descriptors = 0; ///< File descriptors that this process may have open; 0 if unknown.
     duration maxDrainDelay = std::chrono::milliseconds(2000); ///< A server that announces its shutdown receives no new requests after this time.
     duration maxConfigurationDelay = std::chrono::milliseconds(2000); ///< Requests are judged by a new configuration after this time.
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -214,7 +214,7 @@
     m_runStart.onAttempt();
     m_attemptStartedAt = m_context.loop.now();
     const duration timeLeft = m_deadline - m_attemptStartedAt;
-    const http_request &original = m_exchange->request();
+    const std::shared_ptr<const http_request> original(m_exchange, &m_exchange->request());
     http_request request =
         m_origin ? platform::resumeRequest(original, timeLeft, server.id, m_lastEventId) : platform::forwardedRequest(original, timeLeft, server.id);
     platform::nameCustomer(request, m_customer);
--- /dev/null
+++ b/net/body_budget.h
@@ -0,0 +1,108 @@
+/**
+ * @file
+ * Bounds the bytes of all request bodies that a server holds at once. Makes no I/O calls.
+ *
+ * Large bodies share most of the budget, small ones the rest, so that neither kind keeps the other out. One large body always fits, whatever the budget is: the
+ * limit for each body is the caller's to set.
+ *
+ *     body_charge charge(budget);
+ *     if (!charge.raiseTo(contentLength)) { ... refuse ... }      // released when the charge is destroyed
+ */
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace reedtrail {
+
+/** The bytes held of one server. */
+class body_budget
+{
+public:
+    static constexpr std::size_t largestSmallBody = 64U << 10U;
+    static constexpr std::size_t smallShare = 8; ///< One part in this many is kept for small bodies.
+
+    explicit body_budget(std::size_t bytes)
+        : m_smallLimit(bytes / smallShare)
+        , m_largeLimit(bytes - bytes / smallShare)
+    {
+    }
+
+    std::size_t held() const
+    {
+        return m_small + m_large;
+    }
+
+private:
+    friend class body_charge;
+
+    bool isAdmitted(std::size_t before, std::size_t bytes) const
+    {
+        if (bytes <= largestSmallBody) {
+            return m_small - before + bytes <= m_smallLimit;
+        }
+        const std::size_t others = m_large - (before > largestSmallBody ? before : 0);
+        return others == 0 || (bytes <= m_largeLimit && others <= m_largeLimit - bytes);
+    }
+    std::size_t &heldOf(std::size_t bytes)
+    {
+        return bytes <= largestSmallBody ? m_small : m_large;
+    }
+
+    std::size_t m_smallLimit;
+    std::size_t m_largeLimit;
+    std::size_t m_small = 0;
+    std::size_t m_large = 0;
+};
+
+/** The part of a budget that one body takes. */
+class body_charge
+{
+public:
+    explicit body_charge(std::shared_ptr<body_budget> budget)
+        : m_budget(std::move(budget))
+    {
+    }
+    body_charge(body_charge &&other) noexcept
+        : m_budget(other.m_budget) // The moved one may be charged again.
+        , m_bytes(std::exchange(other.m_bytes, 0))
+    {
+    }
+    body_charge(const body_charge &) = delete;
+    body_charge &operator=(const body_charge &) = delete;
+    body_charge &operator=(body_charge &&) = delete;
+    ~body_charge()
+    {
+        release();
+    }
+
+    /** Raises the charge to @p bytes in all. @return whether the budget allows it; otherwise the charge stays as it is */
+    bool raiseTo(std::size_t bytes)
+    {
+        if (bytes <= m_bytes) {
+            return true;
+        }
+        if (!m_budget->isAdmitted(m_bytes, bytes)) {
+            return false;
+        }
+        m_budget->heldOf(m_bytes) -= m_bytes;
+        m_bytes = bytes;
+        m_budget->heldOf(m_bytes) += m_bytes;
+        return true;
+    }
+    /** Gives the whole charge back. */
+    void release()
+    {
+        if (m_bytes > 0) {
+            m_budget->heldOf(m_bytes) -= m_bytes;
+            m_bytes = 0;
+        }
+    }
+
+private:
+    std::shared_ptr<body_budget> m_budget;
+    std::size_t m_bytes = 0;
+};
+
+} // namespace reedtrail
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -203,7 +203,8 @@
                 m_message.insert(field.name, field.value);
             }
         }
-        m_message.body() = std::move(request.body);
+        m_body = request.sharedBody ? std::move(request.sharedBody) : std::make_shared<const std::string>(std::move(request.body));
+        m_message.body() = { m_body->data(), m_body->size() };
         m_message.prepare_payload();
         m_isHeadRequest = request.method == "HEAD";
     }
@@ -533,7 +534,8 @@
     std::optional<clock_type::time_point> m_establishedAt; ///< Of the connection in use.
     std::shared_ptr<asio::ssl::context> m_context;
     std::optional<asio::ssl::stream<tcp::socket &>> m_tls;
-    http::request<http::string_body> m_message;
+    std::shared_ptr<const std::string> m_body; ///< What m_message refers to.
+    http::request<http::span_body<const char>> m_message;
     beast::flat_buffer m_buffer{ parseBufferBytes };
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, readBufferBytes> m_readBuffer{};
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -65,6 +66,7 @@
     std::string target = "/"; ///< Path and query as sent.
     http_fields fields;
     std::string body;
+    std::shared_ptr<const std::string> sharedBody; ///< Sent in place of body if it is set, without a copy.
 
     /** Returns the path without the query. */
     std::string_view path() const;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -7,6 +7,8 @@
 
 #include "base/check.h"
 #include "kernel/log.h"
+#include "net/body_budget.h"
+#include "net/http_status.h"
 
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
@@ -19,6 +21,10 @@
 namespace {
 
 constexpr std::size_t parseBufferBytes = 64U << 10U; // For what is parsed at once beside the head.
+constexpr std::size_t growthFactor = 2; // By which the memory of a body without a length may exceed the body while it grows.
+constexpr std::size_t discardBufferBytes = 16U << 10U;
+constexpr std::chrono::seconds discardTime(2); // For the rest of a refused request; a connection that is closed before would lose the answer.
+constexpr std::string_view retryAfterWhenFull = "1"; // Seconds; large bodies take about as long to be passed on.
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -46,6 +52,7 @@
 {
     http_server_options options;
     http_server::handler handle;
+    std::shared_ptr<body_budget> bodies;
     std::set<std::shared_ptr<http_session>> sessions;
     std::size_t inFlight = 0;
     bool isStopping = false;
@@ -54,10 +61,11 @@
 class session_exchange : public http_exchange
 {
 public:
-    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number, http_request request)
+    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number, http_request request, body_charge charge)
         : m_session(std::move(session))
         , m_number(number)
         , m_request(std::move(request))
+        , m_charge(std::move(charge))
     {
     }
     ~session_exchange() override;
@@ -82,6 +90,7 @@
     std::weak_ptr<http_session> m_session;
     std::uint64_t m_number;
     http_request m_request;
+    body_charge m_charge; ///< For the body of m_request.
     bool m_isAnswered = false;
     bool m_isStreaming = false; ///< The response was begun by startStream() and has not ended.
 };
@@ -99,6 +108,7 @@
         : m_context(std::move(context))
         , m_stream(std::forward<StreamArguments>(streamArguments)...)
         , m_server(std::move(server))
+        , m_charge(m_server->bodies)
         , m_buffer(m_server->options.maximumHeaderBytes + parseBufferBytes)
     {
     }
@@ -121,8 +131,8 @@
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->options.maximumHeaderBytes));
         m_parser->body_limit(m_server->options.maximumBodyBytes);
         lowestLayer().expires_after(m_server->options.idleTimeout);
-        http::async_read(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-            self->onRequestRead(error);
+        http::async_read_header(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+            self->onHeadRead(error);
         });
     }
 
@@ -210,6 +220,50 @@
         return m_wantsKeepAlive && !m_server->isStopping;
     }
 
+    /** Reads the body if there is room for it. */
+    void onHeadRead(const beast::error_code &error)
+    {
+        if (m_isClosed || error || m_parser->is_done()) {
+            onRequestRead(error);
+            return;
+        }
+        if (const auto length = m_parser->content_length()) {
+            if (!m_charge.raiseTo(static_cast<std::size_t>(*length))) {
+                refuseBody(static_cast<std::size_t>(*length));
+                return;
+            }
+            http::async_read(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &readError, std::size_t) {
+                self->onRequestRead(readError);
+            });
+            return;
+        }
+        readBodyPart();
+    }
+
+    /** Reads a body without a length, and charges it as it grows. */
+    void readBodyPart()
+    {
+        http::async_read_some(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+            if (self->m_isClosed || error || self->m_parser->is_done()) {
+                self->onRequestRead(error);
+            } else if (const std::size_t held = self->m_parser->get().body().size() * growthFactor; self->m_charge.raiseTo(held)) {
+                self->readBodyPart();
+            } else {
+                self->refuseBody(held);
+            }
+        });
+    }
+
+    /** Refuses a request for whose body there is no room. It has not run. */
+    void refuseBody(std::size_t bytes)
+    {
+        logLine(log_level::Warning, "body-refused", { { "bytes", std::to_string(bytes) }, { "held", std::to_string(m_server->bodies->held()) } });
+        m_parser->get().body() = {};
+        m_charge.release();
+        m_bytesToDiscard = m_server->options.maximumBodyBytes;
+        rejectRequest(http::status::service_unavailable);
+    }
+
     void onRequestRead(const beast::error_code &error)
     {
         if (m_isClosed) {
@@ -239,12 +293,35 @@
         m_wantsKeepAlive = false;
         m_isResponsePending = true;
         ++m_server->inFlight;
-        const error_kind kind = status == http::status::bad_request ? error_kind::BadRequest : error_kind::TooLarge;
+        const error_kind kind = status == http::status::bad_request ? error_kind::BadRequest
+            : status == http::status::service_unavailable           ? error_kind::MemoryFull
+                                                                    : error_kind::TooLarge;
         http_response response = jsonResponse(static_cast<std::uint16_t>(status), "{\"error\":\"" + std::string(answerFor(kind).name) + "\"}");
         response.fields.set("Reedtrail-Outcome", std::string(outcomeText(answerFor(kind).outcome)));
+        if (status == http::status::service_unavailable) {
+            response.fields.set("Retry-After", std::string(retryAfterWhenFull));
+        }
         respond(std::move(response));
     }
 
+    /** Reads what the caller still sends of a refused body, within bounds, so that the close does not reset the connection before the answer is read. */
+    void discardRest()
+    {
+        beast::error_code ignored;
+        lowestLayer().socket().shutdown(tcp::socket::shutdown_send, ignored);
+        lowestLayer().expires_after(discardTime);
+        m_discarded.resize(discardBufferBytes);
+        discardSome();
+    }
+
+    void discardSome()
+    {
+        lowestLayer().async_read_some(asio::buffer(m_discarded), [self = this->shared_from_this()](const beast::error_code &error, std::size_t count) {
+            self->m_bytesToDiscard -= std::min(self->m_bytesToDiscard, count);
+            error || self->m_bytesToDiscard == 0 ? self->close() : self->discardSome();
+        });
+    }
+
     void beginExchange()
     {
         const auto &message = m_parser->get();
@@ -264,7 +341,7 @@
         ++m_server->inFlight;
         lowestLayer().expires_never();
         watchForDisconnect();
-        m_server->handle(std::make_shared<session_exchange>(this->weak_from_this(), ++m_exchangeNumber, std::move(request)));
+        m_server->handle(std::make_shared<session_exchange>(this->weak_from_this(), ++m_exchangeNumber, std::move(request), std::move(m_charge)));
     }
 
     /** Closes the session if the caller disconnects while a response is pending. A pipelined request also wakes this wait and is ignored here. */
@@ -328,6 +405,11 @@
         if (m_isClosed) {
             return;
         }
+        if (!error && m_bytesToDiscard > 0) {
+            endExchange(false);
+            discardRest();
+            return;
+        }
         if (error || !mayKeepAlive()) {
             endExchange(error.failed());
             close();
@@ -355,6 +437,7 @@
     std::shared_ptr<asio::ssl::context> m_context;
     Stream m_stream;
     std::shared_ptr<server_state> m_server;
+    body_charge m_charge; ///< For the body that is being read.
     beast::flat_buffer m_buffer; ///< Bounded, because the framing of a chunked body has no limit of its own.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::deque<std::string> m_queue;
@@ -366,6 +449,8 @@
     bool m_isChunked = false;
     bool m_isStreamEnded = false;
     bool m_isStreamOpen = false; ///< A stream has begun, and finishStream() has not been called.
+    std::vector<char> m_discarded;
+    std::size_t m_bytesToDiscard = 0; ///< Of a request whose body was refused, before the connection is closed.
     bool m_isClosed = false;
 };
 
@@ -521,6 +606,7 @@
     if (!options.tls.isEmpty()) {
         m_implementation->tlsContexts.emplace(options.tls, tls_side::Server, tls_peer_check::NotRequested);
     }
+    m_implementation->state->bodies = std::make_shared<body_budget>(options.maximumBodyBytesHeld);
     m_implementation->state->options = std::move(options);
     m_implementation->state->handle = std::move(handle);
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -21,6 +21,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace reedtrail {
@@ -31,6 +32,11 @@
     endpoint address;
     std::size_t maximumHeaderBytes = 16U << 10U;
     std::size_t maximumBodyBytes = 4U << 20U;
+    /**
+     * Bytes of request bodies that are held at once, from the head of a request until its exchange is gone. A request beyond it is refused with 503 before its
+     * body is read; an eighth is kept for bodies up to 64 KB, and one larger request always fits.
+     */
+    std::size_t maximumBodyBytesHeld = std::numeric_limits<std::size_t>::max();
     std::size_t maximumConnections = 4096; ///< Connections beyond this number are closed immediately.
     std::size_t maximumQueuedBytes = 4U << 20U; ///< Limit for unsent bytes of a stream; the connection of a slower reader is closed.
     duration idleTimeout = std::chrono::seconds(75); ///< Limit for the wait for a request, including its transfer.
