--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -244,12 +244,18 @@
     void readBodyPart()
     {
         http::async_read_some(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-            if (self->m_isClosed || error || self->m_parser->is_done()) {
+            if (self->m_isClosed || error) {
                 self->onRequestRead(error);
-            } else if (const std::size_t held = self->m_parser->get().body().size() * growthFactor; self->m_charge.raiseTo(held)) {
-                self->readBodyPart();
-            } else {
+                return;
+            }
+            const std::size_t size = self->m_parser->get().body().size();
+            const std::size_t held = self->m_parser->is_done() ? size : size * growthFactor;
+            if (!self->m_charge.raiseTo(held)) {
                 self->refuseBody(held);
+            } else if (self->m_parser->is_done()) {
+                self->onRequestRead({});
+            } else {
+                self->readBodyPart();
             }
         });
     }
