Drain: requests in flight at the end get an answer, 502 or 503, instead of a connection that ends

Callers would see: a request whose server takes longer than the grace period gets no answer at all; the caller can't tell a stop from a fault of the network.

Cause: at the end of the drain the process ended with its connections.

Change: at the same moment as before, each request in flight is answered: 503 if it was never sent, 502 otherwise; a stream that has begun is broken off.

Evidence: requestsInFlightAtEndGetNoAnswer sees four connections that end with the call switched off, and four answers of 502 now.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -232,7 +232,22 @@
         refuse(exchange, http_status::unavailable, "this node stops before the request may be answered", retryAfterWhileStopping);
         return;
     }
-    std::make_shared<request_relay>(m_context, m_fleet, m_crashes, m_origins, std::move(exchange), *matchedRoute, std::move(call), verdict.customer)->start();
+    const auto relay =
+        std::make_shared<request_relay>(m_context, m_fleet, m_crashes, m_origins, std::move(exchange), *matchedRoute, std::move(call), verdict.customer);
+    trackRelay(relay);
+    relay->start();
+}
+
+/** Keeps a request among those that are answered when this process ends. */
+void caller_service::trackRelay(const std::shared_ptr<request_relay> &relay)
+{
+    if (m_relays.size() >= m_relaysToSweepAt) {
+        std::erase_if(m_relays, [](const std::weak_ptr<request_relay> &each) {
+            return each.expired();
+        });
+        m_relaysToSweepAt = std::max(m_relaysToSweepAt, m_relays.size() * 2);
+    }
+    m_relays.push_back(relay);
 }
 
 void caller_service::refuse(const std::shared_ptr<http_exchange> &exchange, std::uint16_t status, const char *reason, duration retryAfter)
@@ -285,6 +300,17 @@
     checkDrainComplete(std::move(done));
 }
 
+/** Answers the requests that are still in flight, truthfully and at the last moment; a stream that has begun is broken off. */
+void caller_service::endRequestsInFlight()
+{
+    m_isDrained = true;
+    for (const std::weak_ptr<request_relay> &each : std::exchange(m_relays, {})) {
+        if (const auto relay = each.lock()) {
+            relay->endBeforeStop();
+        }
+    }
+}
+
 /** Stops accepting connections once the ingress has removed this node, and completes the drain when no request is in flight or at the deadline. */
 void caller_service::checkDrainComplete(std::function<void()> done)
 {
@@ -294,7 +320,8 @@
         m_callerServer->stopAccepting();
     }
     const bool isIdle = m_hasStoppedAccepting && m_callerServer->exchangesInFlight() == 0;
-    if (isIdle || now >= drainDeadline()) {
+    const bool isOverdue = m_isDrained; // Requests were answered at the last check, and had the time until this one to leave.
+    if (isIdle || isOverdue) {
         if (!isIdle) {
             logLine(log_level::Warning, "answers-cut-by-stop", { { "count", std::to_string(m_callerServer->exchangesInFlight()) } });
         }
@@ -302,6 +329,9 @@
         done();
         return;
     }
+    if (now >= drainDeadline()) {
+        endRequestsInFlight();
+    }
     m_context.loop.after(drainCheckInterval, [this, done = std::move(done)] {
         checkDrainComplete(done);
     });
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -16,9 +16,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace reedtrail {
 
+class request_relay;
+
 /** Accepts callers' requests, batch job calls, readiness probes and diagnostic requests. */
 class caller_service : public service
 {
@@ -48,7 +51,9 @@
     bool mayOutliveProcess(const route &matchedRoute, const platform::service_call &call) const;
     time_point drainDeadline() const;
     void serveDiagnostics(const std::shared_ptr<http_exchange> &exchange);
+    void trackRelay(const std::shared_ptr<request_relay> &relay);
     void checkDrainComplete(std::function<void()> done);
+    void endRequestsInFlight();
     void refuse(const std::shared_ptr<http_exchange> &exchange, std::uint16_t status, const char *reason, duration retryAfter);
 
     edge_context &m_context;
@@ -60,6 +65,8 @@
     kernel *m_process = nullptr;
     std::unique_ptr<http_server> m_callerServer;
     std::unique_ptr<http_server> m_readinessServer;
+    std::vector<std::weak_ptr<request_relay>> m_relays; ///< Requests in flight, and some that have ended.
+    std::size_t m_relaysToSweepAt = 64; ///< Length of m_relays at which those that have ended are removed.
     bool m_hasStoppedAccepting = false;
     bool m_isDrained = false;
     bool m_wasReady = false; ///< Readiness reported to the last probe, to log changes only.
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -19,6 +19,7 @@
 constexpr int returnTimeShare = 3; // A caller that comes back later than in this part of its time left has too little of it to be served.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
 constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
+constexpr duration retryAfterAtStop = std::chrono::milliseconds(50); // Retry-After of a node that ends; others serve the caller at once.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
 
 } // namespace
@@ -67,6 +68,12 @@
     isTakenUp() ? takeUpStream() : startNextAttempt();
 }
 
+void request_relay::endBeforeStop()
+{
+    const bool mayHaveRun = m_possibleRuns > 0 || m_attempt != nullptr;
+    refuse(mayHaveRun ? http_status::badGateway : http_status::unavailable, "this node is about to end", retryAfterAtStop);
+}
+
 /** Tells whether the caller goes on with a stream of an earlier request. */
 bool request_relay::isTakenUp() const
 {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -44,6 +44,8 @@
                   std::optional<std::string> customer);
 
     void start();
+    /** Answers the request now, unless that is done: this process is about to end, and the connection would end without an answer. */
+    void endBeforeStop();
 
 private:
     void takeUpStream();
--- a/edge/testing/late_request_test.cpp
+++ b/edge/testing/late_request_test.cpp
@@ -96,6 +96,37 @@
     }
 }
 
+/** Guards against requests in flight that get no answer at all when the process ends, although it knows that they may have run. */
+TEST(late_request_test, requestsInFlightAtEndGetNoAnswer)
+{
+    stopping_fixture fixture;
+    std::vector<std::shared_ptr<http_exchange>> held;
+    fixture.setScript([&](const std::shared_ptr<http_exchange> &exchange) {
+        held.push_back(exchange);
+    });
+    std::vector<int> statuses;
+    for (const char *path : { "/n/1", "/p/1", "/u/1", "/t/1" }) {
+        fixture.callerClient.call(callersAddress,
+                                  { "POST", path, { { "Host", "h" }, { "Request-Id", path }, { "Deadline-Ms", "20000" } }, "body" },
+                                  {},
+                                  [&](const http_call_end &end, const http_response &answer) {
+                                      statuses.push_back(end.error == error_kind::None ? answer.status : 0);
+                                  });
+    }
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return held.size() == 4;
+    }));
+    fixture.stopSince(7500ms);
+    bool isDrained = false;
+    fixture.callers->drain([&] {
+        isDrained = true;
+    });
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return isDrained && statuses.size() == 4;
+    }));
+    EXPECT_EQ(statuses, std::vector<int>(4, http_status::badGateway));
+}
+
 /** Guards against a request on a connection that is still open when this node waits for its last services only, and is cut by their end. */
 TEST(late_request_test, requestAfterDrainIsPassedOn)
 {
