Tests: the platform's names stay in platform/, and fixtures share one list of routes

Change: node_fixture has rejectionFields(), signatureIn() and useAllKinds(); the tests use them. cut_response_test names a field of its own. What the tests expect is unchanged; the two fixtures that left batch jobs out of their routes have that route too.

Result: no name of the platform in a test outside of platform/; no code of the product has changed.

--- a/edge/testing/cut_answer_test.cpp
+++ b/edge/testing/cut_answer_test.cpp
@@ -22,13 +22,7 @@
         })
     {
         server.closesAfterResponse = true;
-        putConfiguration(2,
-                         { { "r", "/p/", route_kind::Idempotent },
-                           { "t", "/t/", route_kind::Streaming },
-                           { "u", "/u/", route_kind::Streaming, false },
-                           { "n", "/n/", route_kind::NonIdempotent } });
-        removeServer("i-1");
-        readAgain();
+        useAllKinds("i-1");
     }
     static std::string answer(const std::string &id)
     {
--- a/edge/testing/foreign_response_test.cpp
+++ b/edge/testing/foreign_response_test.cpp
@@ -40,14 +40,7 @@
             return rawResponse(200, signedFields(request), eventsOf(request));
         })
     {
-        putConfiguration(2,
-                         { { "r", "/p/", route_kind::Idempotent },
-                           { "j", "/j/", route_kind::Batch },
-                           { "t", "/t/", route_kind::Streaming },
-                           { "u", "/u/", route_kind::Streaming, false },
-                           { "n", "/n/", route_kind::NonIdempotent } });
-        removeServer("i-1");
-        readAgain();
+        useAllKinds("i-1");
     }
     std::shared_ptr<recorded_exchange> answered(const std::string &path, const std::string &id)
     {
--- a/edge/testing/late_request_test.cpp
+++ b/edge/testing/late_request_test.cpp
@@ -21,13 +21,7 @@
         context->settings.callers = callersAddress;
         context->settings.readiness = { "127.0.0.1", 28834 };
         context->settings.shutdownGracePeriod = 8s;
-        putConfiguration(2,
-                         { { "r", "/p/", route_kind::Idempotent },
-                           { "j", "/j/", route_kind::Batch },
-                           { "t", "/t/", route_kind::Streaming },
-                           { "u", "/u/", route_kind::Streaming, false },
-                           { "n", "/n/", route_kind::NonIdempotent } });
-        readAgain();
+        useAllKinds();
         jobs = std::make_unique<batch_job_service>(*context, *fleet);
         callers = std::make_unique<caller_service>(*context, *fleet, *crashes, *origins, *jobs, forwarder);
         kernel process;
--- a/edge/testing/refusal_without_proof_test.cpp
+++ b/edge/testing/refusal_without_proof_test.cpp
@@ -11,12 +11,7 @@
 {
     refusing_servers_fixture()
     {
-        putConfiguration(2,
-                         { { "r", "/p/", route_kind::Idempotent },
-                           { "t", "/t/", route_kind::Streaming },
-                           { "u", "/u/", route_kind::Streaming, false },
-                           { "n", "/n/", route_kind::NonIdempotent } });
-        readAgain();
+        useAllKinds();
     }
     http_response answerOn(const std::string &path)
     {
@@ -38,20 +33,19 @@
     for (const std::uint16_t status : { http_status::requestTimeout, http_status::tooMany, http_status::unavailable }) {
         refusing_servers_fixture fixture;
         fixture.setScript([status](const std::shared_ptr<http_exchange> &exchange) {
-            const std::string id(platform::requestIdOf(exchange->request()));
-            exchange->respond({ status, { { "Request-Id", id }, { "Server-Signature", "sig" } }, "server's own" });
+            exchange->respond({ status, testing::serverFields(exchange->request()), "server's own" });
         });
         for (const char *path : { "/n/1", "/u/1" }) {
             const int before = fixture.requests();
             const http_response answer = fixture.answerOn(path);
             EXPECT_EQ(answer.status, http_status::badGateway) << path << ", server's status " << status;
-            EXPECT_EQ(answer.fields.get("Server-Signature"), "") << "a failure with a signature has the server's status";
+            EXPECT_EQ(testing::signatureIn(answer), "") << "a failure with a signature has the server's status";
             EXPECT_EQ(fixture.requests(), before + 1);
         }
         for (const char *path : { "/p/1", "/t/1" }) {
             const http_response answer = fixture.answerOn(path);
             EXPECT_EQ(answer.status, status) << path << ": a request that may be repeated gets the server's answer unchanged";
-            EXPECT_EQ(answer.fields.get("Server-Signature"), "sig");
+            EXPECT_EQ(testing::signatureIn(answer), "sig");
             EXPECT_EQ(answer.body, "server's own");
         }
     }
@@ -62,8 +56,7 @@
 {
     refusing_servers_fixture fixture;
     fixture.setScript([](const std::shared_ptr<http_exchange> &exchange) {
-        const std::string id(platform::requestIdOf(exchange->request()));
-        exchange->respond({ http_status::unavailable, { { "Request-Id", id }, { "Not-Executed", "1" } }, "" });
+        exchange->respond({ http_status::unavailable, testing::rejectionFields(exchange->request()), "" });
     });
     for (const char *path : { "/n/1", "/u/1", "/p/1" }) {
         EXPECT_EQ(fixture.answerOn(path).status, http_status::unavailable) << path;
@@ -75,12 +68,11 @@
 {
     refusing_servers_fixture fixture;
     fixture.setScript([](const std::shared_ptr<http_exchange> &exchange) {
-        const std::string id(platform::requestIdOf(exchange->request()));
-        exchange->respond({ http_status::internalError, { { "Request-Id", id }, { "Server-Signature", "sig" } }, "" });
+        exchange->respond({ http_status::internalError, testing::serverFields(exchange->request()), "" });
     });
     const http_response answer = fixture.answerOn("/n/1");
     EXPECT_EQ(answer.status, http_status::internalError);
-    EXPECT_EQ(answer.fields.get("Server-Signature"), "sig");
+    EXPECT_EQ(testing::signatureIn(answer), "sig");
 }
 
 } // namespace
--- a/edge/testing/trouble_status_test.cpp
+++ b/edge/testing/trouble_status_test.cpp
@@ -24,14 +24,7 @@
                 + inside;
         })
     {
-        putConfiguration(2,
-                         { { "r", "/p/", route_kind::Idempotent },
-                           { "j", "/j/", route_kind::Batch },
-                           { "t", "/t/", route_kind::Streaming },
-                           { "u", "/u/", route_kind::Streaming, false },
-                           { "n", "/n/", route_kind::NonIdempotent } });
-        removeServer("i-1");
-        readAgain();
+        useAllKinds("i-1");
     }
 
     std::string status;
@@ -51,7 +44,7 @@
                 return exchange->isDone;
             }));
             EXPECT_EQ(exchange->response.status, http_status::badGateway) << "the server may have run the request";
-            EXPECT_EQ(exchange->response.fields.get("Server-Signature"), "");
+            EXPECT_EQ(testing::signatureIn(exchange->response), "");
             EXPECT_EQ(exchange->response.body.find("inside"), std::string::npos);
         }
     }
--- a/net/testing/cut_response_test.cpp
+++ b/net/testing/cut_response_test.cpp
@@ -16,7 +16,7 @@
 /** Guards against a response that is taken for a whole one although its server stopped in the middle, also in the middle of its head. */
 TEST(cut_response_test, cutResponseIsTakenForWhole)
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nServer-Signature: sig\r\nX-Long: " + std::string(40, 'x') + "\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Short: 1\r\nX-Long: " + std::string(40, 'x') + "\r\n";
     const std::string whole[] = {
         head + "\r\n", // Its body ends with the connection.
         head + "Content-Length: 4\r\n\r\nbody",
