HTTP server: bytes that wait unread have a bound for each connection, so that they do not fill the machine's memory

What callers saw: clients that send on while their request is under way, or send faster than the process reads, ended it. Cause: the kernel keeps up to several megabytes for each connection, and for each of 4,096 that are not accepted yet. They count as the process's memory, and nothing bounded them. Change: the listening socket has a receive buffer of 16 KB, which connections inherit before they are accepted; a large body that is admitted gets 128 KB until it is read. 512 connections may wait to be accepted. Why it works: what a client can leave unread is bounded before the process has seen it.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::size_t parseBufferBytes = 64U << 10U; // For what is parsed at once beside the head.
 constexpr std::size_t growthFactor = 2; // By which the memory of a body without a length may exceed the body while it grows.
+constexpr int maximumUnacceptedConnections = 512; // Their bytes wait in the kernel too.
+constexpr std::size_t largeBodyReceiveBytes = 128U << 10U; // Kept by the kernel for the body of an admitted request that is as large.
 constexpr std::size_t discardBufferBytes = 16U << 10U;
 constexpr std::chrono::seconds discardTime(2); // For the rest of a refused request; a connection that is closed before would lose the answer.
 constexpr std::string_view retryAfterWhenFull = "1"; // Seconds; large bodies take about as long to be passed on.
@@ -232,6 +234,9 @@
                 refuseBody(static_cast<std::size_t>(*length));
                 return;
             }
+            if (*length >= largeBodyReceiveBytes) {
+                setReceiveBuffer(largeBodyReceiveBytes);
+            }
             http::async_read(m_stream, m_buffer, *m_parser, [self = this->shared_from_this()](const beast::error_code &readError, std::size_t) {
                 self->onRequestRead(readError);
             });
@@ -240,6 +245,14 @@
         readBodyPart();
     }
 
+    /** Lets the kernel take more of a large body at once. Its bytes are charged already. */
+    void setReceiveBuffer(std::size_t bytes)
+    {
+        beast::error_code ignored;
+        lowestLayer().socket().set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+        m_hasLargeReceiveBuffer = bytes > m_server->options.receiveBufferBytes;
+    }
+
     /** Reads a body without a length, and charges it as it grows. */
     void readBodyPart()
     {
@@ -340,6 +353,9 @@
             request.fields.add(std::string_view(field.name_string().data(), field.name_string().size()), std::string(field.value()));
         }
         request.body = std::move(m_parser->get().body());
+        if (m_hasLargeReceiveBuffer) {
+            setReceiveBuffer(m_server->options.receiveBufferBytes);
+        }
         m_isResponsePending = true;
         m_isStreamEnded = false;
         m_isStreamOpen = false;
@@ -450,6 +466,7 @@
     std::size_t m_queuedBytes = 0;
     std::uint64_t m_exchangeNumber = 0;
     unsigned m_version = 11;
+    bool m_hasLargeReceiveBuffer = false;
     bool m_wantsKeepAlive = true;
     bool m_isResponsePending = false;
     bool m_isChunked = false;
@@ -634,11 +651,15 @@
     if (!error) {
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
     }
+    if (!error) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(m_implementation->state->options.receiveBufferBytes)),
+                            error); // Connections inherit it, also those not accepted yet.
+    }
     if (!error) {
         acceptor.bind(address, error);
     }
     if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
+        acceptor.listen(maximumUnacceptedConnections, error);
     }
     if (error) {
         return fail(error_kind::PeerUnreachable, "cannot listen on " + where.text() + ": " + error.message());
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -37,6 +37,8 @@
      * body is read; an eighth is kept for bodies up to 64 KB, and one larger request always fits.
      */
     std::size_t maximumBodyBytesHeld = std::numeric_limits<std::size_t>::max();
+    /** Bytes that the kernel keeps for a connection, in its own count of them; the body of an admitted request gets more. */
+    std::size_t receiveBufferBytes = 16U << 10U;
     std::size_t maximumConnections = 4096; ///< Connections beyond this number are closed immediately.
     std::size_t maximumQueuedBytes = 4U << 20U; ///< Limit for unsent bytes of a stream; the connection of a slower reader is closed.
     duration idleTimeout = std::chrono::seconds(75); ///< Limit for the wait for a request, including its transfer.
