Callers' bodies: requests that stall yield their room, so that they do not refuse ordinary callers

What callers saw: while a few clients held bodies that stop just short of their end, all others of that size got 503, for 75 s. Cause: a request that is being received kept its part of the budget until the idle timeout, whatever it did meanwhile, and the newcomer was the one to be refused. Change: net/reception lists the connections that receive a request in the order of their last progress (16 KB; a byte now and then is none). In reception_test random requests keep to the limits, and none that moves yields. Why it works: an ordinary small request comes whole, so it is never the one without progress for longest.

--- a/net/body_budget.h
+++ b/net/body_budget.h
@@ -10,6 +10,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -45,6 +46,18 @@
         const std::size_t others = m_large - (before > largestSmallBody ? before : 0);
         return others == 0 || (bytes <= m_largeLimit && others <= m_largeLimit - bytes);
     }
+    /** Returns how many bytes others must release so that a body may be raised from @p before to @p bytes. */
+    std::size_t lackingFor(std::size_t before, std::size_t bytes) const
+    {
+        if (isAdmitted(before, bytes)) {
+            return 0;
+        }
+        if (bytes <= largestSmallBody) {
+            return std::max<std::size_t>(m_small - before + bytes, m_smallLimit) - m_smallLimit;
+        }
+        const std::size_t others = m_large - (before > largestSmallBody ? before : 0);
+        return bytes > m_largeLimit ? others : others + bytes - m_largeLimit;
+    }
     std::size_t &heldOf(std::size_t bytes)
     {
         return bytes <= largestSmallBody ? m_small : m_large;
@@ -77,6 +90,15 @@
         release();
     }
 
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
+    /** Returns how many bytes others must release so that the charge may be raised to @p bytes. */
+    std::size_t lackingFor(std::size_t bytes) const
+    {
+        return bytes <= m_bytes ? 0 : m_budget->lackingFor(m_bytes, bytes);
+    }
     /** Raises the charge to @p bytes in all. @return whether the budget allows it; otherwise the charge stays as it is */
     bool raiseTo(std::size_t bytes)
     {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -26,18 +26,18 @@
 
 namespace reedtrail {
 
+class reception;
+
 /** Address, limits and timeouts of a server. */
 struct http_server_options
 {
     endpoint address;
     std::size_t maximumHeaderBytes = 16U << 10U;
     std::size_t maximumBodyBytes = 4U << 20U;
-    /**
-     * Bytes of request bodies that are held at once, from the head of a request until its exchange is gone. A request beyond it is refused with 503 before its
-     * body is read; an eighth is kept for bodies up to 64 KB, and one larger request always fits.
+    std::size_t maximumBodyBytesHeld = std::numeric_limits<std::size_t>::max(); ///< reception_limits::requestBytes, if the server shares no reception.
+    std::shared_ptr<reception> requests; ///< What this server and others of the process hold of requests; if null, this one's own.
+    /** Bytes that the kernel keeps for a connection whose request is not being received, in its own count of them; the body of an admitted request gets more.
      */
-    std::size_t maximumBodyBytesHeld = std::numeric_limits<std::size_t>::max();
-    /** Bytes that the kernel keeps for a connection, in its own count of them; the body of an admitted request gets more. */
     std::size_t receiveBufferBytes = 16U << 10U;
     std::size_t maximumConnections = 4096; ///< Connections beyond this number are closed immediately.
     std::size_t maximumQueuedBytes = 4U << 20U; ///< Limit for unsent bytes of a stream; the connection of a slower reader is closed.
--- /dev/null
+++ b/net/reception.cpp
@@ -0,0 +1,88 @@
+#include "net/reception.h"
+
+#include "kernel/log.h"
+
+#include <vector>
+
+namespace reedtrail {
+
+std::string_view nameOf(give_up_reason reason)
+{
+    return reason == give_up_reason::TooManyIncomplete ? "too-many-incomplete" : "room-for-other";
+}
+
+reception::reception(reception_limits limits)
+    : m_limits(limits)
+    , m_budget(std::make_shared<body_budget>(limits.requestBytes))
+{
+}
+
+void reception::enter(reception_member &member, clock::time_point now)
+{
+    if (member.m_place.isTaken()) {
+        return;
+    }
+    member.m_lastProgress = now;
+    member.m_bytesSinceProgress = 0;
+    m_members.touch(member.m_place, member);
+    if (m_members.size() > m_limits.maximumIncomplete) {
+        giveUp(*m_members.oldest(), give_up_reason::TooManyIncomplete);
+    }
+}
+
+bool reception::receive(reception_member &member, std::size_t bytes, clock::time_point now)
+{
+    member.m_bytesSinceProgress += bytes;
+    if (!member.m_place.isTaken() || member.m_bytesSinceProgress < progressBytes) {
+        return false;
+    }
+    member.m_bytesSinceProgress = 0;
+    member.m_lastProgress = now;
+    m_members.touch(member.m_place, member);
+    return true;
+}
+
+bool reception::reserve(reception_member &member, std::size_t bytes, clock::time_point now)
+{
+    const std::size_t lacking = member.m_charge.lackingFor(bytes);
+    std::size_t freed = 0;
+    std::vector<reception_member *> yielding;
+    for (auto each = m_members.objects().begin(); freed < lacking && each != m_members.objects().end(); ++each) {
+        if (*each != &member && mayYield(**each, bytes, now)) {
+            freed += (*each)->m_charge.bytes();
+            yielding.push_back(*each);
+        }
+    }
+    if (freed < lacking) {
+        return false;
+    }
+    for (reception_member *each : yielding) {
+        giveUp(*each, give_up_reason::RoomForOther);
+    }
+    return member.m_charge.raiseTo(bytes);
+}
+
+void reception::leave(reception_member &member)
+{
+    m_members.leave(member.m_place);
+}
+
+/** Tells whether a member holds room that a request of @p bytes may take over. */
+bool reception::mayYield(const reception_member &member, std::size_t bytes, clock::time_point now) const
+{
+    const std::size_t held = member.m_charge.bytes();
+    const bool isSmall = bytes <= body_budget::largestSmallBody;
+    if (held == 0 || (held <= body_budget::largestSmallBody) != isSmall) {
+        return false;
+    }
+    return isSmall || now - member.m_lastProgress >= m_limits.stallTime;
+}
+
+void reception::giveUp(reception_member &member, give_up_reason reason)
+{
+    logLine(log_level::Info, "request-given-up", { { "reason", std::string(nameOf(reason)) }, { "held", std::to_string(member.m_charge.bytes()) } });
+    m_onGivenUp(reason);
+    member.giveUp(reason);
+}
+
+} // namespace reedtrail
