HTTP server: connections that receive a request have a bound together, so that heads that stop short do not fill the memory

What callers saw: 1,500 clients whose heads stop just short of the limit took the process beyond its memory. Cause: each connection may buffer a head and 64 KB for parsing; each was bounded, the sum of 4,096 was not. Change: a tenth of the process's memory is for connections that receive a request, or hold unread bytes behind one that is under way; beyond it the one without progress for longest is given up (a head: closed; a body: 503). The buffer for parsing beside the head has 16 KB, and a buffer that a request made larger is released with it. edge/listener_limits derives the limits from the settings: 234 such connections on a machine of 110 MB.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -1,5 +1,6 @@
 #include "edge/caller_service.h"
 
+#include "edge/listener_limits.h"
 #include "edge/request_relay.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
@@ -13,9 +14,6 @@
 constexpr duration exitMargin = std::chrono::milliseconds(700); // Part of the grace period left for the process to exit by itself.
 constexpr duration ingressRemovalTime = std::chrono::milliseconds(2500); // The ingress probes every second and removes a node after two failed probes.
 constexpr duration lastAnswerTime = std::chrono::milliseconds(200); // For the answer to a request that has used all of its time.
-constexpr double bodyMemoryShare = 0.4; // Of the process's memory, for callers' bodies: the rest holds responses, jobs and buffers.
-constexpr double maxMemoryMegabytes = 1 << 20;
-constexpr double bytesPerMegabyte = 1 << 20;
 constexpr duration longestRequest = std::chrono::seconds(60); // Without a deadline, on a route without a timeout.
 constexpr double slowRequestFactor = 6; // Multiple of the mean time of a service that hardly any of its requests exceeds.
 constexpr duration retryAfterWhileStopping = std::chrono::milliseconds(50); // Other nodes serve the caller at once.
@@ -40,10 +38,8 @@
     http_server_options callers;
     callers.address = m_context.settings.callers;
     callers.maximumBodyBytes = maxCallerBodyBytes;
-    if (m_context.settings.memoryMegabytes > 0) {
-        callers.maximumBodyBytesHeld =
-            static_cast<std::size_t>(std::min(m_context.settings.memoryMegabytes, maxMemoryMegabytes) * bodyMemoryShare * bytesPerMegabyte);
-    }
+    const listener_limits limits = limitsFor(m_context.settings);
+    callers.requests = std::make_shared<reception>(limits.requests);
     m_callerServer = std::make_unique<http_server>(m_context.loop.io(), callers, [this](std::shared_ptr<http_exchange> exchange) {
         dispatch(std::move(exchange));
     });
--- /dev/null
+++ b/edge/listener_limits.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * What the listeners of an edge process may hold together, from the memory and the descriptors of its machine. Makes no I/O calls.
+ */
+#pragma once
+
+#include "edge/edge_settings.h"
+#include "net/reception.h"
+
+#include <cstddef>
+
+namespace reedtrail {
+
+/** Limits of all listeners of a process. Without known memory or descriptors they keep the defaults. */
+struct listener_limits
+{
+    reception_limits requests;
+    std::size_t callerConnections = 4096;
+    std::size_t peerConnections = 1024;
+    std::size_t readinessConnections = 256;
+};
+
+/** Returns the limits for a machine. */
+listener_limits limitsFor(const edge_settings &settings);
+
+} // namespace reedtrail
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -23,7 +23,7 @@
 
 namespace reedtrail::detail {
 
-inline constexpr std::size_t parseBufferBytes = 64U << 10U; // For what is parsed at once beside the head.
+inline constexpr std::size_t parseBufferBytes = 16U << 10U; // For what is parsed at once beside the head.
 inline constexpr std::size_t growthFactor = 2; // By which the memory of a body without a length may exceed the body while it grows.
 inline constexpr std::size_t headReadBytes = 2U << 10U; // At once; more than the head of an ordinary request.
 inline constexpr std::size_t bodyReadBytes = 16U << 10U; // The same, of a body.
@@ -440,6 +440,9 @@
         m_isStreamEnded = false;
         m_isStreamOpen = false;
         m_isChunked = false;
+        if (m_buffer.size() == 0 && m_buffer.capacity() > headReadBytes) {
+            m_buffer.shrink_to_fit();
+        }
         ++m_server->inFlight;
         lowestLayer().expires_never();
         watchForDisconnect();
@@ -459,6 +462,8 @@
                                               const bool isDisconnected = count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
                                               if (isDisconnected) {
                                                   self->close();
+                                              } else if (count > 0) { // They stay in the kernel until the response is written.
+                                                  self->m_server->requests->enter(*self, reception::clock::now());
                                               }
                                           });
     }
