HTTP server: heads of requests under way are charged, so that large ones do not fill the memory

What callers saw: 1,500 requests with heads of 15 KB, at a server that does not answer, took the process to 153 MiB for 40. Cause: only bodies were charged; a head is held about five times over while its request is passed on, and the parser and the read buffer kept two more copies until the response was written. Change: a request is charged for its body and five times its head; parser and grown buffer are released once it is complete. Requests up to 160 KB in all (a body of 64 KB with such heads) are small; a quarter of the budget is theirs, and the last quarter of that is for those up to 8 KB, so that requests with large heads do not keep ordinary ones out. Why it works: what a request costs is known when its head is read, before anything is copied.

--- a/net/body_budget.h
+++ b/net/body_budget.h
@@ -1,16 +1,15 @@
 /**
  * @file
- * Bounds the bytes of all request bodies that a server holds at once. Makes no I/O calls.
+ * Bounds the bytes of all requests, heads and bodies, that a server holds at once. Makes no I/O calls.
  *
- * Large bodies share most of the budget, small ones the rest, so that neither kind keeps the other out. One large body always fits, whatever the budget is: the
- * limit for each body is the caller's to set.
+ * Large requests share most of the budget, small ones the rest, so that neither kind keeps the other out; the last part of the rest is for tiny ones. One large
+ * request always fits, whatever the budget is: the limit for each body is the caller's to set.
  *
  *     body_charge charge(budget);
  *     if (!charge.raiseTo(contentLength)) { ... refuse ... }      // released when the charge is destroyed
  */
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -21,8 +20,10 @@
 class body_budget
 {
 public:
-    static constexpr std::size_t largestSmallBody = 64U << 10U;
-    static constexpr std::size_t smallShare = 8; ///< One part in this many is kept for small bodies.
+    static constexpr std::size_t largestTinyRequest = 8U << 10U;
+    static constexpr std::size_t largestSmallRequest = 160U << 10U; ///< A body of 64 KB, and some copies of a head of 16 KB.
+    static constexpr std::size_t smallShare = 4; ///< One part in this many is kept for small requests.
+    static constexpr std::size_t tinyShare = 4; ///< One part in this many of that is kept for tiny requests.
 
     explicit body_budget(std::size_t bytes)
         : m_smallLimit(bytes / smallShare)
@@ -40,10 +41,10 @@
 
     bool isAdmitted(std::size_t before, std::size_t bytes) const
     {
-        if (bytes <= largestSmallBody) {
-            return m_small - before + bytes <= m_smallLimit;
+        if (bytes <= largestSmallRequest) {
+            return m_small - before + bytes <= smallLimitFor(bytes);
         }
-        const std::size_t others = m_large - (before > largestSmallBody ? before : 0);
+        const std::size_t others = m_large - (before > largestSmallRequest ? before : 0);
         return others == 0 || (bytes <= m_largeLimit && others <= m_largeLimit - bytes);
     }
     /** Returns how many bytes others must release so that a body may be raised from @p before to @p bytes. */
@@ -52,15 +53,19 @@
         if (isAdmitted(before, bytes)) {
             return 0;
         }
-        if (bytes <= largestSmallBody) {
-            return std::max<std::size_t>(m_small - before + bytes, m_smallLimit) - m_smallLimit;
+        if (bytes <= largestSmallRequest) {
+            return m_small - before + bytes - smallLimitFor(bytes);
         }
-        const std::size_t others = m_large - (before > largestSmallBody ? before : 0);
+        const std::size_t others = m_large - (before > largestSmallRequest ? before : 0);
         return bytes > m_largeLimit ? others : others + bytes - m_largeLimit;
     }
+    std::size_t smallLimitFor(std::size_t bytes) const
+    {
+        return bytes <= largestTinyRequest ? m_smallLimit : m_smallLimit - m_smallLimit / tinyShare;
+    }
     std::size_t &heldOf(std::size_t bytes)
     {
-        return bytes <= largestSmallBody ? m_small : m_large;
+        return bytes <= largestSmallRequest ? m_small : m_large;
     }
 
     std::size_t m_smallLimit;
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -25,6 +25,7 @@
 
 inline constexpr std::size_t parseBufferBytes = 16U << 10U; // For what is parsed at once beside the head.
 inline constexpr std::size_t growthFactor = 2; // By which the memory of a body without a length may exceed the body while it grows.
+inline constexpr std::size_t headCopies = 5; // Of the head of a request that is passed on: fields, those of the request to the server, its bytes.
 inline constexpr std::size_t headReadBytes = 2U << 10U; // At once; more than the head of an ordinary request.
 inline constexpr std::size_t bodyReadBytes = 16U << 10U; // The same, of a body.
 inline constexpr std::size_t largeBodyReceiveBytes = 128U << 10U; // Kept by the kernel for the body of an admitted request that is as large.
@@ -139,6 +140,7 @@
     void readNext()
     {
         m_server->idle.touch(this->idlePlace, *this);
+        m_headBytes = 0;
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->options.maximumHeaderBytes));
         m_parser->body_limit(m_server->options.maximumBodyBytes);
@@ -251,7 +253,9 @@
         beast::error_code error;
         while (m_buffer.size() > 0 && !m_parser->is_done()) {
             const bool wasHeadRead = m_parser->is_header_done();
-            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            const std::size_t parsed = m_parser->put(m_buffer.data(), error);
+            m_buffer.consume(parsed);
+            m_headBytes += wasHeadRead ? 0 : parsed;
             if (error == http::error::need_more) {
                 break;
             }
@@ -318,10 +322,10 @@
         lowestLayer().socket().set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
     }
 
-    /** Charges a body of this size. @return whether there is room; otherwise the request is refused */
+    /** Charges the request for a body of this size, and for the copies of its head. @return whether there is room; otherwise the request is refused */
     bool admit(std::uint64_t bodyBytes)
     {
-        const auto bytes = static_cast<std::size_t>(bodyBytes);
+        const std::size_t bytes = static_cast<std::size_t>(bodyBytes) + m_headBytes * headCopies;
         if (!m_server->requests->reserve(*this, bytes, reception::clock::now())) {
             logLine(
                 log_level::Warning, "body-refused", { { "bytes", std::to_string(bytes) }, { "held", std::to_string(m_server->requests->budget()->held()) } });
@@ -440,6 +444,7 @@
         m_isStreamEnded = false;
         m_isStreamOpen = false;
         m_isChunked = false;
+        m_parser.reset();
         if (m_buffer.size() == 0 && m_buffer.capacity() > headReadBytes) {
             m_buffer.shrink_to_fit();
         }
@@ -551,6 +556,7 @@
     std::size_t m_queuedBytes = 0;
     std::uint64_t m_exchangeNumber = 0;
     unsigned m_version = 11;
+    std::size_t m_headBytes = 0; ///< Of the request that is being received, as far as its head is parsed.
     bool m_isGivenUp = false; ///< The request that is being received is to be refused.
     bool m_hasLargeReceiveBuffer = false;
     bool m_wantsKeepAlive = true;
--- a/net/reception.cpp
+++ b/net/reception.cpp
@@ -71,8 +71,8 @@
 bool reception::mayYield(const reception_member &member, std::size_t bytes, clock::time_point now) const
 {
     const std::size_t held = member.m_charge.bytes();
-    const bool isSmall = bytes <= body_budget::largestSmallBody;
-    if (held == 0 || (held <= body_budget::largestSmallBody) != isSmall) {
+    const bool isSmall = bytes <= body_budget::largestSmallRequest;
+    if (held == 0 || (held <= body_budget::largestSmallRequest) != isSmall) {
         return false;
     }
     return isSmall || now - member.m_lastProgress >= m_limits.stallTime;
--- a/net/reception.h
+++ b/net/reception.h
@@ -29,7 +29,7 @@
 /** Limits of a reception. */
 struct reception_limits
 {
-    /** Bytes of heads and bodies that are held at once, from the head of a request until its exchange is gone; an eighth is kept for requests up to 64 KB. */
+    /** Bytes of heads and bodies that are held at once, from the head of a request until its exchange is gone; a quarter is kept for small requests. */
     std::size_t requestBytes = std::numeric_limits<std::size_t>::max();
     std::size_t maximumIncomplete = 1024; ///< Connections that receive a request, or hold unread bytes behind one that is under way.
     std::chrono::milliseconds stallTime = std::chrono::milliseconds(500); ///< Without progress, after which a large request yields to another.
