Edge: all listeners share one bound of requests, so that crowds at the readiness or the peer address do not fill the memory

What callers saw: a crowd at the readiness or the peer address took the process to 1.7 GB for 40 MB. Cause: only the callers' listener had a budget; the others took 4 MB and 33 MB a request, for 4,096 connections each. Change: the three listeners of a process share a reception, so a stalled request at one yields to a newcomer at another. The readiness address takes bodies up to 16 KB (its calls have none). reedtrail_requests_given_up_total counts by reason.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -1,6 +1,5 @@
 #include "edge/caller_service.h"
 
-#include "edge/listener_limits.h"
 #include "edge/request_relay.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
@@ -14,6 +13,7 @@
 constexpr duration exitMargin = std::chrono::milliseconds(700); // Part of the grace period left for the process to exit by itself.
 constexpr duration ingressRemovalTime = std::chrono::milliseconds(2500); // The ingress probes every second and removes a node after two failed probes.
 constexpr duration lastAnswerTime = std::chrono::milliseconds(200); // For the answer to a request that has used all of its time.
+constexpr std::size_t maxDiagnosticBodyBytes = 16U << 10U; // Probes and diagnostic requests have none.
 constexpr duration longestRequest = std::chrono::seconds(60); // Without a deadline, on a route without a timeout.
 constexpr double slowRequestFactor = 6; // Multiple of the mean time of a service that hardly any of its requests exceeds.
 constexpr duration retryAfterWhileStopping = std::chrono::milliseconds(50); // Other nodes serve the caller at once.
@@ -38,14 +38,15 @@
     http_server_options callers;
     callers.address = m_context.settings.callers;
     callers.maximumBodyBytes = maxCallerBodyBytes;
-    const listener_limits limits = limitsFor(m_context.settings);
-    callers.requests = std::make_shared<reception>(limits.requests);
+    callers.requests = m_context.requests;
     m_callerServer = std::make_unique<http_server>(m_context.loop.io(), callers, [this](std::shared_ptr<http_exchange> exchange) {
         dispatch(std::move(exchange));
     });
     BOOST_LEAF_CHECK(m_callerServer->start());
     http_server_options readiness;
     readiness.address = m_context.settings.readiness;
+    readiness.maximumBodyBytes = maxDiagnosticBodyBytes;
+    readiness.requests = m_context.requests;
     m_readinessServer = std::make_unique<http_server>(m_context.loop.io(), readiness, [this](std::shared_ptr<http_exchange> exchange) {
         serveDiagnostics(exchange);
     });
--- a/edge/edge_context.h
+++ b/edge/edge_context.h
@@ -11,6 +11,7 @@
 #include "fleet/usage_ledger.h"
 #include "kernel/metrics.h"
 #include "net/http_client.h"
+#include "net/reception.h"
 #include "platform/key_value_store.h"
 
 #include <functional>
@@ -36,6 +37,7 @@
     std::uint64_t randomSeed = 0; ///< Seed of this process's random choices.
     std::function<bool()> isIsolated; ///< Tells whether this node reaches neither the store nor other zones.
     std::shared_ptr<usage_ledger> usage; ///< What customers used by way of this node; null if the deployment reports no use.
+    std::shared_ptr<reception> requests; ///< What all listeners hold of requests.
     bool isDraining = false;
     time_point drainStartedAt; ///< Time of the stop signal.
 };
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -7,6 +7,7 @@
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "edge/job_forwarder.h"
+#include "edge/listener_limits.h"
 #include "edge/peer_service.h"
 #include "edge/recording_store_transport.h"
 #include "edge/usage_report_service.h"
@@ -60,6 +61,12 @@
         if (m_context.settings.usage) {
             m_context.usage = std::make_shared<usage_ledger>(m_context.settings.node + "/" + m_context.incarnation);
         }
+        m_context.requests = std::make_shared<reception>(limitsFor(m_context.settings).requests);
+        m_context.requests->onGivenUp([this](give_up_reason reason) {
+            m_metrics
+                .counter("reedtrail_requests_given_up_total", "Requests whose reception was ended, by reason", "reason=\"" + std::string(nameOf(reason)) + "\"")
+                .add();
+        });
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
     }
 
@@ -82,9 +89,10 @@
         m_context.isIsolated = [this] {
             return m_transport.path().isIsolated(m_loop.now());
         };
-        auto peers = std::make_unique<peer_service>(m_context.settings, m_loop, m_store, m_transport, m_snapshotSource, m_snapshotServer, [this] {
-            m_context.lease->acquire([](store_lease_id) {});
-        });
+        auto peers =
+            std::make_unique<peer_service>(m_context.settings, m_loop, m_store, m_transport, m_snapshotSource, m_snapshotServer, m_context.requests, [this] {
+                m_context.lease->acquire([](store_lease_id) {});
+            });
         m_transport.onStoreRecovered([jobs = jobs.get()] {
             jobs->onStoreRecovered();
         });
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -30,6 +30,7 @@
                            failover_store_transport &transport,
                            peer_snapshot_source &source,
                            snapshot_server &snapshots,
+                           std::shared_ptr<reception> requests,
                            std::function<void()> maintainStoreContact)
     : m_settings(settings)
     , m_loop(loop)
@@ -37,6 +38,7 @@
     , m_transport(transport)
     , m_source(source)
     , m_snapshots(snapshots)
+    , m_requests(std::move(requests))
     , m_maintainStoreContact(std::move(maintainStoreContact))
 {
 }
@@ -63,6 +65,7 @@
     http_server_options options;
     options.address = *m_settings.peers;
     options.maximumBodyBytes = maxCallerBodyBytes;
+    options.requests = m_requests;
     m_server = std::make_unique<http_server>(m_loop.io(), options, [this](std::shared_ptr<http_exchange> exchange) {
         handlePeerRequest(std::move(exchange));
     });
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -12,6 +12,7 @@
 #include "edge/snapshot_server.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
+#include "net/reception.h"
 #include "platform/key_value_store.h"
 
 #include <functional>
@@ -26,6 +27,7 @@
 {
 public:
     /**
+     * @param requests what all listeners of the process hold of requests
      * @param maintainStoreContact called for each watch request of a peer: from then on this node must call the store at least once in each renewal interval of
      * its lease, so that it can tell "unchanged" from "store unreachable"
      */
@@ -35,6 +37,7 @@
                  failover_store_transport &transport,
                  peer_snapshot_source &source,
                  snapshot_server &snapshots,
+                 std::shared_ptr<reception> requests,
                  std::function<void()> maintainStoreContact);
 
     /** Sets the predicate that tells whether this node has work that waits for the store. While it holds, the store is probed during an outage. */
@@ -127,6 +130,7 @@
     bool m_isRegistering = false;
     bool m_wasRegistered = false;
     std::map<std::string, store_peer> m_peers;
+    std::shared_ptr<reception> m_requests; ///< What all listeners of the process hold of requests.
     std::function<void()> m_maintainStoreContact;
     std::function<bool()> m_hasUrgentStoreWork = [] {
         return false;
