--- a/base/bounded_json.cpp
+++ b/base/bounded_json.cpp
@@ -49,4 +49,9 @@
     return isDeeperThan(text, maxDepth) ? nlohmann::json(nlohmann::json::value_t::discarded) : nlohmann::json::parse(text, nullptr, false);
 }
 
+nlohmann::json parseBoundedJson(std::string_view text, const nlohmann::json::parser_callback_t &keeps, std::size_t maxDepth)
+{
+    return isDeeperThan(text, maxDepth) ? nlohmann::json(nlohmann::json::value_t::discarded) : nlohmann::json::parse(text, keeps, false);
+}
+
 } // namespace reedtrail
--- a/base/bounded_json.h
+++ b/base/bounded_json.h
@@ -27,6 +27,8 @@
  * @return the value; a discarded one, which is neither an object nor an array, if the text is malformed or nested deeper than @p maxDepth
  */
 nlohmann::json parseBoundedJson(std::string_view text, std::size_t maxDepth = maxJsonDepth);
+/** As above; @p keeps tells of each part of the tree whether it is kept, so that a document can be read without building all of its tree. */
+nlohmann::json parseBoundedJson(std::string_view text, const nlohmann::json::parser_callback_t &keeps, std::size_t maxDepth = maxJsonDepth);
 
 /** Returns a whole number from @p least to @p most; nothing for a fraction, a value outside that range or of another type. */
 template<std::integral Number>
--- a/edge/batch_job_service.cpp
+++ b/edge/batch_job_service.cpp
@@ -16,6 +16,7 @@
 constexpr duration readRetryAfter = std::chrono::milliseconds(400); // Retry-After of reads while the store does not answer; callers read about twice a second.
 constexpr duration submitRetryAfter = std::chrono::milliseconds(3000); // Retry-After of submissions: most store outages are over by then, and a job that
                                                                        // is accepted this late can still finish in its target time.
+constexpr std::size_t documentCopies = 6; // Of a job that is being recorded: document, items, transaction, and its text for the store.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(50); // Retry-After of a node that is being stopped; others serve the caller at once.
 constexpr duration roomLogInterval = std::chrono::seconds(1); // Between two lines on the order of jobs.
 constexpr duration releaseMargin = std::chrono::milliseconds(2500); // Part of the grace period left to release jobs and send the last responses.
@@ -153,6 +154,14 @@
 void batch_job_service::submit(std::shared_ptr<http_exchange> exchange, const std::string &job, const std::optional<std::string> &customer, bool mayBeRecorded)
 {
     const http_request &request = exchange->request();
+    if (request.body.size() > maximumDocumentPartBytes * maximumDocumentParts) {
+        refuse(exchange, http_status::tooLarge, "the job is too large for the store", job);
+        return;
+    }
+    if (!mayBeRecorded && !exchange->reserve(request.body.size() * documentCopies)) {
+        refuse(exchange, http_status::unavailable, "this node has no memory for the job", job);
+        return;
+    }
     std::optional<job_spec> spec;
     const std::optional<failure> error = failureOf([&]() -> result<void> {
         BOOST_LEAF_AUTO(decoded, platform::decodeJob(request.body));
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -53,6 +53,11 @@
     virtual ~http_exchange() = default;
     /** Returns the request. */
     virtual const http_request &request() const = 0;
+    /** Charges the request for @p bytes in all, if it takes more memory than its head and body. @return whether there is room beside other requests */
+    virtual bool reserve(std::size_t /*bytes*/)
+    {
+        return true;
+    }
     /** Sends a complete response. */
     virtual void respond(http_response response) = 0;
     /** Starts a chunked response with status and header fields of @p head, whose body is ignored. */
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -84,6 +84,10 @@
     {
         return m_request;
     }
+    bool reserve(std::size_t bytes) override
+    {
+        return m_charge.raiseTo(bytes);
+    }
     void respond(http_response response) override;
     void startStream(http_response head) override;
     void write(std::string data) override;
