HTTP server: a refused body gives its memory back at once

What callers saw: bodies in chunks that were refused took memory beyond the budget, and crowds in series added up: the second at one process began with 48 MiB, where 40 are allowed. Cause: the body was replaced by an empty text, which keeps its memory: the library moves a short text into the place of a long one. The charge was released, the memory stayed until the connection was closed. Change: the parser is destroyed with what it holds.

--- a/net/http_session.h
+++ b/net/http_session.h
@@ -355,7 +355,7 @@
     /** Gives back what the request that is being received holds. */
     void releaseRequest()
     {
-        m_parser->get().body() = {};
+        m_parser.reset(); // Assigning an empty text to the body would keep its memory.
         m_buffer.clear();
         m_buffer.shrink_to_fit();
         this->m_charge.release();
