Edge: freed memory of large requests returns to the system, so that one crowd does not add to the next

What callers saw: after a crowd of large bodies the process kept 28 MiB and more, where it began with 12, and the next crowd came on top. Cause: the C library raises the size from which it maps memory by itself to that of the largest block freed, up to 32 MB, and the free memory it keeps to twice that. Bodies then lie in the heap, between blocks that live longer. Change: both thresholds are fixed, at 64 KB and 1 MB.

--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -20,6 +20,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <malloc.h>
 #include <map>
 #include <unistd.h>
 
@@ -35,6 +36,9 @@
 constexpr double idleDescriptorShare = 0.25; // Of all descriptors, for idle connections to servers; callers and calls under way need the rest.
 constexpr std::size_t maxIdleServerConnections = 24; // Per server: twice the slots of the largest server, so that a burst reuses existing connections.
 
+constexpr int largeAllocationBytes = 64 << 10; // From here on memory is the kernel's again when it is freed; the C library would raise this up to 32 MB.
+constexpr int keptFreeBytes = 1 << 20; // Free memory at the end of the heap that the process keeps; the C library would raise this up to 64 MB.
+
 /** Owns the event loop, the clients and the services of the process, and handles its signals. */
 class edge_process
 {
@@ -324,6 +328,8 @@
         return *parsed.exitCode;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    ::mallopt(M_MMAP_THRESHOLD, largeAllocationBytes);
+    ::mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
     edge_settings settings;
     const std::optional<failure> error = failureOf([&]() -> result<void> {
         BOOST_LEAF_ASSIGN(settings, platform::readNodeFile(parsed.value("settings", platform::nodeFilePath())));
