Edge: connections have a bound by memory and descriptors, and the one that waits longest makes room, so that crowds leave descriptors

What callers saw: with 500 descriptors a crowd of 1,500 silent connections took them all; ordinary callers got no answer for as long as it stayed. The process tried in vain to accept the next connection, again and again without a pause. Cause: 4,096 connections for each of three listeners, whatever the machine had; beyond it the newcomer was closed. An error of accept was followed by the next attempt at once. Change: callers may take three tenths of the descriptors that are not kept for files, peers a tenth, probes a fiftieth, idle connections to servers a quarter, so that each caller's request still gets one to a server; 15 hundredths of the memory bound them too: 985, 352 and 70 connections at 110 MB and 4,100 descriptors. At the bound the connection that waits for its caller and has done so for longest is closed: an idle one, or one whose request makes no progress. As many as that, at most 256, may wait to be accepted. After an error of accept there is a pause of 50 ms.

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -1,5 +1,6 @@
 #include "edge/caller_service.h"
 
+#include "edge/listener_limits.h"
 #include "edge/request_relay.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
@@ -39,6 +40,8 @@
     callers.address = m_context.settings.callers;
     callers.maximumBodyBytes = maxCallerBodyBytes;
     callers.requests = m_context.requests;
+    const listener_limits limits = limitsFor(m_context.settings);
+    callers.maximumConnections = limits.callerConnections;
     m_callerServer = std::make_unique<http_server>(m_context.loop.io(), callers, [this](std::shared_ptr<http_exchange> exchange) {
         dispatch(std::move(exchange));
     });
@@ -47,6 +50,7 @@
     readiness.address = m_context.settings.readiness;
     readiness.maximumBodyBytes = maxDiagnosticBodyBytes;
     readiness.requests = m_context.requests;
+    readiness.maximumConnections = limits.readinessConnections;
     m_readinessServer = std::make_unique<http_server>(m_context.loop.io(), readiness, [this](std::shared_ptr<http_exchange> exchange) {
         serveDiagnostics(exchange);
     });
--- a/edge/listener_limits.cpp
+++ b/edge/listener_limits.cpp
@@ -15,6 +15,7 @@
 constexpr double incompleteBytes = 48 << 10; ///< Of a connection that receives a request: its buffer, and what waits unread.
 constexpr double connectionShare = 0.15;
 constexpr double connectionBytes = 12 << 10; ///< Of any connection.
+constexpr double maxDescriptors = 1 << 20; ///< More than any process may have open.
 constexpr double reservedDescriptors = 200; ///< The platform keeps them for files.
 
 /** How listeners divide connections. */
@@ -26,6 +27,7 @@
 constexpr listener_share callers{ 0.7, 0.3 };
 constexpr listener_share peers{ 0.25, 0.1 };
 constexpr listener_share readiness{ 0.05, 0.02 };
+constexpr listener_share idleServers{ 0, 0.25 };
 
 /** Returns the connections that a listener may have; @p most is the default. */
 std::size_t connectionsOf(const listener_share &share, double memory, double descriptors, std::size_t most)
@@ -35,7 +37,7 @@
         connections = std::min(connections, memory * connectionShare * share.memory / connectionBytes);
     }
     if (descriptors > 0) {
-        connections = std::min(connections, std::max(descriptors - reservedDescriptors, 0.0) * share.descriptors);
+        connections = std::min(connections, std::max(std::min(descriptors, maxDescriptors) - reservedDescriptors, 0.0) * share.descriptors);
     }
     return std::max<std::size_t>(static_cast<std::size_t>(connections), 1);
 }
@@ -53,6 +55,7 @@
     limits.callerConnections = connectionsOf(callers, memory, settings.descriptors, limits.callerConnections);
     limits.peerConnections = connectionsOf(peers, memory, settings.descriptors, limits.peerConnections);
     limits.readinessConnections = connectionsOf(readiness, memory, settings.descriptors, limits.readinessConnections);
+    limits.idleServerConnections = connectionsOf(idleServers, 0, settings.descriptors, limits.idleServerConnections);
     return limits;
 }
 
--- a/edge/listener_limits.h
+++ b/edge/listener_limits.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * What the listeners of an edge process may hold together, from the memory and the descriptors of its machine. Makes no I/O calls.
+ * What an edge process may hold for its callers and connections, from the memory and the descriptors of its machine. Makes no I/O calls.
  */
 #pragma once
 
@@ -18,6 +18,7 @@
     std::size_t callerConnections = 4096;
     std::size_t peerConnections = 1024;
     std::size_t readinessConnections = 256;
+    std::size_t idleServerConnections = 1024; ///< To all servers; requests under way and callers need the other descriptors.
 };
 
 /** Returns the limits for a machine. */
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -32,8 +32,6 @@
 constexpr duration serverIdleTimeout = std::chrono::seconds(30); // For idle connections to servers that announce no keep-alive time.
 constexpr std::size_t maxServerBodyBytes = 8U << 20U; // Twice what callers may send; a server in trouble may send bytes without end.
 constexpr std::size_t maxServerBytesInFlight = 16U << 20U; // Of all responses under way; the smallest machines have 88 MB.
-constexpr double maxDescriptors = 1 << 20; // More than any process may have open.
-constexpr double idleDescriptorShare = 0.25; // Of all descriptors, for idle connections to servers; callers and calls under way need the rest.
 constexpr std::size_t maxIdleServerConnections = 24; // Per server: twice the slots of the largest server, so that a burst reuses existing connections.
 
 constexpr int largeAllocationBytes = 64 << 10; // From here on memory is the kernel's again when it is freed; the C library would raise this up to 32 MB.
@@ -181,9 +179,7 @@
         http_client_options options;
         options.idleTimeout = serverIdleTimeout;
         options.maximumIdlePerEndpoint = maxIdleServerConnections;
-        if (settings.descriptors > 0) {
-            options.maximumIdle = static_cast<std::size_t>(std::min(settings.descriptors, maxDescriptors) * idleDescriptorShare);
-        }
+        options.maximumIdle = limitsFor(settings).idleServerConnections;
         options.maximumBodyBytes = maxServerBodyBytes;
         options.maximumBytesInFlight = maxServerBytesInFlight;
         return options;
--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/peer_service.h"
 
+#include "edge/listener_limits.h"
 #include "edge/peer_protocol.h"
 #include "kernel/log.h"
 
@@ -66,6 +67,7 @@
     options.address = *m_settings.peers;
     options.maximumBodyBytes = maxCallerBodyBytes;
     options.requests = m_requests;
+    options.maximumConnections = limitsFor(m_settings).peerConnections;
     m_server = std::make_unique<http_server>(m_loop.io(), options, [this](std::shared_ptr<http_exchange> exchange) {
         handlePeerRequest(std::move(exchange));
     });
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr int maximumUnacceptedConnections = 512; // Their bytes wait in the kernel too.
+constexpr int maximumUnacceptedConnections = 256; // Their bytes wait in the kernel too.
+constexpr std::chrono::milliseconds acceptPauseTime(50);
 
 } // namespace
 
@@ -19,12 +20,14 @@
 {
     asio::io_context &io;
     tcp::acceptor acceptor;
+    asio::steady_timer acceptPause;
     std::shared_ptr<server_state> state = std::make_shared<server_state>();
     std::optional<tls_context_source> tlsContexts;
 
     explicit implementation(asio::io_context &context)
         : io(context)
         , acceptor(context)
+        , acceptPause(context)
     {
     }
 
@@ -34,16 +37,30 @@
             if (error == asio::error::operation_aborted || !self->acceptor.is_open()) {
                 return;
             }
-            if (!error) {
-                self->begin(std::move(socket));
+            if (error) { // There is no descriptor left, say. The connection still waits, so the next attempt would fail at once.
+                logLine(log_level::Warning, "accept-failed", { { "reason", error.message() } });
+                self->pauseAccepting();
+                return;
             }
+            self->begin(std::move(socket));
             self->acceptNext();
         });
     }
 
+    void pauseAccepting()
+    {
+        acceptPause.expires_after(acceptPauseTime);
+        acceptPause.async_wait([self = this->shared_from_this()](const beast::error_code &error) {
+            if (!error && self->acceptor.is_open()) {
+                self->acceptNext();
+            }
+        });
+    }
+
     void begin(tcp::socket socket)
     {
-        if (state->sessions.size() >= state->options.maximumConnections) {
+        if (state->sessions.size() >= state->options.maximumConnections && !state->closeOneWaiting()) {
+            logLine(log_level::Warning, "connection-refused", { { "open", std::to_string(state->sessions.size()) } });
             return;
         }
         beast::error_code ignored;
@@ -107,7 +124,7 @@
         acceptor.bind(address, error);
     }
     if (!error) {
-        acceptor.listen(maximumUnacceptedConnections, error);
+        acceptor.listen(std::min(maximumUnacceptedConnections, static_cast<int>(m_implementation->state->options.maximumConnections)), error);
     }
     if (error) {
         return fail(error_kind::PeerUnreachable, "cannot listen on " + where.text() + ": " + error.message());
@@ -126,6 +143,7 @@
     closeAfterAnswers();
     beast::error_code ignored;
     m_implementation->acceptor.close(ignored);
+    m_implementation->acceptPause.cancel();
 }
 
 void http_server::stop()
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -39,7 +39,11 @@
     /** Bytes that the kernel keeps for a connection whose request is not being received, in its own count of them; the body of an admitted request gets more.
      */
     std::size_t receiveBufferBytes = 16U << 10U;
-    std::size_t maximumConnections = 4096; ///< Connections beyond this number are closed immediately.
+    /**
+     * Beyond this number the connection that has waited for longest is closed for a new one: it is idle, or receives a request that makes no progress. If a
+     * request is under way on each, the new one is closed.
+     */
+    std::size_t maximumConnections = 4096;
     std::size_t maximumQueuedBytes = 4U << 20U; ///< Limit for unsent bytes of a stream; the connection of a slower reader is closed.
     duration idleTimeout = std::chrono::seconds(75); ///< Limit for the wait for a request, including its transfer.
     duration writeTimeout = std::chrono::seconds(30); ///< Limit for each write to complete.
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -46,6 +46,8 @@
     virtual void begin() = 0;
     virtual void close() = 0;
     virtual bool isCurrent(std::uint64_t number) const = 0;
+    /** Tells whether the connection belongs to @p server, and no request is under way on it. */
+    virtual bool isReceivingFor(const struct server_state &server) const = 0;
     virtual void respond(http_response response) = 0;
     virtual void startStream(const http_response &head) = 0;
     virtual void write(std::string_view data) = 0;
@@ -66,6 +68,21 @@
     std::vector<char> discarded = std::vector<char>(discardBufferBytes); ///< Bytes of refused requests, which nobody reads.
     std::size_t inFlight = 0;
     bool isStopping = false;
+
+    /** Closes the connection that waits for its caller, and has done so for longest. @return whether there is one */
+    bool closeOneWaiting()
+    {
+        http_session *waiting = idle.oldest();
+        for (auto each = requests->members().begin(); waiting == nullptr && each != requests->members().end(); ++each) {
+            auto *session = dynamic_cast<http_session *>(*each);
+            waiting = session != nullptr && session->isReceivingFor(*this) ? session : nullptr;
+        }
+        if (waiting != nullptr) {
+            logLine(log_level::Info, "waiting-connection-closed", { { "open", std::to_string(sessions.size()) } });
+            waiting->close();
+        }
+        return waiting != nullptr;
+    }
 };
 
 class session_exchange : public http_exchange
@@ -189,6 +206,11 @@
         return m_isResponsePending && number == m_exchangeNumber && !m_isClosed;
     }
 
+    bool isReceivingFor(const server_state &server) const override
+    {
+        return m_server.get() == &server && !m_isResponsePending && !m_isClosed;
+    }
+
     void respond(http_response response) override
     {
         const auto message = std::make_shared<http::response<http::string_body>>(static_cast<http::status>(response.status), m_version);
