Callers: the limits of the configuration are applied, and an incomplete request has time limits of its own

What callers saw: heads and bodies beyond the operator's limits were taken, and one that stalls kept its connection for 75 s. Cause: headerBytes, maxBodyBytes and idleTimeoutMs were decoded and used by nothing; headerTimeoutMs was not read. One timeout held for the whole of a wait and a request. Change: the callers' server takes the limits of each configuration, from the next request on, also on open connections: bodies as they stand, heads with 1 KB more (the limit may be meant without the first line), times doubled (a pause of this machine looks like a slow caller). A head, each 16 KB of a body and the wait for a request have a limit each. A body may have a receive buffer of its size from 16 KB on, up to 128 KB, as its bytes are charged; other connections have 8 KB, and so has a refused one again, which kept up to 256 KB unread. A large request yields after 250 ms without progress, formerly 500. 128 connections may wait to be accepted. Evidence: changedLimitsHoldForNextRequestOnOpenConnection is new (setLimits did not exist).

--- a/edge/caller_service.cpp
+++ b/edge/caller_service.cpp
@@ -15,6 +15,8 @@
 constexpr duration ingressRemovalTime = std::chrono::milliseconds(2500); // The ingress probes every second and removes a node after two failed probes.
 constexpr duration lastAnswerTime = std::chrono::milliseconds(200); // For the answer to a request that has used all of its time.
 constexpr std::size_t maxDiagnosticBodyBytes = 16U << 10U; // Probes and diagnostic requests have none.
+constexpr std::size_t headerAllowanceBytes = 1U << 10U; // The limit may be meant without the first line.
+constexpr int timeoutAllowance = 2; // Multiple of the configured time.
 constexpr duration longestRequest = std::chrono::seconds(60); // Without a deadline, on a route without a timeout.
 constexpr double slowRequestFactor = 6; // Multiple of the mean time of a service that hardly any of its requests exceeds.
 constexpr duration retryAfterWhileStopping = std::chrono::milliseconds(50); // Other nodes serve the caller at once.
@@ -46,6 +48,9 @@
         dispatch(std::move(exchange));
     });
     BOOST_LEAF_CHECK(m_callerServer->start());
+    m_fleet.onChange([this] {
+        applyCallerLimits();
+    });
     http_server_options readiness;
     readiness.address = m_context.settings.readiness;
     readiness.maximumBodyBytes = maxDiagnosticBodyBytes;
@@ -57,6 +62,14 @@
     return m_readinessServer->start();
 }
 
+/** Applies the limits of the configuration. A request that keeps to them may seem to exceed them here, after a pause of this machine or of the network. */
+void caller_service::applyCallerLimits()
+{
+    const caller_limits &limits = m_fleet.routes().document().limits;
+    const duration patience = limits.idleTimeout * timeoutAllowance;
+    m_callerServer->setLimits({ limits.headerBytes + headerAllowanceBytes, limits.bodyBytes, limits.headerTimeout * timeoutAllowance, patience, patience });
+}
+
 void caller_service::stop()
 {
     m_callerServer->stop();
--- a/edge/caller_service.h
+++ b/edge/caller_service.h
@@ -50,6 +50,7 @@
     void relayToBackend(std::shared_ptr<http_exchange> exchange, platform::service_call call);
     bool mayOutliveProcess(const route &matchedRoute, const platform::service_call &call) const;
     time_point drainDeadline() const;
+    void applyCallerLimits();
     void serveDiagnostics(const std::shared_ptr<http_exchange> &exchange);
     void trackRelay(const std::shared_ptr<request_relay> &relay);
     void checkDrainComplete(std::function<void()> done);
--- a/fleet/route_table.h
+++ b/fleet/route_table.h
@@ -76,8 +76,9 @@
 struct caller_limits
 {
     std::size_t headerBytes = 16U << 10U;
-    std::size_t bodyBytes = 4U << 20U;
-    duration idleTimeout = std::chrono::seconds(75);
+    std::size_t bodyBytes = 33U << 20U;
+    duration headerTimeout = std::chrono::seconds(15); ///< From the first byte of a head to its last.
+    duration idleTimeout = std::chrono::seconds(60); ///< Between two requests on a connection.
 };
 
 /** A complete routing configuration. */
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr int maximumUnacceptedConnections = 256; // Their bytes wait in the kernel too.
+constexpr int maximumUnacceptedConnections = 128; // Their bytes wait in the kernel too.
 constexpr std::chrono::milliseconds acceptPauseTime(50);
 
 } // namespace
@@ -99,6 +99,16 @@
     m_implementation->state->handle = std::move(handle);
 }
 
+void http_server::setLimits(const request_limits &limits)
+{
+    http_server_options &options = m_implementation->state->options;
+    options.maximumHeaderBytes = limits.headerBytes;
+    options.maximumBodyBytes = limits.bodyBytes;
+    options.headerTimeout = limits.headerTimeout;
+    options.progressTimeout = limits.progressTimeout;
+    options.idleTimeout = limits.idleTimeout;
+}
+
 http_server::~http_server()
 {
     stop();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -28,6 +28,16 @@
 
 class reception;
 
+/** What one request may take; see http_server_options. */
+struct request_limits
+{
+    std::size_t headerBytes = 0;
+    std::size_t bodyBytes = 0;
+    duration headerTimeout{};
+    duration progressTimeout{};
+    duration idleTimeout{};
+};
+
 /** Address, limits and timeouts of a server. */
 struct http_server_options
 {
@@ -38,14 +48,16 @@
     std::shared_ptr<reception> requests; ///< What this server and others of the process hold of requests; if null, this one's own.
     /** Bytes that the kernel keeps for a connection whose request is not being received, in its own count of them; the body of an admitted request gets more.
      */
-    std::size_t receiveBufferBytes = 16U << 10U;
+    std::size_t receiveBufferBytes = 8U << 10U;
     /**
      * Beyond this number the connection that has waited for longest is closed for a new one: it is idle, or receives a request that makes no progress. If a
      * request is under way on each, the new one is closed.
      */
     std::size_t maximumConnections = 4096;
     std::size_t maximumQueuedBytes = 4U << 20U; ///< Limit for unsent bytes of a stream; the connection of a slower reader is closed.
-    duration idleTimeout = std::chrono::seconds(75); ///< Limit for the wait for a request, including its transfer.
+    duration idleTimeout = std::chrono::seconds(75); ///< Limit for the wait for the first byte of a request.
+    duration headerTimeout = std::chrono::seconds(30); ///< Limit from the first byte of a head to its last.
+    duration progressTimeout = std::chrono::seconds(30); ///< Limit for each 16 KB of a body, and for its end.
     duration writeTimeout = std::chrono::seconds(30); ///< Limit for each write to complete.
     tls_files tls; ///< If empty, plain HTTP is used. Callers authenticate with tokens, so no client certificate is requested.
 };
@@ -89,6 +101,8 @@
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
+    /** Changes the limits for requests that begin from now on. */
+    void setLimits(const request_limits &limits);
     /** Starts to accept connections. @return PeerUnreachable if the address cannot be bound */
     result<void> start();
     /** Closes each connection after its next response, which says so in its header. New connections are still accepted. */
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -28,7 +28,7 @@
 inline constexpr std::size_t headCopies = 5; // Of the head of a request that is passed on: fields, those of the request to the server, its bytes.
 inline constexpr std::size_t headReadBytes = 2U << 10U; // At once; more than the head of an ordinary request.
 inline constexpr std::size_t bodyReadBytes = 16U << 10U; // The same, of a body.
-inline constexpr std::size_t largeBodyReceiveBytes = 128U << 10U; // Kept by the kernel for the body of an admitted request that is as large.
+inline constexpr std::size_t mostReceiveBytes = 128U << 10U; // Kept by the kernel for the body of an admitted request.
 inline constexpr std::size_t discardBufferBytes = 16U << 10U;
 inline constexpr std::chrono::seconds discardTime(2); // For the rest of a refused request; a connection that is closed before would lose the answer.
 inline constexpr std::string_view retryAfterWhenFull = "1"; // Seconds; large bodies take about as long to be passed on.
@@ -162,13 +162,21 @@
     {
         m_server->idle.touch(this->idlePlace, *this);
         m_headBytes = 0;
+        m_isBodyTimed = false;
         m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_server->options.maximumHeaderBytes));
-        m_parser->body_limit(m_server->options.maximumBodyBytes);
+        applyLimits();
         lowestLayer().expires_after(m_server->options.idleTimeout);
         parseRequest();
     }
 
+    /** Applies the limits in force to the next request. */
+    void applyLimits()
+    {
+        m_buffer.max_size(std::max(m_server->options.maximumHeaderBytes + parseBufferBytes, m_buffer.size()));
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server->options.maximumHeaderBytes));
+        m_parser->body_limit(m_server->options.maximumBodyBytes);
+    }
+
     void close() override
     {
         if (m_isClosed) {
@@ -300,12 +308,23 @@
             onRequestRead({});
             return;
         }
-        if (m_parser->got_some()) {
-            m_server->requests->enter(*this, reception::clock::now());
-        }
+        awaitRest();
         readSome();
     }
 
+    /** Lists an incomplete request as being received, and limits the time of its next step. */
+    void awaitRest()
+    {
+        if (!m_parser->got_some()) {
+            return;
+        }
+        const bool isNew = m_server->requests->enter(*this, reception::clock::now());
+        const bool isBody = m_parser->is_header_done();
+        if (isNew || (isBody && (m_hasProgressed || !std::exchange(m_isBodyTimed, true)))) {
+            lowestLayer().expires_after(isBody ? m_server->options.progressTimeout : m_server->options.headerTimeout);
+        }
+    }
+
     void readSome()
     {
         const std::size_t room = m_buffer.max_size() - m_buffer.size();
@@ -331,7 +350,10 @@
         }
         m_server->idle.leave(this->idlePlace);
         m_buffer.commit(count);
-        m_server->requests->receive(*this, count, reception::clock::now());
+        if (!m_parser->got_some()) {
+            applyLimits(); // They may have changed during the wait.
+        }
+        m_hasProgressed = m_server->requests->receive(*this, count, reception::clock::now());
         if (error == asio::error::eof) {
             onRequestRead(m_parser->got_some() ? http::error::partial_message : http::error::end_of_stream);
         } else if (error) {
@@ -341,13 +363,21 @@
         }
     }
 
-    /** Lets the kernel take more of a large body at once. Its bytes are charged already. */
+    /** Sets what the kernel keeps of the connection's bytes. A body that is admitted may have more, since its bytes are charged already. */
     void setReceiveBuffer(std::size_t bytes)
     {
+        m_receiveBufferBytes = bytes;
         beast::error_code ignored;
         lowestLayer().socket().set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
     }
 
+    void resetReceiveBuffer()
+    {
+        if (m_receiveBufferBytes > m_server->options.receiveBufferBytes) {
+            setReceiveBuffer(m_server->options.receiveBufferBytes);
+        }
+    }
+
     /** Charges the request for a body of this size, and for the copies of its head. @return whether there is room; otherwise the request is refused */
     bool admit(std::uint64_t bodyBytes)
     {
@@ -358,8 +388,9 @@
             refuseRequest();
             return false;
         }
-        if (bodyBytes >= largeBodyReceiveBytes && !std::exchange(m_hasLargeReceiveBuffer, true)) {
-            setReceiveBuffer(largeBodyReceiveBytes);
+        const std::size_t useful = std::min<std::size_t>(static_cast<std::size_t>(bodyBytes), mostReceiveBytes);
+        if (useful > m_receiveBufferBytes && (useful == mostReceiveBytes || useful >= m_receiveBufferBytes * growthFactor)) {
+            setReceiveBuffer(useful);
         }
         return true;
     }
@@ -381,6 +412,7 @@
         m_buffer.clear();
         m_buffer.shrink_to_fit();
         this->m_charge.release();
+        resetReceiveBuffer();
     }
 
     /** Refuses a request for which there is no room. It has not run. */
@@ -463,9 +495,7 @@
             request.fields.add(std::string_view(field.name_string().data(), field.name_string().size()), std::string(field.value()));
         }
         request.body = std::move(m_parser->get().body());
-        if (std::exchange(m_hasLargeReceiveBuffer, false)) {
-            setReceiveBuffer(m_server->options.receiveBufferBytes);
-        }
+        resetReceiveBuffer();
         m_isResponsePending = true;
         m_isStreamEnded = false;
         m_isStreamOpen = false;
@@ -583,8 +613,10 @@
     std::uint64_t m_exchangeNumber = 0;
     unsigned m_version = 11;
     std::size_t m_headBytes = 0; ///< Of the request that is being received, as far as its head is parsed.
+    bool m_hasProgressed = false; ///< By the last bytes.
+    bool m_isBodyTimed = false; ///< The time limit is that of the body.
     bool m_isGivenUp = false; ///< The request that is being received is to be refused.
-    bool m_hasLargeReceiveBuffer = false;
+    std::size_t m_receiveBufferBytes = m_server->options.receiveBufferBytes;
     bool m_wantsKeepAlive = true;
     bool m_isResponsePending = false;
     bool m_isChunked = false;
--- a/net/reception.cpp
+++ b/net/reception.cpp
@@ -17,10 +17,10 @@
 {
 }
 
-void reception::enter(reception_member &member, clock::time_point now)
+bool reception::enter(reception_member &member, clock::time_point now)
 {
     if (member.m_place.isTaken()) {
-        return;
+        return false;
     }
     member.m_lastProgress = now;
     member.m_bytesSinceProgress = 0;
@@ -28,6 +28,7 @@
     if (m_members.size() > m_limits.maximumIncomplete) {
         giveUp(*m_members.oldest(), give_up_reason::TooManyIncomplete);
     }
+    return true;
 }
 
 bool reception::receive(reception_member &member, std::size_t bytes, clock::time_point now)
--- a/net/reception.h
+++ b/net/reception.h
@@ -32,7 +32,7 @@
     /** Bytes of heads and bodies that are held at once, from the head of a request until its exchange is gone; a quarter is kept for small requests. */
     std::size_t requestBytes = std::numeric_limits<std::size_t>::max();
     std::size_t maximumIncomplete = 1024; ///< Connections that receive a request, or hold unread bytes behind one that is under way.
-    std::chrono::milliseconds stallTime = std::chrono::milliseconds(500); ///< Without progress, after which a large request yields to another.
+    std::chrono::milliseconds stallTime = std::chrono::milliseconds(250); ///< Without progress, after which a large request yields to another.
 };
 
 /** Why a request is not received any further. */
@@ -81,8 +81,9 @@
     {
         return m_budget;
     }
-    /** Lists a connection that receives a request, if it is not listed yet. Beyond the limit, gives up the one without progress for longest. */
-    void enter(reception_member &member, clock::time_point now);
+    /** Lists a connection that receives a request, if it is not listed yet. Beyond the limit, gives up the one without progress for longest. @return whether it
+     * is new */
+    bool enter(reception_member &member, clock::time_point now);
     /** Counts bytes that a member has received. @return whether it made progress by them */
     bool receive(reception_member &member, std::size_t bytes, clock::time_point now);
     /** Raises the charge of a member to @p bytes, and gives up stalled ones that stand in the way. @return whether there is room */
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -283,6 +283,36 @@
     EXPECT_EQ(answers, (std::vector<std::string>{ "HTTP/1.1 413", "HTTP/1.1 400", "HTTP/1.1 400", "HTTP/1.1 400" }));
 }
 
+// Guards against limits of a changed configuration that do not reach connections already open.
+TEST(http, changedLimitsHoldForNextRequestOnOpenConnection)
+{
+    http_fixture fixture;
+    http_server server(fixture.io, { .address = fixture.where, .maximumBodyBytes = 8 }, [](std::shared_ptr<http_exchange> exchange) {
+        exchange->respond(textResponse(200, ""));
+    });
+    ASSERT_TRUE(server.start());
+    boost::asio::ip::tcp::socket caller(fixture.io);
+    caller.connect({ boost::asio::ip::make_address(fixture.where.ip), fixture.where.port });
+    std::vector<std::string> answers;
+    const auto send = [&](const std::string &request) {
+        boost::asio::write(caller, boost::asio::buffer(request));
+        std::array<char, 4096> buffer{};
+        caller.async_read_some(boost::asio::buffer(buffer), [&](const boost::system::error_code &, std::size_t count) {
+            answers.emplace_back(buffer.data(), std::min<std::size_t>(count, std::string("HTTP/1.1 200").size()));
+            fixture.io.stop();
+        });
+        fixture.io.restart();
+        fixture.io.run_for(20s);
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+    send(head + "8\r\n\r\n12345678");
+    server.setLimits({ 1024, 9, 20s, 20s, 20s });
+    send(head + "9\r\n\r\n123456789");
+    server.setLimits({ 1024, 8, 20s, 20s, 20s });
+    send(head + "9\r\n\r\n123456789");
+    EXPECT_EQ(answers, (std::vector<std::string>{ "HTTP/1.1 200", "HTTP/1.1 200", "HTTP/1.1 413" }));
+}
+
 // Guards against a request whose framing never ends, which would fill the memory of the server.
 TEST(http, requestsWithEndlessFramingAreTakenWithoutBound)
 {
--- a/net/testing/reception_test.cpp
+++ b/net/testing/reception_test.cpp
@@ -58,7 +58,7 @@
         return *members.back();
     }
 
-    reception requests{ { .requestBytes = budget, .maximumIncomplete = 50 } };
+    reception requests{ { .requestBytes = budget, .maximumIncomplete = 50, .stallTime = 500ms } };
     std::vector<std::unique_ptr<test_member>> members;
     bool isAdmitted = false;
 };
