Batch jobs: stalled requests yield to a job that is being recorded, too

What callers saw: beside 500 clients whose bodies of 60 KB stop short, an ordinary job of 21 KB got 503, and again three seconds later. Cause: once its document is read, a job is charged six times; that charge was raised without asking stalled requests to yield. Change: the charge of a complete request goes through the reception, like that of one being received.

--- a/net/http_session.h
+++ b/net/http_session.h
@@ -88,8 +88,9 @@
 class session_exchange : public http_exchange
 {
 public:
-    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number, http_request request, body_charge charge)
+    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number, http_request request, std::shared_ptr<reception> requests, body_charge charge)
         : m_session(std::move(session))
+        , m_requests(std::move(requests))
         , m_number(number)
         , m_request(std::move(request))
         , m_charge(std::move(charge))
@@ -103,7 +104,7 @@
     }
     bool reserve(std::size_t bytes) override
     {
-        return m_charge.raiseTo(bytes);
+        return m_requests->reserve(m_charge, bytes, reception::clock::now());
     }
     void respond(http_response response) override;
     void startStream(http_response head) override;
@@ -119,6 +120,7 @@
     std::shared_ptr<http_session> current() const;
 
     std::weak_ptr<http_session> m_session;
+    std::shared_ptr<reception> m_requests;
     std::uint64_t m_number;
     http_request m_request;
     body_charge m_charge; ///< For the body of m_request.
@@ -507,7 +509,8 @@
         ++m_server->inFlight;
         lowestLayer().expires_never();
         watchForDisconnect();
-        m_server->handle(std::make_shared<session_exchange>(this->weak_from_this(), ++m_exchangeNumber, std::move(request), std::move(this->m_charge)));
+        m_server->handle(
+            std::make_shared<session_exchange>(this->weak_from_this(), ++m_exchangeNumber, std::move(request), m_server->requests, std::move(this->m_charge)));
     }
 
     /** Closes the session if the caller disconnects while a response is pending. A pipelined request also wakes this wait and is ignored here. */
--- a/net/reception.cpp
+++ b/net/reception.cpp
@@ -45,11 +45,16 @@
 
 bool reception::reserve(reception_member &member, std::size_t bytes, clock::time_point now)
 {
-    const std::size_t lacking = member.m_charge.lackingFor(bytes);
+    return reserve(member.m_charge, bytes, now);
+}
+
+bool reception::reserve(body_charge &charge, std::size_t bytes, clock::time_point now)
+{
+    const std::size_t lacking = charge.lackingFor(bytes);
     std::size_t freed = 0;
     std::vector<reception_member *> yielding;
     for (auto each = m_members.objects().begin(); freed < lacking && each != m_members.objects().end(); ++each) {
-        if (*each != &member && mayYield(**each, bytes, now)) {
+        if (&(*each)->m_charge != &charge && mayYield(**each, bytes, now)) {
             freed += (*each)->m_charge.bytes();
             yielding.push_back(*each);
         }
@@ -60,7 +65,7 @@
     for (reception_member *each : yielding) {
         giveUp(*each, give_up_reason::RoomForOther);
     }
-    return member.m_charge.raiseTo(bytes);
+    return charge.raiseTo(bytes);
 }
 
 void reception::leave(reception_member &member)
--- a/net/reception.h
+++ b/net/reception.h
@@ -88,6 +88,8 @@
     bool receive(reception_member &member, std::size_t bytes, clock::time_point now);
     /** Raises the charge of a member to @p bytes, and gives up stalled ones that stand in the way. @return whether there is room */
     bool reserve(reception_member &member, std::size_t bytes, clock::time_point now);
+    /** Does the same for a request that is complete. */
+    bool reserve(body_charge &charge, std::size_t bytes, clock::time_point now);
     /** Removes a member whose request is complete or refused. */
     void leave(reception_member &member);
     /** Returns the members, that without progress for longest first. */
