HTTP server: a new connection takes no place of one whose request is under way, and a given-up read keeps its buffer

Cause: a request that comes behind another is parsed without a read, and only a read took its connection off the list of idle ones; at the bound of connections it could be closed while its request was under way. A request that is given up released the buffer of the read under way, which TLS may still use. Change: a connection leaves the list when its request begins, is incomplete or is refused; the buffer is released when the read has ended. Evidence: newConnectionEndsRequestUnderWay failed before and passes now. For the buffer there is no failing test: plain connections never use it again.

--- a/net/http_session.h
+++ b/net/http_session.h
@@ -207,8 +207,9 @@
             return;
         }
         m_isGivenUp = true;
-        releaseRequest();
-        lowestLayer().cancel(); // The read under way ends, and the request is refused.
+        m_parser.reset();
+        this->m_charge.release();
+        lowestLayer().cancel(); // The read under way ends, which may still use the buffer, and then the request is refused.
     }
 
     bool isCurrent(std::uint64_t number) const override
@@ -320,6 +321,7 @@
         if (!m_parser->got_some()) {
             return;
         }
+        m_server->idle.leave(this->idlePlace);
         const bool isNew = m_server->requests->enter(*this, reception::clock::now());
         const bool isBody = m_parser->is_header_done();
         if (isNew || (isBody && (m_hasProgressed || !std::exchange(m_isBodyTimed, true)))) {
@@ -350,7 +352,6 @@
             refuseRequest();
             return;
         }
-        m_server->idle.leave(this->idlePlace);
         m_buffer.commit(count);
         if (!m_parser->got_some()) {
             applyLimits(); // They may have changed during the wait.
@@ -453,6 +454,7 @@
 
     void rejectRequest(http::status status)
     {
+        m_server->idle.leave(this->idlePlace);
         m_wantsKeepAlive = false;
         m_isResponsePending = true;
         ++m_server->inFlight;
@@ -507,6 +509,7 @@
             m_buffer.shrink_to_fit();
         }
         ++m_server->inFlight;
+        m_server->idle.leave(this->idlePlace);
         lowestLayer().expires_never();
         watchForDisconnect();
         m_server->handle(
--- a/net/testing/http_test.cpp
+++ b/net/testing/http_test.cpp
@@ -313,6 +313,37 @@
     EXPECT_EQ(answers, (std::vector<std::string>{ "HTTP/1.1 200", "HTTP/1.1 200", "HTTP/1.1 413" }));
 }
 
+// Guards against a new connection that takes the place of one on which a request is under way, also if that request came behind another.
+TEST(http, newConnectionEndsRequestUnderWay)
+{
+    http_fixture fixture;
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server server(fixture.io, { .address = fixture.where, .maximumConnections = 1 }, [&](std::shared_ptr<http_exchange> exchange) {
+        if (exchange->request().target == "/first") {
+            exchange->respond(textResponse(200, ""));
+        } else {
+            held.push_back(std::move(exchange));
+        }
+    });
+    ASSERT_TRUE(server.start());
+    const auto connect = [&](const std::string &bytes) {
+        boost::asio::ip::tcp::socket caller(fixture.io);
+        caller.connect({ boost::asio::ip::make_address(fixture.where.ip), fixture.where.port });
+        boost::asio::write(caller, boost::asio::buffer(bytes));
+        return caller;
+    };
+    const auto idle = connect("");
+    fixture.io.run_for(50ms);
+    const auto caller = connect("GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (held.empty()) {
+        fixture.io.run_for(1ms);
+    }
+    EXPECT_EQ(server.connections(), 1U) << "the idle connection made room";
+    const auto another = connect("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.io.run_for(50ms);
+    EXPECT_FALSE(held.front()->isGone());
+}
+
 // Guards against a request whose framing never ends, which would fill the memory of the server.
 TEST(http, requestsWithEndlessFramingAreTakenWithoutBound)
 {
