Wording: requests are evicted, in the terms of caches

Cause: "given up" and "yields" are no usual terms for what net/reception does. Result: no behaviour changes.

--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -64,9 +64,11 @@
             m_context.usage = std::make_shared<usage_ledger>(m_context.settings.node + "/" + m_context.incarnation);
         }
         m_context.requests = std::make_shared<reception>(limitsFor(m_context.settings).requests);
-        m_context.requests->onGivenUp([this](give_up_reason reason) {
+        m_context.requests->setEvictionListener([this](eviction_reason reason) {
             m_metrics
-                .counter("reedtrail_requests_given_up_total", "Requests whose reception was ended, by reason", "reason=\"" + std::string(nameOf(reason)) + "\"")
+                .counter("reedtrail_requests_evicted_total",
+                         "Requests evicted while they were received, by reason",
+                         "reason=\"" + std::string(nameOf(reason)) + "\"")
                 .add();
         });
         m_context.randomSeed = std::hash<std::string>()(m_context.settings.node + m_context.incarnation);
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -65,11 +65,11 @@
     std::shared_ptr<reception> requests; ///< What is held of requests, here and by other servers of the process.
     std::set<std::shared_ptr<http_session>> sessions;
     recency_list<http_session> idle; ///< Connections that neither receive a request nor wait for a response.
-    std::vector<char> discarded = std::vector<char>(discardBufferBytes); ///< Bytes of refused requests, which nobody reads.
+    std::vector<char> discarded = std::vector<char>(discardBufferBytes); ///< Buffer for bytes of refused requests, which are dropped.
     std::size_t inFlight = 0;
     bool isStopping = false;
 
-    /** Closes the connection that waits for its caller, and has done so for longest. @return whether there is one */
+    /** Closes the least recently active connection without a request under way. @return whether there is one */
     bool closeOneWaiting()
     {
         http_session *waiting = idle.oldest();
@@ -199,17 +199,17 @@
         m_server->sessions.erase(this->shared_from_this());
     }
 
-    void giveUp(give_up_reason) override
+    void evict(eviction_reason) override
     {
         m_server->requests->leave(*this);
         if (m_isResponsePending || !m_parser->is_header_done()) {
             close();
             return;
         }
-        m_isGivenUp = true;
+        m_isEvicted = true;
         m_parser.reset();
         this->m_charge.release();
-        lowestLayer().cancel(); // The read under way ends, which may still use the buffer, and then the request is refused.
+        lowestLayer().cancel(); // The request is refused when the pending read, which may still use the buffer, has ended.
     }
 
     bool isCurrent(std::uint64_t number) const override
@@ -315,7 +315,7 @@
         readSome();
     }
 
-    /** Lists an incomplete request as being received, and limits the time of its next step. */
+    /** Enters an incomplete request into the reception, and sets the timeout of its next step. */
     void awaitRest()
     {
         if (!m_parser->got_some()) {
@@ -348,7 +348,7 @@
         if (m_isClosed) {
             return;
         }
-        if (m_isGivenUp) {
+        if (m_isEvicted) {
             refuseRequest();
             return;
         }
@@ -408,7 +408,7 @@
         return admit(m_parser->is_done() ? size : size * growthFactor);
     }
 
-    /** Gives back what the request that is being received holds. */
+    /** Releases the memory and the charge of the request that is being received. */
     void releaseRequest()
     {
         m_parser.reset(); // Assigning an empty text to the body would keep its memory.
@@ -621,7 +621,7 @@
     std::size_t m_headBytes = 0; ///< Of the request that is being received, as far as its head is parsed.
     bool m_hasProgressed = false; ///< By the last bytes.
     bool m_isBodyTimed = false; ///< The time limit is that of the body.
-    bool m_isGivenUp = false; ///< The request that is being received is to be refused.
+    bool m_isEvicted = false; ///< The request that was being received is refused when the pending read ends.
     std::size_t m_receiveBufferBytes = m_server->options.receiveBufferBytes;
     bool m_wantsKeepAlive = true;
     bool m_isResponsePending = false;
--- a/net/recency_list.h
+++ b/net/recency_list.h
@@ -14,12 +14,12 @@
 
 namespace reedtrail {
 
-/** Objects stay where they are; each keeps its own place, and leaves the list before it ends. */
+/** Does not own the objects. Each object holds its own place and must leave the list before it is destroyed. */
 template<class T>
 class recency_list
 {
 public:
-    /** Where an object stands in the list, if it does. */
+    /** Position of an object in the list, if it is in the list. */
     class place
     {
     public:
@@ -59,7 +59,7 @@
     {
         return m_objects.size();
     }
-    /** Returns the objects, that which was touched least recently first. */
+    /** Returns the objects, least recently touched first. */
     const std::list<T *> &objects() const
     {
         return m_objects;
--- a/net/reception.cpp
+++ b/net/reception.cpp
@@ -6,9 +6,9 @@
 
 namespace reedtrail {
 
-std::string_view nameOf(give_up_reason reason)
+std::string_view nameOf(eviction_reason reason)
 {
-    return reason == give_up_reason::TooManyIncomplete ? "too-many-incomplete" : "room-for-other";
+    return reason == eviction_reason::TooManyIncomplete ? "too-many-incomplete" : "room-for-other";
 }
 
 reception::reception(reception_limits limits)
@@ -26,7 +26,7 @@
     member.m_bytesSinceProgress = 0;
     m_members.touch(member.m_place, member);
     if (m_members.size() > m_limits.maximumIncomplete) {
-        giveUp(*m_members.oldest(), give_up_reason::TooManyIncomplete);
+        evict(*m_members.oldest(), eviction_reason::TooManyIncomplete);
     }
     return true;
 }
@@ -52,18 +52,18 @@
 {
     const std::size_t lacking = charge.lackingFor(bytes);
     std::size_t freed = 0;
-    std::vector<reception_member *> yielding;
+    std::vector<reception_member *> victims;
     for (auto each = m_members.objects().begin(); freed < lacking && each != m_members.objects().end(); ++each) {
-        if (&(*each)->m_charge != &charge && mayYield(**each, bytes, now)) {
+        if (&(*each)->m_charge != &charge && isEvictable(**each, bytes, now)) {
             freed += (*each)->m_charge.bytes();
-            yielding.push_back(*each);
+            victims.push_back(*each);
         }
     }
     if (freed < lacking) {
         return false;
     }
-    for (reception_member *each : yielding) {
-        giveUp(*each, give_up_reason::RoomForOther);
+    for (reception_member *each : victims) {
+        evict(*each, eviction_reason::RoomForOther);
     }
     return charge.raiseTo(bytes);
 }
@@ -73,8 +73,8 @@
     m_members.leave(member.m_place);
 }
 
-/** Tells whether a member holds room that a request of @p bytes may take over. */
-bool reception::mayYield(const reception_member &member, std::size_t bytes, clock::time_point now) const
+/** Tells whether a member may be evicted for a request of @p bytes, because it holds room of the same class and has stalled. */
+bool reception::isEvictable(const reception_member &member, std::size_t bytes, clock::time_point now) const
 {
     const std::size_t held = member.m_charge.bytes();
     const bool isSmall = bytes <= body_budget::largestSmallRequest;
@@ -84,11 +84,11 @@
     return isSmall || now - member.m_lastProgress >= m_limits.stallTime;
 }
 
-void reception::giveUp(reception_member &member, give_up_reason reason)
+void reception::evict(reception_member &member, eviction_reason reason)
 {
-    logLine(log_level::Info, "request-given-up", { { "reason", std::string(nameOf(reason)) }, { "held", std::to_string(member.m_charge.bytes()) } });
-    m_onGivenUp(reason);
-    member.giveUp(reason);
+    logLine(log_level::Info, "request-evicted", { { "reason", std::string(nameOf(reason)) }, { "held", std::to_string(member.m_charge.bytes()) } });
+    m_onEvicted(reason);
+    member.evict(reason);
 }
 
 } // namespace reedtrail
--- a/net/testing/reception_test.cpp
+++ b/net/testing/reception_test.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t large = 300U << 10U;
 constexpr std::size_t small = 40U << 10U;
 
-/** A connection that notes why it was given up. */
+/** A connection that records why it was evicted. */
 class test_member : public reception_member
 {
 public:
@@ -30,7 +30,7 @@
     {
         m_requests.leave(*this);
     }
-    void giveUp(give_up_reason why) override
+    void evict(eviction_reason why) override
     {
         reason = why;
         m_requests.leave(*this);
@@ -41,7 +41,7 @@
         return m_charge.bytes();
     }
 
-    std::optional<give_up_reason> reason;
+    std::optional<eviction_reason> reason;
 
 private:
     reception &m_requests;
@@ -63,7 +63,7 @@
     bool isAdmitted = false;
 };
 
-TEST(reception_test, stalledLargeRequestYieldsAfterStallTime)
+TEST(reception_test, stalledLargeRequestIsEvictedAfterStallTime)
 {
     reception_fixture fixture;
     test_member &first = fixture.add(large);
@@ -73,7 +73,7 @@
     EXPECT_FALSE(first.reason) << "it may still be moving";
     fixture.add(large, reception::clock::time_point(500ms));
     EXPECT_TRUE(fixture.isAdmitted);
-    EXPECT_EQ(first.reason, give_up_reason::RoomForOther);
+    EXPECT_EQ(first.reason, eviction_reason::RoomForOther);
     EXPECT_EQ(first.held(), 0U);
 }
 
@@ -88,7 +88,7 @@
     }
     fixture.add(large, reception::clock::time_point(500ms));
     EXPECT_TRUE(fixture.isAdmitted);
-    EXPECT_EQ(dripping.reason, give_up_reason::RoomForOther);
+    EXPECT_EQ(dripping.reason, eviction_reason::RoomForOther);
     EXPECT_FALSE(moving.reason);
 }
 
@@ -104,7 +104,7 @@
     }
     fixture.add(small);
     EXPECT_TRUE(fixture.isAdmitted);
-    EXPECT_EQ(stalled[0]->reason, give_up_reason::RoomForOther);
+    EXPECT_EQ(stalled[0]->reason, eviction_reason::RoomForOther);
     EXPECT_FALSE(stalled[1]->reason);
     EXPECT_FALSE(firstLarge.reason);
     fixture.add(tiny);
@@ -112,7 +112,7 @@
     EXPECT_FALSE(stalled[1]->reason) << "the last part is for tiny requests";
 }
 
-TEST(reception_test, nothingYieldsToRequestThatDoesNotFitAnyhow)
+TEST(reception_test, nothingIsEvictedForRequestThatDoesNotFitAnyhow)
 {
     reception_fixture fixture;
     test_member &underWay = fixture.add(2 * large);
@@ -123,7 +123,7 @@
     EXPECT_FALSE(stalled.reason);
 }
 
-TEST(reception_test, oneTooManyEndsTheOneWithoutProgress)
+TEST(reception_test, oneTooManyEvictsLeastRecent)
 {
     reception_fixture fixture;
     for (int i = 0; i < 50; ++i) {
@@ -132,11 +132,11 @@
     fixture.requests.receive(*fixture.members[0], reception::progressBytes, {});
     fixture.add(0);
     EXPECT_FALSE(fixture.members[0]->reason);
-    EXPECT_EQ(fixture.members[1]->reason, give_up_reason::TooManyIncomplete);
+    EXPECT_EQ(fixture.members[1]->reason, eviction_reason::TooManyIncomplete);
     EXPECT_EQ(fixture.requests.members().size(), 50U);
 }
 
-/** Whatever comes in whatever order: the limits hold, small requests are admitted while small incomplete ones hold their room, and nobody moving yields. */
+/** The limits hold, small requests are admitted while incomplete ones hold their room, and no large request that makes progress is evicted for another. */
 TEST(reception_test, randomRequestsKeepToLimits)
 {
     random_source random(5);
@@ -163,7 +163,7 @@
             }
         }
         for (test_member *each : moving) {
-            EXPECT_NE(each->reason, give_up_reason::RoomForOther);
+            EXPECT_NE(each->reason, eviction_reason::RoomForOther);
         }
         EXPECT_LE(fixture.requests.members().size(), 50U);
         EXPECT_LE(fixture.requests.budget()->held(), budget + large);
