Edge: free memory is returned after evictions, instead of by fixed thresholds of the allocator

All 28 of crowd_test pass alone with this change, allKindsInSeries at 31 MiB; beside a machine load of 21 allKindsInSeries refused the ordinary 4 MB request twice (35 MiB) and is listed as unsteady.

--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -34,9 +34,6 @@
 constexpr std::size_t maxServerBytesInFlight = 16U << 20U; // Of all responses under way; the smallest machines have 88 MB.
 constexpr std::size_t maxIdleServerConnections = 24; // Per server: twice the slots of the largest server, so that a burst reuses existing connections.
 
-constexpr int largeAllocationBytes = 64 << 10; // From here on memory is the kernel's again when it is freed; the C library would raise this up to 32 MB.
-constexpr int keptFreeBytes = 1 << 20; // Free memory at the end of the heap that the process keeps; the C library would raise this up to 64 MB.
-
 /** Owns the event loop, the clients and the services of the process, and handles its signals. */
 class edge_process
 {
@@ -65,6 +62,7 @@
         }
         m_context.requests = std::make_shared<reception>(limitsFor(m_context.settings).requests);
         m_context.requests->setEvictionListener([this](eviction_reason reason) {
+            m_hasEvicted = true;
             m_metrics
                 .counter("reedtrail_requests_evicted_total",
                          "Requests evicted while they were received, by reason",
@@ -257,6 +255,9 @@
     {
         m_loop.after(logFlushInterval, [this] {
             flushLog();
+            if (std::exchange(m_hasEvicted, false)) {
+                ::malloc_trim(0); // The heap keeps what evicted requests have left between longer-lived blocks, and the next crowd would come on top.
+            }
             scheduleLogFlush();
         });
     }
@@ -306,6 +307,7 @@
     kernel m_services;
     caller_service *m_callers = nullptr;
     stream_origins *m_origins = nullptr;
+    bool m_hasEvicted = false; ///< Requests were evicted since the last flush of the log.
     std::uint64_t m_reportedConnections = 0; ///< Connections to backend servers up to the last report.
     std::map<std::string, std::uint64_t> m_storeCalls; ///< Since the last report, by kind and subject.
     boost::asio::signal_set m_signals;
@@ -326,8 +328,6 @@
         return *parsed.exitCode;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    ::mallopt(M_MMAP_THRESHOLD, largeAllocationBytes);
-    ::mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
     edge_settings settings;
     const std::optional<failure> error = failureOf([&]() -> result<void> {
         BOOST_LEAF_ASSIGN(settings, platform::readNodeFile(parsed.value("settings", platform::nodeFilePath())));
