review: case 14, memory of responses that callers read slowly

Cause: a response is held until its caller has read it, and nothing bounds the sum of such responses. Nothing is fixed.

--- a/review/standins-3/slow_readers_case.cpp
+++ b/review/standins-3/slow_readers_case.cpp
@@ -1,7 +1,6 @@
-// Case 14: clients that read slowly ask for the results of a batch job, a page of 0.9 MB each. What a node holds of the responses that they have not read yet
-// is bounded for each connection, but not for all of them together.
+// Case 14: clients read the response of a server slowly. What a node holds of the responses that they have not read yet is bounded for each connection, but not
+// for all of them together.
 
-#include "platform/base64.h"
 #include "review/standins-3/back_end.h"
 #include "review/standins-3/memory_watch.h"
 
@@ -15,29 +14,26 @@
 using tcp = asio::ip::tcp;
 
 constexpr int memoryMegabytes = 110; // Of an edge machine of the sheet.
-constexpr int itemsOfJob = 20;
-constexpr int eventsOfItem = 30;
-constexpr std::size_t eventBytes = 1500; // The sheet: 1,900 at most.
-constexpr milliseconds eventInterval(20);
-const int readers = std::getenv("READERS") ? std::atoi(std::getenv("READERS")) : 900;
+constexpr std::size_t responseBytes = 6U << 20U;
+constexpr std::size_t readers = 120; // Of three nodes.
 constexpr int receiveBufferBytes = 4096;
 constexpr std::size_t slowReadBytes = 2048;
 constexpr milliseconds slowReadInterval(200);
 constexpr std::size_t fastReadBytes = 65536;
-constexpr milliseconds readPause(500); // Between two reads of a client.
-constexpr milliseconds judgedAfter(60000);
+constexpr milliseconds readPause(500); // Between two requests of a client.
+constexpr milliseconds judgedAfter(70000);
 constexpr std::size_t machinesOfFault = 2; // Fault: on two machines at least, three times.
 constexpr int endsOfFault = 3;
 
-/** A client that reads the results of the job again and again. */
-class result_reader : public std::enable_shared_from_this<result_reader>
+/** A client that asks again and again, each time on a new connection. */
+class response_reader : public std::enable_shared_from_this<response_reader>
 {
 public:
-    result_reader(deployment &platform, endpoint node, bool isSlow, int number)
+    response_reader(deployment &platform, endpoint node, bool isSlow, std::size_t number)
         : m_platform(platform)
         , m_node(std::move(node))
         , m_socket(platform.io())
-        , m_request("GET /-/lots/job0?after=0 HTTP/1.1\r\nHost: review.example\r\nRequest-Id: q" + std::to_string(number) + "\r\nConnection: close\r\n\r\n")
+        , m_name("q" + std::to_string(number))
         , m_isSlow(isSlow)
     {
     }
@@ -52,6 +48,8 @@
             m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
         }
         m_received = 0;
+        m_request = "GET /export/all HTTP/1.1\r\nHost: review.example\r\nRequest-Id: " + m_name + "-" + std::to_string(++m_asked)
+            + "\r\nDeadline-Ms: 60000\r\nConnection: close\r\n\r\n";
         m_socket.async_connect({ asio::ip::make_address(m_node.ip), m_node.port }, [self = shared_from_this()](const boost::system::error_code &error) {
             if (error) {
                 self->askAgain();
@@ -62,9 +60,9 @@
             });
         });
     }
-    int pages() const
+    int responses() const
     {
-        return m_pages;
+        return m_responses;
     }
 
 private:
@@ -74,7 +72,7 @@
         m_socket.async_read_some(asio::buffer(m_buffer.data(), most), [self = shared_from_this()](const boost::system::error_code &error, std::size_t count) {
             self->m_received += count;
             if (error) {
-                self->m_pages += self->m_received > static_cast<std::size_t>(itemsOfJob * eventsOfItem) * eventBytes ? 1 : 0;
+                self->m_responses += self->m_received > responseBytes ? 1 : 0;
                 self->askAgain();
                 return;
             }
@@ -94,11 +92,13 @@
     deployment &m_platform;
     endpoint m_node;
     tcp::socket m_socket;
+    std::string m_name;
     std::string m_request;
     bool m_isSlow;
     std::array<char, fastReadBytes> m_buffer{};
     std::size_t m_received = 0;
-    int m_pages = 0;
+    int m_asked = 0;
+    int m_responses = 0;
 };
 
 class readers_case
@@ -114,17 +114,14 @@
     int run()
     {
         using nlohmann::json;
-        const json models = json::array({ json{ { "name", "m0" }, { "version", 1 }, { "adapters", json::array() } } });
         m_platform.writeConfiguration(
-            json::array({ deployment::route(
-                "/roll/", "rollout", "models", { { "timeoutMs", 10000 }, { "runTargetMs", 7500 }, { "itemTtlS", 120 }, { "targetLatencyMs", 400 } }) }),
-            json::array({ json{ { "name", "models" },
-                                { "healthPath", "/health" },
-                                { "engine", { { "slots", 12 }, { "models", json::array({ json{ { "name", "m0" } } }) } } } } }));
+            json::array({ deployment::route("/export/", "idempotent", "exports", { { "timeoutMs", 60000 }, { "targetLatencyMs", 2000 } }) }),
+            json::array({ json{ { "name", "exports" }, { "healthPath", "/health" } } }));
         for (int i = 1; i <= 4; ++i) {
-            const back_end_facts facts{ "models", "i-" + std::to_string(i), "1", 12, models };
-            m_servers.push_back(std::make_unique<back_end>(m_platform, facts, [this](back_end &, std::shared_ptr<http_exchange> exchange) {
-                serve(std::move(exchange));
+            const back_end_facts facts{ "exports", "i-" + std::to_string(i), "1", 12 };
+            m_servers.push_back(std::make_unique<back_end>(m_platform, facts, [](back_end &, std::shared_ptr<http_exchange> exchange) {
+                const std::string id(exchange->request().fields.get("Request-Id"));
+                exchange->respond({ 200, { { "Request-Id", id }, { "Server-Signature", "s-" + id } }, std::string(responseBytes, 'e') });
             }));
         }
         for (const char *zone : { "z1", "z2", "z3" }) {
@@ -133,9 +130,6 @@
         m_platform.whenReady([this] {
             m_watch.start();
             m_platform.after(milliseconds(4000), [this] {
-                submit();
-            });
-            m_platform.after(milliseconds(9000), [this] {
                 startReaders();
             });
             m_platform.after(judgedAfter, [this] {
@@ -146,56 +140,12 @@
     }
 
 private:
-    /** Streams the events of an item. */
-    void serve(std::shared_ptr<http_exchange> exchange)
-    {
-        const std::string id(exchange->request().fields.get("Request-Id"));
-        const std::string last(exchange->request().fields.get("Last-Event-Id"));
-        exchange->startStream(
-            { 200, { { "Content-Type", "text/event-stream" }, { "Request-Id", id }, { "Server-Signature", "s-" + id }, { "Weight-Versions", "1" } }, "" });
-        sendEvent(std::move(exchange), last.empty() ? 1 : std::stoi(last) + 1);
-    }
-
-    void sendEvent(std::shared_ptr<http_exchange> exchange, int number)
-    {
-        if (exchange->isGone() || number > eventsOfItem) {
-            exchange->finishStream();
-            return;
-        }
-        exchange->write("id: " + std::to_string(number) + "\ndata: " + std::string(eventBytes, 'e') + "\n\n");
-        m_platform.after(eventInterval, [this, exchange, number] {
-            sendEvent(exchange, number + 1);
-        });
-    }
-
-    void submit()
-    {
-        using nlohmann::json;
-        json items = json::array();
-        for (int i = 0; i < itemsOfJob; ++i) {
-            items.push_back({ { "id", "job0x" + std::to_string(i) },
-                              { "path", "/roll/" + std::to_string(i) },
-                              { "headers", { { "Model", "m0" }, { "Token-Count", "100,50" } } },
-                              { "body", platform::encodeBase64("prompt") },
-                              { "tokens", 150 },
-                              { "group", "g" + std::to_string(i / 4) } });
-        }
-        http_request request;
-        request.method = "POST";
-        request.target = "/roll/submit";
-        request.fields = { { "Host", "review.example" }, { "Request-Id", "job0" }, { "Content-Type", "application/json" }, { "Connection", "close" } };
-        request.body = json{ { "step", 0 }, { "model", "m0" }, { "minVersion", 1 }, { "groupCount", itemsOfJob / 4 }, { "items", items } }.dump();
-        m_platform.client().call(m_platform.nodes().front()->callers, std::move(request), {}, [this](const http_call_end &end, const http_response &answer) {
-            m_platform.record("submission of job0: " + (end.error == error_kind::None ? std::to_string(answer.status) : end.detail));
-        });
-    }
-
     void startReaders()
     {
-        m_platform.record(std::string(m_options.hasTrouble ? "TROUBLE: slow" : "fast") + " clients begin to read the results, " + std::to_string(readers));
-        for (int i = 0; i < readers; ++i) {
-            const endpoint &node = m_platform.nodes()[static_cast<std::size_t>(i) % m_platform.nodes().size()]->callers;
-            m_readers.push_back(std::make_shared<result_reader>(m_platform, node, m_options.hasTrouble, i));
+        m_platform.record(std::string(m_options.hasTrouble ? "TROUBLE: slow" : "fast") + " clients begin to ask, " + std::to_string(readers));
+        for (std::size_t i = 0; i < readers; ++i) {
+            const endpoint &node = m_platform.nodes()[i % m_platform.nodes().size()]->callers;
+            m_readers.push_back(std::make_shared<response_reader>(m_platform, node, m_options.hasTrouble, i));
             m_readers.back()->ask();
         }
     }
@@ -206,14 +156,14 @@
         for (const auto &[name, count] : m_watch.kills()) {
             machines += count >= endsOfFault ? 1 : 0;
         }
-        int pages = 0;
+        int responses = 0;
         for (const auto &reader : m_readers) {
-            pages += reader->pages();
+            responses += reader->responses();
         }
         const std::string counts = std::to_string(m_watch.totalKills()) + " processes were killed for their memory, on " + std::to_string(machines)
             + " machines three times or more; at most " + std::to_string(static_cast<int>(m_watch.peakMegabytes())) + " MB of "
-            + std::to_string(memoryMegabytes) + " were used; " + std::to_string(pages) + " pages were read";
-        if (!m_options.hasTrouble && pages == 0) {
+            + std::to_string(memoryMegabytes) + " were used; " + std::to_string(responses) + " responses were read whole";
+        if (!m_options.hasTrouble && responses == 0) {
             m_platform.finish(verdict::NotRun, counts);
         } else {
             m_platform.finish(machines >= machinesOfFault ? verdict::Broken : verdict::Held, counts);
@@ -224,7 +174,7 @@
     deployment m_platform;
     memory_watch m_watch;
     std::vector<std::unique_ptr<back_end>> m_servers;
-    std::vector<std::shared_ptr<result_reader>> m_readers;
+    std::vector<std::shared_ptr<response_reader>> m_readers;
 };
 
 } // namespace
