--- a/review/standins-3/dark_crash_case.cpp
+++ b/review/standins-3/dark_crash_case.cpp
@@ -1,4 +1,4 @@
-// Case 12: a request crashes each server that runs it, in the way in which the machine falls silent: no connection is reset. The servers are back after three
+// Case 13: a request crashes each server that runs it, in the way in which the machine falls silent: no connection is reset. The servers are back after three
 // seconds. The request comes again, with the same path, caller and body.
 
 #include "review/standins-3/back_end.h"
--- a/review/standins-3/memory_watch.cpp
+++ b/review/standins-3/memory_watch.cpp
@@ -1,5 +1,6 @@
 #include "review/standins-3/memory_watch.h"
 
+#include <algorithm>
 #include <fstream>
 
 namespace reedtrail::review {
@@ -8,6 +9,7 @@
 constexpr milliseconds lookInterval(50);
 constexpr milliseconds restartDelay(500);
 constexpr double kilobytesPerMegabyte = 1024;
+constexpr int endsOfFault = 3;
 
 /** Returns the memory that a process holds by itself, without the pages of its program's file, in MB; 0 if it can't be read. */
 double privateMegabytes(pid_t process)
@@ -39,6 +41,13 @@
     return sum;
 }
 
+std::size_t memory_watch::machinesWithFault() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_kills, [](const auto &each) {
+        return each.second >= endsOfFault;
+    }));
+}
+
 void memory_watch::look()
 {
     for (const auto &node : m_platform.nodes()) {
--- a/review/standins-3/memory_watch.h
+++ b/review/standins-3/memory_watch.h
@@ -27,6 +27,8 @@
         return m_kills;
     }
     int totalKills() const;
+    /** Returns on how many machines processes were killed three times or more; the rule Fault names two machines. */
+    std::size_t machinesWithFault() const;
     /** Returns the greatest use of memory seen, in MB. */
     double peakMegabytes() const
     {
