Streams: a keeper that does not answer is replaced, and questions go on to further nodes

Cause: the keepers of a stream were chosen among all registered nodes, as if each were there. A lost node stays registered; record() heard of no failure and tried no other node, and find() asked the same three only.

Both new tests failed on that code.

Change: peer_presence remembers who did not answer lately; such nodes are no keepers. A keeper that has not answered after 40 ms is replaced for this entry, one that does not answer at all or leaves the list also for all entries that it was sent before. A question goes on in rounds while some of those asked don't answer, and to three more nodes before the origin counts as unknown, as the writer may have passed over others.

It works because an entry is now held by nodes that have answered, whoever is in the list, and the reader's order is the writer's but for nodes that one of them misses.

--- a/fleet/stream_origin_client.h
+++ b/fleet/stream_origin_client.h
@@ -8,6 +8,10 @@
  * Nobody waits for them: an entry that does not arrive costs the caller its stream, never a stream of two builds. While a service has one build, nothing is
  * sent; the entries of its streams follow when a second one registers, or when this node is stopped.
  *
+ * Failure pattern: many of the listed nodes are lost, for good or for some seconds, and each node has its own view of which. Nodes that did not answer lately
+ * are no keepers. A keeper that does not answer soon is replaced by the next node; one that does not answer at all, or is gone from the list, also for the
+ * entries that it was sent before. A question goes on to further nodes, as the node that sent the entry may have passed over others than this one does.
+ *
  * A stream of which neither this node nor a keeper has an entry began at the only build of its service, if this node sees no other one, none that answers has
  * seen another one for as long as a stream lasts, and one of them has observed the service without a gap all the while. Otherwise its origin is unknown, and it
  * is refused. What this node sees must be read after the caller has taken the stream up: isSoleBuildStill(), after a read.
@@ -21,6 +25,7 @@
 #include "base/hash.h"
 #include "fleet/event_loop.h"
 #include "fleet/peer_ask.h"
+#include "fleet/peer_presence.h"
 #include "fleet/service_builds.h"
 #include "fleet/store_router.h"
 #include "fleet/stream_origin_table.h"
@@ -50,6 +55,8 @@
 struct stream_origin_options
 {
     std::size_t keepers = 3; ///< Nodes that keep the origin of a stream, in as many zones as there are.
+    duration replaceAfter = std::chrono::milliseconds(40); ///< An entry goes to one more node if a keeper has not answered by then.
+    int questionRounds = 4; ///< In which further nodes are asked for a stream while some don't answer, twice as many in each round.
     duration observationSkew = service_builds::maxGap; ///< By which other nodes may have begun later than this one to observe the only build of a service.
     std::size_t recordsInMessage = 200; ///< Of the streams that are entered when a second build registers.
     std::size_t tableCapacity = stream_origin_table::defaultCapacity;
@@ -110,10 +117,18 @@
     /** Replaces the list of all nodes, by name, this node included. */
     void setNodes(const std::map<std::string, store_peer> &nodes)
     {
-        m_zoneOf.clear();
+        const std::map<std::string, std::string> before = std::exchange(m_zoneOf, {});
         for (const auto &[name, node] : nodes) {
             m_zoneOf.emplace(name, node.zone);
         }
+        m_presence.keepOnly(m_zoneOf);
+        placements lost;
+        for (const auto &[name, zone] : before) {
+            if (!m_zoneOf.contains(name)) {
+                takeFrom(name, lost);
+            }
+        }
+        place(lost);
     }
 
     /**
@@ -134,24 +149,20 @@
         if (!m_isLeaving && isCurrent && sole->build == origin.build && now - sole->since >= maximumAge + m_options.observationSkew) {
             return;
         }
-        stream_message message;
-        message.records.push_back(stream_origin_table::recordOf(now, stream, *m_table.find(now, stream)));
-        for (const std::string &keeper : otherKeepersOf(stream)) {
-            send(keeper, message);
-        }
+        placeAnew({ &stream, 1 });
     }
 
     /** Sends all entries to their keepers, and from now on each new one: this node is being stopped, and the others may have started too recently to infer. */
     void prepareToLeave()
     {
         m_isLeaving = true;
-        sendToKeepers(m_table.recordsOf(m_loop.now()));
+        placeAnew(m_table.streamsOf(m_loop.now()));
     }
 
     /** Sends the entries of a service to their keepers; called when they can no longer be inferred, as service_builds::update() tells. */
     void sendEntriesOf(const std::string &service)
     {
-        sendToKeepers(m_table.recordsOf(m_loop.now(), service));
+        placeAnew(m_table.streamsOf(m_loop.now(), service));
     }
 
     /**
@@ -165,24 +176,16 @@
             onEnd({ origin_source::OwnTable, row->origin, row->connectedAt, "" });
             return;
         }
-        const std::vector<std::string> keepers = otherKeepersOf(stream);
-        const auto question = std::make_shared<pending_question>(pending_question{ service, maximumAge, std::move(onEnd), keepers.size(), false, false });
-        if (keepers.empty()) {
+        const auto question = std::make_shared<pending_question>();
+        question->stream = stream;
+        question->service = service;
+        question->maximumAge = maximumAge;
+        question->onEnd = std::move(onEnd);
+        if (m_zoneOf.size() - m_zoneOf.count(m_ownNode) == 0) {
             const std::optional<service_builds::sole_build> sole = m_builds.sole(service);
             question->isConfirmed = sole && sole->asOf - sole->since >= maximumAge; // There is no other node to ask.
-            inferOrigin(*question);
-            return;
-        }
-        stream_message message;
-        message.askedStream = stream;
-        message.askedService = service;
-        for (const std::string &keeper : keepers) {
-            m_peers.send(keeper, message, [weak = this->weak_from_this(), question, keeper](peer_ask_end end, const stream_reply &reply) {
-                if (const auto self = weak.lock()) {
-                    self->takeReply(*question, keeper, end, reply);
-                }
-            });
         }
+        askNextRound(question);
     }
 
     /**
@@ -223,6 +226,14 @@
     void expire()
     {
         m_table.expire(m_loop.now());
+        for (auto &[keeper, entries] : m_heldBy) {
+            std::erase_if(entries, [this](const auto &entry) {
+                return m_table.find(m_loop.now(), entry->stream) == nullptr;
+            });
+        }
+        std::erase_if(m_heldBy, [](const auto &each) {
+            return each.second.empty();
+        });
     }
     std::size_t size() const
     {
@@ -230,42 +241,157 @@
     }
 
 private:
+    /** To whom an entry was sent. */
+    struct placement
+    {
+        std::string stream;
+        std::set<std::string> asked;
+        std::set<std::string> failed; ///< Those of them that did not answer, or are gone since.
+    };
+    using placements = std::vector<std::shared_ptr<placement>>;
+
     struct pending_question
     {
+        std::string stream;
         std::string service;
-        duration maximumAge;
+        duration maximumAge{};
         handler onEnd; ///< Empty once it has been called.
+        int round = 0;
+        bool isExtended = false; ///< Whether nodes beyond the keepers were asked, too.
+        std::set<std::string> asked;
+        std::set<std::string> failed; ///< Those of them that did not answer.
         std::size_t open = 0; ///< Replies that are still to come.
         bool isConfirmed = false; ///< Another node has seen this node's only build, and no other one, for long enough.
         bool isContradicted = false; ///< Another node has seen other builds.
     };
 
-    void send(const std::string &keeper, const stream_message &message)
+    /** Sends entries of this node to their keepers. */
+    void placeAnew(std::span<const std::string> streams)
     {
-        m_peers.send(keeper, message, [](peer_ask_end, const stream_reply &) {});
+        placements fresh;
+        for (const std::string &stream : streams) {
+            fresh.push_back(std::make_shared<placement>());
+            fresh.back()->stream = stream;
+        }
+        place(fresh);
     }
 
-    void sendToKeepers(std::span<const stream_record> records)
+    /** Sends entries to those of their keepers that have not been asked yet. */
+    void place(const placements &entries)
     {
-        std::map<std::string, stream_message> messages;
-        for (const stream_record &each : records) {
-            for (const std::string &keeper : otherKeepersOf(each.stream)) {
-                stream_message &message = messages[keeper];
-                message.records.push_back(each);
-                if (message.records.size() == m_options.recordsInMessage) {
-                    send(keeper, std::exchange(message, {}));
+        std::map<std::string, placements> byKeeper;
+        for (const auto &entry : entries) {
+            for (const std::string &keeper : otherKeepersOf(entry->stream, entry->failed, m_options.keepers)) {
+                if (!entry->asked.insert(keeper).second) {
+                    continue;
+                }
+                m_heldBy[keeper].push_back(entry);
+                placements &batch = byKeeper[keeper];
+                batch.push_back(entry);
+                if (batch.size() == m_options.recordsInMessage) {
+                    send(keeper, std::exchange(batch, {}));
                 }
             }
         }
-        for (const auto &[keeper, message] : messages) {
-            if (!message.records.empty()) {
-                send(keeper, message);
+        for (const auto &[keeper, batch] : byKeeper) {
+            send(keeper, batch);
+        }
+    }
+
+    void send(const std::string &keeper, const placements &batch)
+    {
+        stream_message message;
+        for (const auto &entry : batch) {
+            if (const stream_origin_table::row *row = m_table.find(m_loop.now(), entry->stream)) {
+                message.records.push_back(stream_origin_table::recordOf(m_loop.now(), entry->stream, *row));
             }
         }
+        if (message.records.empty()) {
+            return;
+        }
+        const auto isAnswered = std::make_shared<bool>(false);
+        m_peers.send(keeper, message, [weak = this->weak_from_this(), keeper, isAnswered](peer_ask_end end, const stream_reply &) {
+            *isAnswered = end == peer_ask_end::Answered;
+            if (const auto self = weak.lock()) {
+                self->recordPresence(keeper, end);
+            }
+        });
+        m_loop.after(m_options.replaceAfter, [weak = this->weak_from_this(), keeper, batch, isAnswered] {
+            const auto self = weak.lock();
+            if (self && !*isAnswered) {
+                for (const auto &entry : batch) {
+                    entry->failed.insert(keeper);
+                }
+                self->place(batch);
+            }
+        });
     }
 
-    void takeReply(pending_question &question, const std::string &keeper, peer_ask_end end, const stream_reply &reply)
+    /** Handles how a message to a node ended. If it was not answered, the entries that the node was sent go to other nodes. */
+    void recordPresence(const std::string &node, peer_ask_end end)
     {
+        if (end == peer_ask_end::Answered) {
+            m_presence.recordAnswer(node);
+            return;
+        }
+        m_presence.recordSilence(m_loop.now(), node);
+        placements lost;
+        takeFrom(node, lost);
+        place(lost);
+    }
+
+    /** Adds the entries that a node was sent to @p lost, which need another keeper. */
+    void takeFrom(const std::string &node, placements &lost)
+    {
+        const auto held = m_heldBy.find(node);
+        if (held == m_heldBy.end()) {
+            return;
+        }
+        for (const auto &entry : std::exchange(held->second, {})) {
+            entry->failed.insert(node);
+            lost.push_back(entry);
+        }
+    }
+
+    /** Asks the next nodes that may have the origin, or ends the question. */
+    void askNextRound(const std::shared_ptr<pending_question> &question)
+    {
+        std::vector<std::string> nodes;
+        if (question->round < m_options.questionRounds) {
+            nodes = otherKeepersOf(question->stream, question->failed, m_options.keepers << question->round);
+            std::erase_if(nodes, [&question](const std::string &node) {
+                return question->asked.contains(node);
+            });
+        }
+        ++question->round;
+        if (nodes.empty()) {
+            const found_origin inferred = inferOrigin(*question);
+            if (inferred.source == origin_source::Unknown && !std::exchange(question->isExtended, true)) {
+                nodes = chooseNodes(question->stream, question->asked, m_options.keepers);
+            }
+            if (nodes.empty()) {
+                std::exchange(question->onEnd, nullptr)(inferred);
+                return;
+            }
+        }
+        stream_message message;
+        message.askedStream = question->stream;
+        message.askedService = question->service;
+        question->asked.insert(nodes.begin(), nodes.end());
+        question->open = nodes.size();
+        for (const std::string &node : nodes) {
+            m_peers.send(node, message, [weak = this->weak_from_this(), question, node](peer_ask_end end, const stream_reply &reply) {
+                if (const auto self = weak.lock()) {
+                    self->recordPresence(node, end);
+                    self->takeReply(question, node, end, reply);
+                }
+            });
+        }
+    }
+
+    void takeReply(const std::shared_ptr<pending_question> &pending, const std::string &keeper, peer_ask_end end, const stream_reply &reply)
+    {
+        pending_question &question = *pending;
         --question.open;
         if (!question.onEnd) {
             return;
@@ -282,13 +408,15 @@
             const bool hasChanged = reply.changedAgoUs >= 0 && duration(reply.changedAgoUs) < question.maximumAge;
             question.isConfirmed = question.isConfirmed || (isSame && isCurrent && duration(reply.soleForUs) >= question.maximumAge);
             question.isContradicted = question.isContradicted || reply.isMixed || hasChanged || (!reply.soleBuild.empty() && !isSame);
+        } else {
+            question.failed.insert(keeper);
         }
         if (question.open == 0) {
-            inferOrigin(question);
+            askNextRound(pending);
         }
     }
 
-    void inferOrigin(pending_question &question)
+    found_origin inferOrigin(const pending_question &question) const
     {
         found_origin found;
         const std::optional<service_builds::sole_build> sole = m_builds.sole(question.service);
@@ -299,25 +427,44 @@
             found.origin.build = sole->build;
             found.origin.isProven = true;
         }
-        std::exchange(question.onEnd, nullptr)(found);
+        return found;
     }
 
-    /** Returns the keepers of a stream, this node left out. Each is the best of those nodes whose zone has no better one, while there are enough zones. */
-    std::vector<std::string> otherKeepersOf(const std::string &stream) const
+    /** Returns up to @p count keepers of a stream, this node left out, among the nodes that answer; among all of them if none does. */
+    std::vector<std::string> otherKeepersOf(const std::string &stream, const std::set<std::string> &failed, std::size_t count) const
     {
-        std::vector<std::pair<std::uint64_t, std::string>> ranked;
+        std::set<std::string> passedOver = failed;
         for (const auto &[node, zone] : m_zoneOf) {
-            ranked.emplace_back(rendezvousRank(stream, node), node);
+            if (m_presence.isMissing(m_loop.now(), node)) {
+                passedOver.insert(node);
+            }
+        }
+        const std::vector<std::string> chosen = chooseNodes(stream, passedOver, count);
+        return chosen.empty() ? chooseNodes(stream, failed, count) : chosen;
+    }
+
+    /**
+     * Returns the @p count nodes that rendezvous hashing ranks first for a stream; if this node is one of them, it is left out. Each is the best of those nodes
+     * whose zone has no better one, while there are enough zones.
+     */
+    std::vector<std::string> chooseNodes(const std::string &stream, const std::set<std::string> &passedOver, std::size_t count) const
+    {
+        std::vector<std::pair<std::uint64_t, const std::pair<const std::string, std::string> *>> ranked;
+        ranked.reserve(m_zoneOf.size());
+        for (const auto &each : m_zoneOf) {
+            if (!passedOver.contains(each.first)) {
+                ranked.emplace_back(rendezvousRank(stream, each.first), &each);
+            }
         }
         std::ranges::sort(ranked, std::greater<>());
         std::vector<std::string> chosen;
-        std::set<std::string> zones;
+        std::set<std::string_view> zones;
         for (const bool mayShareZone : { false, true }) {
-            for (const auto &[rank, node] : ranked) {
-                const bool isChosen = std::ranges::find(chosen, node) != chosen.end();
-                if (chosen.size() < m_options.keepers && !isChosen && (mayShareZone || !zones.contains(m_zoneOf.at(node)))) {
-                    chosen.push_back(node);
-                    zones.insert(m_zoneOf.at(node));
+            for (auto &[rank, node] : ranked) {
+                if (chosen.size() < count && node != nullptr && (mayShareZone || !zones.contains(node->second))) {
+                    chosen.push_back(node->first);
+                    zones.insert(node->second);
+                    node = nullptr;
                 }
             }
         }
@@ -332,6 +479,8 @@
     const service_builds &m_builds;
     stream_origin_table m_table;
     std::map<std::string, std::string> m_zoneOf; ///< The zone of each node, this one included.
+    peer_presence m_presence;
+    std::map<std::string, placements> m_heldBy; ///< By keeper; the entries that this node has sent to it.
     bool m_isLeaving = false;
 };
 
--- a/fleet/stream_origin_table.cpp
+++ b/fleet/stream_origin_table.cpp
@@ -37,15 +37,15 @@
     return record;
 }
 
-std::vector<stream_record> stream_origin_table::recordsOf(time_point now, std::optional<std::string_view> service) const
+std::vector<std::string> stream_origin_table::streamsOf(time_point now, std::optional<std::string_view> service) const
 {
-    std::vector<stream_record> records;
+    std::vector<std::string> streams;
     for (const auto &[stream, kept] : m_rows) {
         if ((!service || kept.origin.service == *service) && kept.keepUntil > now) {
-            records.push_back(recordOf(now, stream, kept));
+            streams.push_back(stream);
         }
     }
-    return records;
+    return streams;
 }
 
 void stream_origin_table::expire(time_point now)
--- a/fleet/stream_origin_table.h
+++ b/fleet/stream_origin_table.h
@@ -43,8 +43,8 @@
     void put(time_point now, const std::string &stream, const stream_origin &origin, duration keep);
     /** Returns the origin of a stream, or null. */
     const row *find(time_point now, std::string_view stream) const;
-    /** Returns all rows, or those of one service, as messages to other nodes. */
-    std::vector<stream_record> recordsOf(time_point now, std::optional<std::string_view> service = std::nullopt) const;
+    /** Returns the ids of all streams, or of those of one service. */
+    std::vector<std::string> streamsOf(time_point now, std::optional<std::string_view> service = std::nullopt) const;
     /** Returns a row as a message to another node. */
     static stream_record recordOf(time_point now, const std::string &stream, const row &kept);
     /** Drops the rows whose time has passed. */
--- a/fleet/testing/stream_origin_client_test.cpp
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -33,6 +33,8 @@
     duration allKilledAt{}; ///< Zero: never.
     duration lastFailureAt{}; ///< The only failure after that; zero: the four at their usual times.
     bool isAnnounced = false; ///< The first node is stopped then, a second after it was told, instead of nodes that are killed.
+    int lost = 0; ///< Nodes that are lost for good at 6 s, and stay in the list of nodes.
+    duration lossInterval{}; ///< One more node is lost for good each time this has passed, from 10 s on, until one is left; zero: never.
 };
 
 /** What was seen. */
@@ -41,6 +43,7 @@
     int begun = 0;
     int takenUp = 0;
     int known = 0;
+    int kept = 0; ///< Those that a node knew which was there when they were taken up, and when the answer came.
     int wrong = 0; ///< The build that a node named is not the one that began the stream.
     int messages = 0;
 };
@@ -62,6 +65,7 @@
     std::shared_ptr<stream_origin_client<simulated_peers, harness::virtual_time>> client;
     int incarnation = 0;
     bool isUp = true;
+    bool isLost = false; ///< For good: its machine does not answer.
     time_point frozenUntil;
     time_point cutUntil; ///< Cut from the store.
 };
@@ -90,6 +94,10 @@
             killAllAndFailOnce();
             return;
         }
+        if (m_options.lost > 0 || m_options.lossInterval > duration::zero()) {
+            loseForGood();
+            return;
+        }
         for (const duration at : { 11s, 16s, 21s, 27s }) {
             m_time.at(time_point(at), [this] {
                 failNodes();
@@ -121,8 +129,8 @@
             simulated_node &node = m_nodes[to];
             const bool isLost = !message.records.empty() && m_random.chance(m_options.lostShare);
             if (isLost || !node.isUp || m_time.now() < node.frozenUntil) {
-                m_time.after(node.isUp ? duration(150ms) : way(), [node = &node, answer] {
-                    answer(node->isUp ? peer_ask_end::Silent : peer_ask_end::Gone, {});
+                m_time.after(node.isUp || node.isLost ? duration(150ms) : way(), [node = &node, answer] {
+                    answer(node->isUp || node->isLost ? peer_ask_end::Silent : peer_ask_end::Gone, {});
                 });
                 return;
             }
@@ -211,14 +219,16 @@
         } while (!m_nodes[index].isUp || m_time.now() < m_nodes[index].frozenUntil);
         return index;
     }
-    bool isAnyNodeUp() const
+    bool isAnyNodeThere() const
     {
-        return std::ranges::any_of(m_nodes, &simulated_node::isUp);
+        return std::ranges::any_of(m_nodes, [this](const simulated_node &node) {
+            return node.isUp && m_time.now() >= node.frozenUntil;
+        });
     }
     /** A stream begins at a server that its node knows. It breaks off if its node fails before it ends. */
     void beginStream()
     {
-        if (!isAnyNodeUp()) {
+        if (!isAnyNodeThere()) {
             m_time.after(100ms, [this] {
                 beginStream();
             });
@@ -272,6 +282,34 @@
             m_options.isAnnounced ? kill(0) : failNodes();
         });
     }
+    void loseForGood()
+    {
+        m_time.at(time_point(6s), [this] {
+            for (int i = 0; i < m_options.lost; ++i) {
+                lose(anyNode());
+            }
+        });
+        if (m_options.lossInterval > duration::zero()) {
+            m_time.at(time_point(10s), [this] {
+                loseNext();
+            });
+        }
+    }
+    void loseNext()
+    {
+        if (std::ranges::count(m_nodes, true, &simulated_node::isUp) == 1) {
+            return;
+        }
+        lose(anyNode());
+        m_time.after(m_options.lossInterval, [this] {
+            loseNext();
+        });
+    }
+    void lose(int index)
+    {
+        m_nodes[index].isLost = true;
+        kill(index);
+    }
     void putNodesOutOfStep()
     {
         for (simulated_node &node : m_nodes) {
@@ -293,16 +331,35 @@
                 });
             }
         }
+        if (m_nodes[index].isLost) {
+            return;
+        }
         m_time.after(500ms, [this, index] {
             start(index);
         });
     }
+    bool isKept(const std::string &id)
+    {
+        stream_message question;
+        question.askedStream = id;
+        return std::ranges::any_of(m_nodes, [&](simulated_node &node) {
+            return node.isUp && m_time.now() >= node.frozenUntil && !node.client->serve(question).origins.empty();
+        });
+    }
     void takeUp(const std::string &id, const std::string &build)
     {
+        if (!isAnyNodeThere()) {
+            m_time.after(100ms, [this, id, build] {
+                takeUp(id, build);
+            });
+            return;
+        }
         ++m_counts.takenUp;
+        const bool wasKept = isKept(id);
         const int index = anyNode();
         const time_point takenUpAt = m_time.now();
-        m_nodes[index].client->find(id, service, m_options.streamLife, [this, index, build, takenUpAt](const found_origin &found) {
+        m_nodes[index].client->find(id, service, m_options.streamLife, [this, index, id, build, takenUpAt, wasKept](const found_origin &found) {
+            m_counts.kept += wasKept && isKept(id) ? 1 : 0;
             bool isAccepted = found.source != origin_source::SoleBuild;
             if (!isAccepted) { // What is inferred from a sole build is read from the store once more (request_relay::judgeOrigin).
                 readState(index);
@@ -344,6 +401,7 @@
         sum.begun += one.begun;
         sum.takenUp += one.takenUp;
         sum.known += one.known;
+        sum.kept += one.kept;
         sum.wrong += one.wrong;
         sum.messages += one.messages;
     }
@@ -443,6 +501,42 @@
     EXPECT_EQ(seen.known, seen.takenUp);
 }
 
+/** Guards against streams whose keepers are lost nodes that stay in the list: when the node that began such a stream was lost, too, nobody knew its build. */
+TEST(stream_origin_client_test, streamsAreKnownAfterMostNodesWereLostForGood)
+{
+    for (const int lost : { 1, 3, 5, 7 }) {
+        const counts seen = playSeeds({ .lost = lost, .lossInterval = 4s }, 20);
+        EXPECT_EQ(seen.wrong, 0);
+        EXPECT_GT(seen.takenUp, 200);
+        EXPECT_EQ(seen.known, seen.kept) << lost << " of " << nodeCount << " nodes lost before";
+        EXPECT_GT(shareKnown(seen), 0.5) << "new streams all begin here, and half of their share must go on";
+        std::printf("%d nodes lost: %d of %d streams known, %d kept, %.2f messages for a stream\n",
+                    lost,
+                    seen.known,
+                    seen.takenUp,
+                    seen.kept,
+                    static_cast<double>(seen.messages) / seen.begun);
+    }
+}
+
+/** Guards against streams whose keepers are lost one after the other while the stream lasts, and are not replaced. */
+TEST(stream_origin_client_test, streamsOutliveTheirKeepersOneByOne)
+{
+    for (const duration interval : { 250ms, 700ms, 2000ms, 6000ms }) {
+        const counts seen = playSeeds({ .lossInterval = interval }, 20);
+        EXPECT_EQ(seen.wrong, 0);
+        EXPECT_GT(seen.takenUp, 1000);
+        EXPECT_EQ(seen.known, seen.kept) << toSeconds(interval) << " s between two losses";
+        EXPECT_GT(shareKnown(seen), 0.5) << "new streams all begin here, and half of their share must go on";
+        std::printf("%.2f s between losses: %d of %d streams known, %d kept, %.2f messages for a stream\n",
+                    toSeconds(interval),
+                    seen.known,
+                    seen.takenUp,
+                    seen.kept,
+                    static_cast<double>(seen.messages) / seen.begun);
+    }
+}
+
 stream_origin originOf(const std::string &build)
 {
     stream_origin origin;
