Suspect requests: a server that falls silent under a request has ended

Cause: what was learnt from an attempt depended on how its connection ended. Only a connection that broke off asked for the server's end; an attempt that ended by its time limit, or whose caller had gone before, was forgotten.

Change: each attempt that was handed over and left unanswered is looked into: by its time limit, silent in the middle of an answer, or given up as its caller left or its time was up. If the instance has not answered another request meanwhile, a connection is tried, twice: refused, or without an answer, the server counts as ended; with a connection, its registration decides later (another instance, or a lapse). An instance that answers after all has survived, which clears the request. The log line names the instance, how the attempt ended, what told of the end and how old that was.

Why it works: the end is known 0.2 s after the time limit, or 0.45 s after a caller has left, and keepers and nodes learn of it as of a broken connection; a server that is only slow takes connections, so nothing counts.

--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -11,6 +11,11 @@
 
 constexpr duration askTimeout = std::chrono::milliseconds(150); // Fifty times the round trip between zones; interactive callers wait for the answer.
 constexpr duration serverEndTimeout = std::chrono::milliseconds(50); // A machine that has just closed a connection answers within a round trip.
+constexpr duration silentProbeTimeout = std::chrono::milliseconds(100); // Covers a pause of this node's own machine.
+constexpr int silentProbes = 2; // One opening packet may be lost.
+constexpr duration minSilence = std::chrono::milliseconds(250); // A server that was busy with others until then is asked after this time only.
+constexpr std::size_t maxPresumedEnds = 256; // The oldest one is forgotten first.
+constexpr duration answerMemory = std::chrono::seconds(30); // Longer than an answer tells anything of an attempt.
 constexpr duration persistRetryDelay = std::chrono::seconds(1);
 constexpr duration expiryInterval = std::chrono::minutes(1);
 
@@ -79,33 +84,132 @@
 void crash_guard::onBroken(
     const request_identity &identity, std::string_view request, const backend_choice &server, bool mayCount, std::function<void(bool isRecorded)> onEnd)
 {
-    const auto onPresence = [this, identity, request = std::string(request), server, mayCount, onEnd = std::move(onEnd)](server_presence presence) {
-        const std::string name(presenceName(presence));
-        m_context.metrics.counter("reedtrail_attempts_broken_total", "Attempts whose response broke off", "server=\"" + name + "\"").add();
-        logLine(log_level::Info,
-                "broken-attempt-server",
-                { { "request", request }, { "digest", identity.text() }, { "server", server.id }, { "is", name }, { "counts", mayCount ? "yes" : "no" } });
+    const broken_attempts::attempt broken{ identity, std::string(request), server.id, server.address, server.startedAt, m_context.loop.now(), false };
+    const auto onPresence = [this, broken, mayCount, onEnd = std::move(onEnd)](server_presence presence) {
+        logServer(broken, "broken", presenceName(presence), mayCount);
         const bool isRecorded = presence == server_presence::Ended && mayCount;
         if (isRecorded) {
-            m_client->recordEnd(identity, server.id, server.startedAt);
+            m_client->recordEnd(broken.identity, broken.server, broken.startedAt);
         } else if (presence == server_presence::Listening && mayCount) {
-            m_brokenAttempts.add({ identity, request, server.id, server.address, server.startedAt, m_context.loop.now() });
+            m_brokenAttempts.add(broken);
         }
         onEnd(isRecorded);
     };
     probeServerEnd(m_context.loop.io(), server.address, serverEndTimeout, onPresence);
 }
 
+void crash_guard::onUnanswered(const request_identity &identity,
+                               std::string_view request,
+                               const backend_choice &server,
+                               bool mayCount,
+                               duration quietFor,
+                               std::function<void(bool isRecorded)> onEnd)
+{
+    const time_point now = m_context.loop.now();
+    const broken_attempts::attempt silent{ identity, std::string(request), server.id, server.address, server.startedAt, now, true };
+    if (!mayCount) {
+        onEnd(false);
+        return;
+    }
+    const auto judge = [this, silent, now, onEnd = std::move(onEnd)] {
+        if (hasAnsweredSince(silent, now - minSilence / 2)) {
+            judgeSilence(silent, server_presence::Listening, onEnd);
+            return;
+        }
+        probeSilentServer(silent, silentProbes, [this, silent, onEnd](server_presence presence) {
+            judgeSilence(silent, presence, onEnd);
+        });
+    };
+    if (quietFor >= minSilence) {
+        judge();
+    } else {
+        m_context.loop.after(minSilence - quietFor, judge);
+    }
+}
+
+/** Tells whether the instance that left an attempt unanswered has answered another request since then. */
+bool crash_guard::hasAnsweredSince(const broken_attempts::attempt &attempt, time_point since) const
+{
+    const auto found = m_answers.find(attempt.server);
+    return found != m_answers.end() && found->second.startedAt == attempt.startedAt && found->second.at >= since;
+}
+
+/** Finds out whether a silent server takes connections. @param tries at most; if none is answered, the presence is unknown */
+void crash_guard::probeSilentServer(const broken_attempts::attempt &attempt, int tries, std::function<void(server_presence)> onEnd)
+{
+    probeServerEnd(m_context.loop.io(), attempt.address, silentProbeTimeout, [this, attempt, tries, onEnd = std::move(onEnd)](server_presence presence) {
+        if (presence == server_presence::Unknown && tries > 1) {
+            probeSilentServer(attempt, tries - 1, onEnd);
+        } else {
+            onEnd(presence);
+        }
+    });
+}
+
+void crash_guard::judgeSilence(const broken_attempts::attempt &attempt, server_presence presence, const std::function<void(bool isRecorded)> &onEnd)
+{
+    const bool isListening = presence == server_presence::Listening || hasAnsweredSince(attempt, attempt.brokenAt);
+    logServer(attempt, "silent", presenceName(isListening ? server_presence::Listening : presence), true);
+    if (isListening) {
+        m_brokenAttempts.add(attempt);
+        onEnd(false);
+        return;
+    }
+    m_client->recordEnd(attempt.identity, attempt.server, attempt.startedAt);
+    if (presence == server_presence::Unknown) {
+        if (m_presumedEnds.size() == maxPresumedEnds) {
+            m_presumedEnds.erase(m_presumedEnds.begin());
+        }
+        m_presumedEnds.push_back(attempt);
+    }
+    onEnd(true);
+}
+
+void crash_guard::onAnswer(const backend_choice &server)
+{
+    m_answers[server.id] = { server.startedAt, m_context.loop.now() };
+    m_brokenAttempts.recordAnswer(server.id, server.startedAt);
+    std::vector<broken_attempts::attempt> survived;
+    std::erase_if(m_presumedEnds, [&](const broken_attempts::attempt &each) {
+        const bool isSurvived = each.server == server.id && each.startedAt == server.startedAt;
+        if (isSurvived) {
+            survived.push_back(each);
+        }
+        return isSurvived;
+    });
+    for (const broken_attempts::attempt &each : survived) {
+        onSurvived(each.identity, each.request, server);
+    }
+}
+
+/** Logs what is known of a server that left an attempt unanswered. @param how the attempt ended */
+void crash_guard::logServer(const broken_attempts::attempt &attempt, std::string_view how, std::string_view presence, bool mayCount) const
+{
+    m_context.metrics
+        .counter("reedtrail_attempts_broken_total",
+                 "Attempts that a server left unanswered, by what its address or registration says of it",
+                 "how=\"" + std::string(how) + "\",server=\"" + std::string(presence) + "\"")
+        .add();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.loop.now() - attempt.brokenAt);
+    logLine(log_level::Info,
+            "broken-attempt-server",
+            { { "request", attempt.request },
+              { "digest", attempt.identity.text() },
+              { "server", attempt.server },
+              { "started-at", std::to_string(attempt.startedAt) },
+              { "how", std::string(how) },
+              { "is", std::string(presence) },
+              { "known-after-ms", std::to_string(age.count()) },
+              { "counts", mayCount ? "yes" : "no" } });
+}
+
 void crash_guard::onServersChanged(const server_directory &servers)
 {
     if (m_brokenAttempts.isEmpty()) {
         return;
     }
     for (const broken_attempts::attempt &each : m_brokenAttempts.takeEnded(m_context.loop.now(), servers)) {
-        m_context.metrics.counter("reedtrail_attempts_broken_total", "Attempts whose response broke off", "server=\"replaced\"").add();
-        logLine(log_level::Info,
-                "broken-attempt-server",
-                { { "request", each.request }, { "digest", each.identity.text() }, { "server", each.server }, { "is", "replaced" }, { "counts", "yes" } });
+        logServer(each, each.isSilent ? "silent" : "broken", servers.find(each.server) == nullptr ? "gone" : "replaced", true);
         m_client->recordEnd(each.identity, each.server, each.startedAt);
     }
 }
@@ -237,6 +341,9 @@
 {
     m_context.loop.after(expiryInterval, [this] {
         m_client->expire();
+        std::erase_if(m_answers, [now = m_context.loop.now()](const auto &each) {
+            return now - each.second.at > answerMemory;
+        });
         scheduleExpiry();
     });
 }
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -86,6 +86,20 @@
      */
     void onBroken(
         const request_identity &identity, std::string_view request, const backend_choice &server, bool mayCount, std::function<void(bool isRecorded)> onEnd);
+    /**
+     * Handles that an attempt was given up without an answer: by its time limit, or as its caller is gone. A server that takes no new connection either counts
+     * as ended until it answers another request.
+     * @param quietFor for how long nothing had come from the server on the attempt's connection
+     * @param onEnd as for onBroken()
+     */
+    void onUnanswered(const request_identity &identity,
+                      std::string_view request,
+                      const backend_choice &server,
+                      bool mayCount,
+                      duration quietFor,
+                      std::function<void(bool isRecorded)> onEnd);
+    /** Handles that a server has begun to answer a request. */
+    void onAnswer(const backend_choice &server);
     /** Handles that the registrations of servers have changed: some may show that a server has ended whose address still accepts connections. */
     void onServersChanged(const server_directory &servers);
     /** Handles that a server has completed a request. */
@@ -115,6 +129,10 @@
     void forget(std::uint64_t digest);
     static std::string keyOf(std::uint64_t digest);
     void scheduleExpiry();
+    void probeSilentServer(const broken_attempts::attempt &attempt, int tries, std::function<void(server_presence)> onEnd);
+    void judgeSilence(const broken_attempts::attempt &attempt, server_presence presence, const std::function<void(bool isRecorded)> &onEnd);
+    void logServer(const broken_attempts::attempt &attempt, std::string_view how, std::string_view presence, bool mayCount) const;
+    bool hasAnsweredSince(const broken_attempts::attempt &attempt, time_point since) const;
 
     edge_context &m_context;
     crash_peer_client m_peers;
@@ -122,6 +140,14 @@
     std::map<std::uint64_t, stored_state> m_stored; ///< By digest; entries that this node has written.
     std::uint64_t m_askCount = 0;
     broken_attempts m_brokenAttempts; ///< Whose server may have ended.
+    std::vector<broken_attempts::attempt> m_presumedEnds; ///< Whose silent server took no connection and counts as ended.
+    /** The last answer of a server. */
+    struct last_answer
+    {
+        std::int64_t startedAt = 0; ///< Of the instance that gave it.
+        time_point at;
+    };
+    std::map<std::string, last_answer, std::less<>> m_answers; ///< By id of the server.
 };
 
 } // namespace reedtrail
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -18,6 +18,7 @@
     std::chrono::milliseconds(150); // Shortest Retry-After while all servers are full; slots become free as requests finish.
 constexpr int returnTimeShare = 3; // A caller that comes back later than in this part of its time left has too little of it to be served.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
+constexpr duration minSilence = std::chrono::milliseconds(250); // A server that has just sent something is not known to have fallen silent.
 constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
 constexpr duration retryAfterAtStop = std::chrono::milliseconds(50); // Retry-After of a node that ends; others serve the caller at once.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
@@ -220,6 +221,8 @@
     m_heldEnd.reset();
     m_runStart.onAttempt();
     m_attemptStartedAt = m_context.loop.now();
+    m_lastReceivedAt = m_attemptStartedAt;
+    m_isAttemptHandedOver = false;
     const duration timeLeft = m_deadline - m_attemptStartedAt;
     const std::shared_ptr<const http_request> original(m_exchange, &m_exchange->request());
     http_request request =
@@ -233,6 +236,7 @@
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
         const bool isAllowed = isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
         if (isAllowed) {
+            self->m_isAttemptHandedOver = true;
             self->m_runStart.onHandedOver(self->m_context.loop.now());
         }
         return isAllowed;
@@ -297,6 +301,8 @@
     m_build = m_fleet.buildOf(m_server.id, m_server.startedAt);
     m_contact = { m_server.id, m_server.startedAt, m_context.loop.now() - m_attempt->connectionAge() };
     m_fleet.backends().onResponse(m_server.id);
+    m_crashes.onAnswer(m_server);
+    m_lastReceivedAt = m_context.loop.now();
     if (!m_serverAnswer.isNotStarted) {
         recordUse(m_runStart.onAnswered());
     }
@@ -360,6 +366,7 @@
 
 void request_relay::onResponseBody(std::string_view part)
 {
+    m_lastReceivedAt = m_context.loop.now();
     if (isStream() && m_serverAnswer.status == http_status::ok) {
         receiveEvents(part);
     } else {
@@ -416,7 +423,11 @@
                 }
                 isStreamBroken ? self->onStreamEnded(end) : self->handleSentAttemptFailure(end.detail.c_str());
             };
-            end.error == error_kind::ServerFailed ? handleBrokenAttempt(end.detail.c_str(), next) : next();
+            if (end.error == error_kind::ServerFailed) {
+                handleBrokenAttempt(end.detail.c_str(), next);
+            } else {
+                handleSilentAttempt(end.detail.c_str(), next);
+            }
         }
         return;
     }
@@ -539,6 +550,56 @@
 
 /** Handles that the connection to the server broke off. @param next runs once it is known whether the server has ended, unless the request is done by then */
 void request_relay::handleBrokenAttempt(const char *reason, std::function<void()> next)
+{
+    logUnanswered(reason);
+    m_crashes.onBroken(identity(), m_call.id, m_server, mayServerEndCount(), [self = shared_from_this(), next = std::move(next)](bool isRecorded) {
+        if (isRecorded) {
+            self->m_asker.clear();
+        }
+        if (!self->m_isDone) {
+            next();
+        }
+    });
+}
+
+/**
+ * Handles that the server left the attempt unanswered until its time limit.
+ * @param next runs at once; after an attempt that a keeper has granted, once it is known whether the server has ended
+ */
+void request_relay::handleSilentAttempt(const char *reason, const std::function<void()> &next)
+{
+    logUnanswered(reason);
+    const bool isGranted = !m_asker.empty();
+    const duration quietFor = m_context.loop.now() - m_lastReceivedAt;
+    m_crashes.onUnanswered(identity(), m_call.id, m_server, mayServerEndCount(), quietFor, [self = shared_from_this(), isGranted, next](bool isRecorded) {
+        if (!isGranted) {
+            return;
+        }
+        if (isRecorded) {
+            self->m_asker.clear();
+        }
+        if (!self->m_isDone) {
+            next();
+        }
+    });
+    if (!isGranted) {
+        next();
+    }
+}
+
+/** Handles that the request ends while its server has not answered, or has fallen silent in the middle of its answer. */
+void request_relay::reportAbandonedAttempt(const char *reason)
+{
+    const duration quietFor = m_context.loop.now() - m_lastReceivedAt;
+    const bool hasBegunToAnswer = m_lastReceivedAt > m_attemptStartedAt;
+    if (!m_isAttemptHandedOver || (hasBegunToAnswer && quietFor < minSilence)) {
+        return;
+    }
+    logUnanswered(reason);
+    m_crashes.onUnanswered(identity(), m_call.id, m_server, mayServerEndCount(), quietFor, [](bool) {});
+}
+
+void request_relay::logUnanswered(const char *reason)
 {
     const duration elapsed = m_context.loop.now() - m_attemptStartedAt;
     logLine(log_level::Info,
@@ -549,14 +610,6 @@
               { "reason", reason },
               { "others", std::to_string(m_fleet.backends().running(m_server.id)) },
               { "after-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()) } });
-    m_crashes.onBroken(identity(), m_call.id, m_server, mayServerEndCount(), [self = shared_from_this(), next = std::move(next)](bool isRecorded) {
-        if (isRecorded) {
-            self->m_asker.clear();
-        }
-        if (!self->m_isDone) {
-            next();
-        }
-    });
 }
 
 void request_relay::handleSentAttemptFailure(const char *reason)
@@ -755,6 +808,7 @@
     }
     const time_point now = m_context.loop.now();
     if (m_attempt) {
+        reportAbandonedAttempt(outcome);
         m_fleet.backends().onRequestEnded(m_server.id);
         m_attempt->cancel();
         m_attempt.reset();
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -75,6 +75,9 @@
     duration maximumStreamAge() const;
     void handleSentAttemptFailure(const char *reason);
     void handleBrokenAttempt(const char *reason, std::function<void()> next);
+    void handleSilentAttempt(const char *reason, const std::function<void()> &next);
+    void reportAbandonedAttempt(const char *reason);
+    void logUnanswered(const char *reason);
     bool mayServerEndCount() const;
     bool isSuspect();
     void recordSurvival();
@@ -112,6 +115,8 @@
     time_point m_attemptStartedAt;
     std::shared_ptr<http_call> m_attempt;
     std::uint64_t m_attemptNumber = 0;
+    bool m_isAttemptHandedOver = false; ///< Whether the current attempt may have reached its server.
+    time_point m_lastReceivedAt; ///< When the current attempt was begun or last brought something.
     http_response m_response;
     platform::server_answer m_serverAnswer;
     event_stream_reader m_events;
--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -3,8 +3,10 @@
 #include "platform/testing/node_fixture.h"
 
 #include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace reedtrail {
@@ -17,6 +19,7 @@
 constexpr std::uint16_t firstCrashingPort = 28821;
 constexpr duration timeToCrash = 15ms;
 constexpr duration timeToRestart = 120ms;
+constexpr duration contactTime = 3s; // After the third end, within which all nodes have to know.
 constexpr int allowedRetries = 3; // Of a request that has crashed three servers, over all nodes.
 
 /** Servers that end at bodies that begin with "crash", and start again a moment later as other instances. */
@@ -40,6 +43,8 @@
     int runsAfterThirdEnd = 0; ///< Of the bodies that crash servers.
     int items = 0; ///< Items of jobs that servers completed.
     bool crashesAtItems = false;
+    duration silentFor{}; ///< For how long a server that ends leaves its connections open and takes no new ones; zero: it closes them at once.
+    std::set<std::string> requestsAfterContact; ///< Of the bodies that crash servers, those that reached one later than contactTime after the third end.
     bool answersUnsigned = false; ///< After two ends, such bodies get a success without a signature in place of another end.
     int unsignedAnswers = 0;
     std::function<void()> onRun = [] {}; ///< Runs when a server begins to run a request.
@@ -69,11 +74,17 @@
         onRun();
         if (exchange->request().body.starts_with("crash") || (crashesAtItems && exchange->request().path().starts_with("/j/"))) {
             runsAfterThirdEnd += ends >= 3 ? 1 : 0;
+            if (ends >= 3 && m_fixture.loop.now() > m_thirdEndAt + contactTime) {
+                requestsAfterContact.insert(std::string(platform::requestIdOf(exchange->request())));
+            }
             if (answersUnsigned && ends >= 2) {
                 ++unsignedAnswers;
                 exchange->respond({ http_status::ok, testing::namedRequest(std::string(platform::requestIdOf(exchange->request()))), "id: 1\ndata: a\n\n" });
                 return;
             }
+            if (silentFor > duration::zero()) {
+                m_unanswered.push_back(exchange);
+            }
             m_fixture.loop.after(timeToCrash, [this, index, id, exchange] {
                 end(index, id);
             });
@@ -109,7 +120,11 @@
         if (m_servers[index].id != id || !m_servers[index].server) {
             return;
         }
-        ++ends;
+        m_thirdEndAt = ++ends == 3 ? m_fixture.loop.now() : m_thirdEndAt;
+        if (silentFor > duration::zero()) {
+            fallSilent(index, id);
+            return;
+        }
         m_servers[index].server->stop();
         m_servers[index].server.reset();
         m_fixture.loop.after(timeToRestart, [this, index, id] {
@@ -117,19 +132,45 @@
             start(index);
         });
     }
+    /** Leaves the connections of a server open without an answer, and lets new ones hang, as a machine without power does. */
+    void fallSilent(std::size_t index, const std::string &id)
+    {
+        namespace asio = boost::asio;
+        const std::shared_ptr<http_server> server = std::move(m_servers[index].server);
+        server->stopAccepting();
+        const asio::ip::tcp::endpoint address(asio::ip::make_address(m_servers[index].address.ip), m_servers[index].address.port);
+        const auto full = std::make_shared<asio::ip::tcp::acceptor>(m_fixture.io);
+        full->open(address.protocol());
+        full->set_option(asio::socket_base::reuse_address(true));
+        full->bind(address);
+        full->listen(0);
+        const auto queued = std::make_shared<std::vector<asio::ip::tcp::socket>>();
+        for (int i = 0; i < 4; ++i) { // More than the queue of new connections takes.
+            queued->emplace_back(m_fixture.io);
+            queued->back().async_connect(address, [](const boost::system::error_code &) {});
+        }
+        m_fixture.loop.after(silentFor, [this, index, id, server, full, queued] {
+            full->close();
+            queued->clear();
+            server->stop();
+            m_fixture.removeServer(id);
+            start(index);
+        });
+    }
 
     node_fixture &m_fixture;
     std::vector<crashing_server> m_servers;
     std::vector<std::shared_ptr<http_exchange>> m_unanswered;
+    time_point m_thirdEndAt;
     int m_starts = 0;
 };
 
-/** Sends a request again and again for @p time, each time after the last response. */
+/** Sends a request again and again for @p time, under a new id each time after the last response. */
 void repeat(node_fixture &fixture, const std::string &body, duration time)
 {
     const time_point end = fixture.loop.now() + time;
-    while (fixture.loop.now() < end) {
-        const auto exchange = fixture.startRequest(body);
+    for (int i = 1; fixture.loop.now() < end; ++i) {
+        const auto exchange = fixture.startRequest(body, "/p/1", { { "Request-Id", "r-" + std::to_string(i) } });
         EXPECT_TRUE(fixture.runUntil([&] {
             return exchange->isDone;
         }));
@@ -137,6 +178,22 @@
     }
 }
 
+/** Sends a request again and again for @p time, each time under a new id after @p interval, whether or not there was a response. */
+void sendEvery(node_fixture &fixture, const std::string &body, duration interval, duration time)
+{
+    std::vector<std::shared_ptr<recorded_exchange>> exchanges;
+    const time_point end = fixture.loop.now() + time;
+    for (int i = 1; fixture.loop.now() < end; ++i) {
+        exchanges.push_back(fixture.startRequest(body, "/p/1", { { "Request-Id", "r-" + std::to_string(i) } }));
+        fixture.run(interval);
+    }
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return std::ranges::all_of(exchanges, [](const auto &each) {
+            return each->isDone;
+        });
+    }));
+}
+
 /** Waits until the node knows a route for the path. */
 void awaitRoute(node_fixture &fixture, const char *path)
 {
@@ -158,6 +215,46 @@
     EXPECT_LE(servers.runsAfterThirdEnd, allowedRetries);
 }
 
+/** Guards against requests under which servers fall silent instead of closing connections: they were no suspects and reached servers without end. */
+TEST(crashing_request, requestIsSentToServerAfterServerThatFallsSilentUnderIt)
+{
+    for (const duration silentFor : { 150ms, 900ms, 2500ms }) { // Back before the attempt's time limit, soon after it, and later.
+        SCOPED_TRACE(toSeconds(silentFor));
+        node_fixture fixture;
+        crashing_servers servers(fixture, 6);
+        servers.silentFor = silentFor;
+        sendEvery(fixture, "crash", 250ms, 7s);
+        EXPECT_GE(servers.ends, 3);
+        EXPECT_LE(std::ssize(servers.requestsAfterContact), allowedRetries) << servers.ends << " ends";
+    }
+}
+
+/** Guards against requests whose callers always leave before the time limit, so that no node sees their attempts end. */
+TEST(crashing_request, requestOfCallersThatLeaveIsSentToServerAfterSilentServer)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 6);
+    servers.silentFor = 900ms;
+    const time_point end = fixture.loop.now() + 7s;
+    for (int i = 1; fixture.loop.now() < end; ++i) {
+        const auto exchange = fixture.startRequest("crash", "/p/1", { { "Request-Id", "r-" + std::to_string(i) } });
+        fixture.run(100ms);
+        exchange->leave();
+        fixture.run(100ms);
+    }
+    EXPECT_GE(servers.ends, 3);
+    EXPECT_LE(std::ssize(servers.requestsAfterContact), allowedRetries) << servers.ends << " ends";
+}
+
+/** A request that takes longer than its time limit at every server that runs it. The servers go on. */
+TEST(crashing_request, requestThatIsSlowEverywhereIsNoSuspect)
+{
+    node_fixture fixture;
+    crashing_servers servers(fixture, 6);
+    repeat(fixture, "hang", 4s);
+    EXPECT_EQ(fixture.crashes->dump().at("known"), 0);
+}
+
 /** The answer to a granted attempt is dropped before its first event. The next attempt needs a grant of its own. */
 TEST(crashing_request, droppedAnswerLeavesGrantToNextAttempt)
 {
