Suspect requests: a silent server that drains is not waited for, and one that comes back clears its requests

And a server that stood still until its registration lapsed, and goes on, left its requests suspect.

Change: silent attempts are forgotten once their server drains; an end that rests on a lapse is disproved by an answer of the same instance, as one that rests on a connection without an answer.

--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -157,14 +157,20 @@
     }
     m_client->recordEnd(attempt.identity, attempt.server, attempt.startedAt);
     if (presence == server_presence::Unknown) {
-        if (m_presumedEnds.size() == maxPresumedEnds) {
-            m_presumedEnds.erase(m_presumedEnds.begin());
-        }
-        m_presumedEnds.push_back(attempt);
+        presumeEnd(attempt);
     }
     onEnd(true);
 }
 
+/** Remembers an end that an answer of the same instance disproves. */
+void crash_guard::presumeEnd(const broken_attempts::attempt &attempt)
+{
+    if (m_presumedEnds.size() == maxPresumedEnds) {
+        m_presumedEnds.erase(m_presumedEnds.begin());
+    }
+    m_presumedEnds.push_back(attempt);
+}
+
 void crash_guard::onAnswer(const backend_choice &server)
 {
     m_answers[server.id] = { server.startedAt, m_context.loop.now() };
@@ -209,8 +215,12 @@
         return;
     }
     for (const broken_attempts::attempt &each : m_brokenAttempts.takeEnded(m_context.loop.now(), servers)) {
-        logServer(each, each.isSilent ? "silent" : "broken", servers.find(each.server) == nullptr ? "gone" : "replaced", true);
+        const bool isGone = servers.find(each.server) == nullptr;
+        logServer(each, each.isSilent ? "silent" : "broken", isGone ? "gone" : "replaced", true);
         m_client->recordEnd(each.identity, each.server, each.startedAt);
+        if (each.isSilent && isGone) {
+            presumeEnd(each);
+        }
     }
 }
 
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -131,6 +131,7 @@
     void scheduleExpiry();
     void probeSilentServer(const broken_attempts::attempt &attempt, int tries, std::function<void(server_presence)> onEnd);
     void judgeSilence(const broken_attempts::attempt &attempt, server_presence presence, const std::function<void(bool isRecorded)> &onEnd);
+    void presumeEnd(const broken_attempts::attempt &attempt);
     void logServer(const broken_attempts::attempt &attempt, std::string_view how, std::string_view presence, bool mayCount) const;
     bool hasAnsweredSince(const broken_attempts::attempt &attempt, time_point since) const;
 
@@ -140,7 +141,7 @@
     std::map<std::uint64_t, stored_state> m_stored; ///< By digest; entries that this node has written.
     std::uint64_t m_askCount = 0;
     broken_attempts m_brokenAttempts; ///< Whose server may have ended.
-    std::vector<broken_attempts::attempt> m_presumedEnds; ///< Whose silent server took no connection and counts as ended.
+    std::vector<broken_attempts::attempt> m_presumedEnds; ///< Whose silent server counts as ended, as it took no connection or its registration lapsed.
     /** The last answer of a server. */
     struct last_answer
     {
--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -22,6 +23,34 @@
 constexpr duration contactTime = 3s; // After the third end, within which all nodes have to know.
 constexpr int allowedRetries = 3; // Of a request that has crashed three servers, over all nodes.
 
+/** Lets new connections to an address hang, as a machine without power does. */
+class full_listener
+{
+public:
+    full_listener(boost::asio::io_context &io, const endpoint &address)
+        : m_acceptor(io)
+    {
+        const boost::asio::ip::tcp::endpoint local(boost::asio::ip::make_address(address.ip), address.port);
+        m_acceptor.open(local.protocol());
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        m_acceptor.bind(local);
+        m_acceptor.listen(0);
+        for (int i = 0; i < 4; ++i) { // More than the queue of new connections takes.
+            m_queued.emplace_back(io);
+            m_queued.back().async_connect(local, [](const boost::system::error_code &) {});
+        }
+    }
+    void close()
+    {
+        m_acceptor.close();
+        m_queued.clear();
+    }
+
+private:
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<boost::asio::ip::tcp::socket> m_queued;
+};
+
 /** Servers that end at bodies that begin with "crash", and start again a moment later as other instances. */
 class crashing_servers
 {
@@ -135,23 +164,11 @@
     /** Leaves the connections of a server open without an answer, and lets new ones hang, as a machine without power does. */
     void fallSilent(std::size_t index, const std::string &id)
     {
-        namespace asio = boost::asio;
         const std::shared_ptr<http_server> server = std::move(m_servers[index].server);
         server->stopAccepting();
-        const asio::ip::tcp::endpoint address(asio::ip::make_address(m_servers[index].address.ip), m_servers[index].address.port);
-        const auto full = std::make_shared<asio::ip::tcp::acceptor>(m_fixture.io);
-        full->open(address.protocol());
-        full->set_option(asio::socket_base::reuse_address(true));
-        full->bind(address);
-        full->listen(0);
-        const auto queued = std::make_shared<std::vector<asio::ip::tcp::socket>>();
-        for (int i = 0; i < 4; ++i) { // More than the queue of new connections takes.
-            queued->emplace_back(m_fixture.io);
-            queued->back().async_connect(address, [](const boost::system::error_code &) {});
-        }
-        m_fixture.loop.after(silentFor, [this, index, id, server, full, queued] {
+        const auto full = std::make_shared<full_listener>(m_fixture.io, m_servers[index].address);
+        m_fixture.loop.after(silentFor, [this, index, id, server, full] {
             full->close();
-            queued->clear();
             server->stop();
             m_fixture.removeServer(id);
             start(index);
@@ -246,6 +263,33 @@
     EXPECT_LE(std::ssize(servers.requestsAfterContact), allowedRetries) << servers.ends << " ends";
 }
 
+/** Guards against innocent requests that stay suspects after their server was cut off or stood still for a while and goes on. */
+TEST(crashing_request, answerOfSilentServerClearsRequest)
+{
+    node_fixture fixture;
+    backend_choice server;
+    server.id = "i-9";
+    server.startedAt = 100;
+    server.address = { "127.0.0.1", firstCrashingPort };
+    full_listener unreachable(fixture.io, server.address);
+    const request_identity identity = identify(outlineOf("POST", "h", "/p/1", "cut off"), "cut off");
+    std::optional<bool> isRecorded;
+    fixture.crashes->onUnanswered(identity, "r", server, true, 1s, [&](bool isEnded) {
+        isRecorded = isEnded;
+    });
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return isRecorded.has_value();
+    }));
+    EXPECT_EQ(isRecorded, true);
+    EXPECT_TRUE(fixture.crashes->isSuspect(identity));
+    server.startedAt = 101;
+    fixture.crashes->onAnswer(server);
+    EXPECT_TRUE(fixture.crashes->isSuspect(identity)) << "another instance";
+    server.startedAt = 100;
+    fixture.crashes->onAnswer(server);
+    EXPECT_FALSE(fixture.crashes->isSuspect(identity));
+}
+
 /** A request that takes longer than its time limit at every server that runs it. The servers go on. */
 TEST(crashing_request, requestThatIsSlowEverywhereIsNoSuspect)
 {
--- a/fleet/broken_attempts.h
+++ b/fleet/broken_attempts.h
@@ -53,18 +53,23 @@
             return each.isSilent && each.server == server && each.startedAt == startedAt;
         });
     }
-    /** Removes and returns the attempts whose server has been replaced by a later instance, or was silent and is not registered any more. */
+    /**
+     * Removes and returns the attempts whose server has been replaced by a later instance, or was silent and is not registered any more. A silent server that
+     * drains is not waited for: it ends by itself.
+     */
     std::vector<attempt> takeEnded(time_point now, const server_directory &servers)
     {
         std::vector<attempt> ended;
         std::erase_if(m_attempts, [&](attempt &each) {
-            if (now - each.brokenAt > (each.isSilent ? silentMemory : memory)) {
+            const server_entry *registered = servers.find(each.server);
+            const bool isLeaving = each.isSilent && registered != nullptr && registered->isDraining;
+            if (isLeaving || now - each.brokenAt > (each.isSilent ? silentMemory : memory)) {
                 return true;
             }
             const bool isReplaced = std::ranges::any_of(servers.all(), [&](const server_entry *entry) {
                 return entry->startedAt > each.startedAt && (entry->id == each.server || entry->address == each.address);
             });
-            const bool hasLapsed = each.isSilent && servers.find(each.server) == nullptr;
+            const bool hasLapsed = each.isSilent && registered == nullptr;
             if (isReplaced || hasLapsed) {
                 ended.push_back(std::move(each));
             }
--- a/fleet/testing/broken_attempts_test.cpp
+++ b/fleet/testing/broken_attempts_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet/broken_attempts.h"
 
 #include <gtest/gtest.h>
+#include <optional>
 
 namespace reedtrail {
 namespace {
@@ -49,6 +50,61 @@
     }
 }
 
+/** An attempt at i-1 on port 1, started at 100, was left without an answer. What do the registrations say afterwards? */
+TEST(broken_attempts_test, lapseShowsEndOfSilentServer)
+{
+    server_entry draining = makeServer("i-1", 1, 100);
+    draining.isDraining = true;
+    struct row
+    {
+        const char *what;
+        std::optional<server_entry> registered;
+        duration after;
+        bool isEnded;
+    };
+    const row rows[] = {
+        { "the same instance", makeServer("i-1", 1, 100), 1s, false },
+        { "none", std::nullopt, 4s, true },
+        { "none, long after", std::nullopt, broken_attempts::silentMemory + 1ms, false },
+        { "a later one at its address", makeServer("i-2", 1, 101), 6s, true },
+        { "the same instance, which drains", draining, 1s, false },
+    };
+    for (const row &each : rows) {
+        SCOPED_TRACE(each.what);
+        broken_attempts attempts;
+        attempts.add({ {}, "r", "i-1", { "127.0.0.1", 1 }, 100, brokenAt, true });
+        server_directory servers;
+        if (each.registered) {
+            servers.put(*each.registered);
+        }
+        EXPECT_EQ(attempts.takeEnded(brokenAt + each.after, servers).size(), each.isEnded ? 1U : 0U);
+        EXPECT_TRUE(attempts.takeEnded(brokenAt + each.after, servers).empty()) << "an end counts once";
+    }
+}
+
+/** Guards against innocent requests that count as crashing as a server that drains takes too long for them and then leaves. */
+TEST(broken_attempts_test, silentServerThatDrainsAndLeavesHasNotEndedUnderRequest)
+{
+    broken_attempts attempts;
+    attempts.add({ {}, "r", "i-1", { "127.0.0.1", 1 }, 100, brokenAt, true });
+    server_entry draining = makeServer("i-1", 1, 100);
+    draining.isDraining = true;
+    server_directory servers;
+    servers.put(draining);
+    EXPECT_TRUE(attempts.takeEnded(brokenAt + 1s, servers).empty());
+    EXPECT_TRUE(attempts.takeEnded(brokenAt + 2s, server_directory()).empty());
+}
+
+TEST(broken_attempts_test, instanceThatAnswersHasNotEnded)
+{
+    broken_attempts attempts;
+    attempts.add({ {}, "r", "i-1", { "127.0.0.1", 1 }, 100, brokenAt, true });
+    attempts.recordAnswer("i-1", 99);
+    EXPECT_FALSE(attempts.isEmpty()) << "another instance";
+    attempts.recordAnswer("i-1", 100);
+    EXPECT_TRUE(attempts.isEmpty());
+}
+
 TEST(broken_attempts_test, tableIsBounded)
 {
     broken_attempts attempts;
