Nodes: the registration of a node that is lost for good is removed by the node that watches it

Change: each node pings the one that follows it in the order of the hashes of their names, each 4 s, and if that is silent the next ones, up to the first that answers. One that has been silent for four rounds, in each of which another node answered, loses its registration, if that is unchanged. A node that lives reads this within seconds and registers again; each time twice as many rounds are needed. Nothing is sent to the store while no node is lost, and one ping each 4 s to a peer.

--- a/edge/peer_service.cpp
+++ b/edge/peer_service.cpp
@@ -1,5 +1,5 @@
 // Nodes register under store keys without a lease. A peer that is gone is detected by the first call through it, which costs less than renewing one key per
-// node all the time.
+// node all the time. The registration of one that stays away is removed by the node that watches it.
 
 #include "edge/peer_service.h"
 
@@ -18,6 +18,7 @@
 constexpr duration pingInterval = std::chrono::milliseconds(500); // Half of the interval between two readiness probes of the ingress.
 constexpr duration watchingPeerMemory = std::chrono::seconds(3); // Watching peers send a request every half second.
 constexpr duration registrationRetryDelay = std::chrono::seconds(1);
+constexpr duration watchInterval = std::chrono::seconds(4); // A machine that restarts or is cut off for some seconds misses fewer rounds than count.
 constexpr duration refreshInterval = std::chrono::seconds(4); // Nodes come and go in groups, and calls to one that is gone find that out at once.
 constexpr duration registrationAge = std::chrono::seconds(3); // Greatest age of registrations that a reader passes on.
 constexpr duration firstStartDelay = std::chrono::milliseconds(1500); // All nodes of a deployment start within 0.3 s; by then most have registered.
@@ -39,6 +40,7 @@
     , m_transport(transport)
     , m_source(source)
     , m_snapshots(snapshots)
+    , m_lostNodes(settings.node)
     , m_requests(std::move(requests))
     , m_maintainStoreContact(std::move(maintainStoreContact))
 {
@@ -74,6 +76,7 @@
     BOOST_LEAF_CHECK(m_server->start());
     startMirror();
     schedulePing();
+    scheduleWatchRound();
     return {};
 }
 
@@ -91,6 +94,7 @@
     };
     handlers.onCaughtUp = [this](bool) {
         m_transport.path().setPeers(m_peers);
+        m_lostNodes.setNodes(m_peers);
         m_onPeersChanged(m_peers);
         registerNode();
         notifyFirstPeers();
@@ -163,6 +167,56 @@
     });
 }
 
+void peer_service::scheduleWatchRound()
+{
+    m_loop.after(watchInterval, [this] {
+        if (!m_isDraining && !std::exchange(m_isWatchRoundOpen, true)) {
+            pingWatched(m_lostNodes.beginRound());
+        }
+        scheduleWatchRound();
+    });
+}
+
+/** Pings the nodes of a round one after the other, until one answers. */
+void peer_service::pingWatched(const std::optional<std::string> &node)
+{
+    const auto known = node ? m_peers.find(*node) : m_peers.end();
+    if (known == m_peers.end()) {
+        m_isWatchRoundOpen = false; // No node has answered, or the list has changed: the round counts nothing.
+        return;
+    }
+    m_transport.ping(known->second.address, [this](bool isReached, const http_response &) {
+        if (!isReached) {
+            pingWatched(m_lostNodes.nextAfterSilence());
+            return;
+        }
+        m_isWatchRoundOpen = false;
+        m_lostNodes.endRound();
+        removeLostNodes();
+    });
+}
+
+/** Removes the registrations of lost nodes. One that lives sees this when it next reads the list, and registers again. */
+void peer_service::removeLostNodes()
+{
+    if (m_isDraining) {
+        return;
+    }
+    for (const std::string &name : m_lostNodes.lost()) {
+        const std::string key = std::string(nodesPrefix) + name;
+        store_txn txn;
+        txn.compares.push_back(store_compare::unchanged(key, m_peerRevisions[name]));
+        txn.onSuccess.push_back(store_delete{ key, false });
+        m_store.txn(txn, [this, name](const store_txn_answer &answer) {
+            const std::string end = answer.error ? answer.error->detail : answer.isSucceeded ? "removed" : "registered anew";
+            logLine(log_level::Info, "peer-lost", { { "peer", name }, { "registration", end } });
+            if (!answer.error) {
+                m_lostNodes.recordRemoval(name);
+            }
+        });
+    }
+}
+
 void peer_service::drain(std::function<void()> done)
 {
     m_isDraining = true;
@@ -228,8 +282,10 @@
     }
     if (event.type == store_watch_event::kind::Delete) {
         m_peers.erase(name);
+        m_peerRevisions.erase(name);
         return;
     }
+    m_peerRevisions[name] = event.item.modRevision;
     const std::optional<failure> error = failureOf([&]() -> result<void> {
         std::istringstream entryFields(event.item.value);
         std::string address;
--- a/edge/peer_service.h
+++ b/edge/peer_service.h
@@ -10,6 +10,7 @@
 #include "edge/failover_store_transport.h"
 #include "edge/job_forwarder.h"
 #include "edge/snapshot_server.h"
+#include "fleet/lost_node_watch.h"
 #include "kernel/service.h"
 #include "net/http_server.h"
 #include "net/reception.h"
@@ -18,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace reedtrail {
@@ -113,6 +115,9 @@
     void pingPeers();
     void schedulePing();
     void checkStore();
+    void scheduleWatchRound();
+    void pingWatched(const std::optional<std::string> &node);
+    void removeLostNodes();
     void registerNode();
     void applyPeerEvent(const store_watch_event &event);
     void handlePeerRequest(std::shared_ptr<http_exchange> exchange);
@@ -130,6 +135,9 @@
     bool m_isRegistering = false;
     bool m_wasRegistered = false;
     std::map<std::string, store_peer> m_peers;
+    std::map<std::string, store_revision> m_peerRevisions; ///< At which they were registered, by name.
+    lost_node_watch m_lostNodes;
+    bool m_isWatchRoundOpen = false;
     std::shared_ptr<reception> m_requests; ///< What all listeners of the process hold of requests.
     std::function<void()> m_maintainStoreContact;
     std::function<bool()> m_hasUrgentStoreWork = [] {
