--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -14,6 +14,7 @@
 constexpr duration silentProbeTimeout = std::chrono::milliseconds(100); // Covers a pause of this node's own machine.
 constexpr int silentProbes = 2; // One opening packet may be lost.
 constexpr duration minSilence = std::chrono::milliseconds(250); // A server that was busy with others until then is asked after this time only.
+constexpr duration recentAnswer = std::chrono::milliseconds(125); // A server that answered another request this shortly before is not asked.
 constexpr std::size_t maxPresumedEnds = 256; // The oldest one is forgotten first.
 constexpr duration answerMemory = std::chrono::seconds(30); // Longer than an answer tells anything of an attempt.
 constexpr duration persistRetryDelay = std::chrono::seconds(1);
@@ -112,7 +113,7 @@
         return;
     }
     const auto judge = [this, silent, now, onEnd = std::move(onEnd)] {
-        if (hasAnsweredSince(silent, now - minSilence / 2)) {
+        if (hasAnsweredSince(silent, now - recentAnswer)) {
             judgeSilence(silent, server_presence::Listening, onEnd);
             return;
         }
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -90,7 +90,7 @@
      * Handles that an attempt was given up without an answer: by its time limit, or as its caller is gone. A server that takes no new connection either counts
      * as ended until it answers another request.
      * @param quietFor for how long nothing had come from the server on the attempt's connection
-     * @param onEnd as for onBroken()
+     * @param onEnd called once, also from inside this call; isRecorded as for onBroken()
      */
     void onUnanswered(const request_identity &identity,
                       std::string_view request,
