Suspect requests: an answer takes back the end of its own server only

A request that had ended servers was cleared as a whole when a server that had been cut off answered any other request. Callers would have seen it reach servers anew: three more ends, and three more retries.

Cause: an end that was presumed, as a server had stopped answering and took no connection, was taken for a server that had completed the request once the instance answered. It may never have received it.

Evidence: found by reading the change again. answerOfServerThatWasCutOffDoesNotClearEndsOfOthers failed before: two servers ended, a third one was cut off, and its answer to another request cleared all three ends.

Why it works: only the end of that instance is disproved; the request is cleared once all ends that a node knows are. Ends that other nodes presume are disproved by those nodes, so a request that ran into the cuts of two nodes stays suspect until a server completes it.

--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -176,17 +176,14 @@
 {
     m_answers[server.id] = { server.startedAt, m_context.loop.now() };
     m_brokenAttempts.recordAnswer(server.id, server.startedAt);
-    std::vector<broken_attempts::attempt> survived;
     std::erase_if(m_presumedEnds, [&](const broken_attempts::attempt &each) {
-        const bool isSurvived = each.server == server.id && each.startedAt == server.startedAt;
-        if (isSurvived) {
-            survived.push_back(each);
+        const bool isDisproved = each.server == server.id && each.startedAt == server.startedAt;
+        if (isDisproved) {
+            logServer(each, "silent", "answering", true);
+            m_client->disproveEnd(each.identity, each.server, each.startedAt);
         }
-        return isSurvived;
+        return isDisproved;
     });
-    for (const broken_attempts::attempt &each : survived) {
-        onSurvived(each.identity, each.request, server);
-    }
 }
 
 /** Logs what is known of a server that left an attempt unanswered. @param how the attempt ended */
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -88,7 +88,7 @@
         const request_identity &identity, std::string_view request, const backend_choice &server, bool mayCount, std::function<void(bool isRecorded)> onEnd);
     /**
      * Handles that an attempt was given up without an answer: by its time limit, or as its caller is gone. A server that takes no new connection either counts
-     * as ended until it answers another request.
+     * as ended until it answers another request, which takes this end back.
      * @param quietFor for how long nothing had come from the server on the attempt's connection
      * @param onEnd called once, also from inside this call; isRecorded as for onBroken()
      */
--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -290,6 +290,39 @@
     EXPECT_FALSE(fixture.crashes->isSuspect(identity));
 }
 
+/**
+ * Guards against requests that end servers and are cleared by a server that has not run them: it was cut off when the request was sent to it, and has answered
+ * another one since.
+ */
+TEST(crashing_request, answerOfServerThatWasCutOffDoesNotClearEndsOfOthers)
+{
+    node_fixture fixture;
+    const request_identity identity = identify(outlineOf("POST", "h", "/p/1", "ends"), "ends");
+    int judged = 0;
+    const auto count = [&judged](bool isEnded) {
+        EXPECT_TRUE(isEnded);
+        ++judged;
+    };
+    for (std::uint16_t i = 1; i <= 2; ++i) { // Nothing listens there.
+        backend_choice ended;
+        ended.id = "i-" + std::to_string(i + 10);
+        ended.startedAt = 100;
+        ended.address = { "127.0.0.1", static_cast<std::uint16_t>(firstCrashingPort + i) };
+        fixture.crashes->onBroken(identity, "r", ended, true, count);
+    }
+    backend_choice cutOff;
+    cutOff.id = "i-9";
+    cutOff.startedAt = 100;
+    cutOff.address = { "127.0.0.1", firstCrashingPort };
+    full_listener unreachable(fixture.io, cutOff.address);
+    fixture.crashes->onUnanswered(identity, "r", cutOff, true, 1s, count);
+    EXPECT_TRUE(fixture.runUntil([&] {
+        return judged == 3;
+    }));
+    fixture.crashes->onAnswer(cutOff);
+    EXPECT_TRUE(fixture.crashes->isSuspect(identity));
+}
+
 /** A request that takes longer than its time limit at every server that runs it. The servers go on. */
 TEST(crashing_request, requestThatIsSlowEverywhereIsNoSuspect)
 {
--- a/fleet/crash_client.h
+++ b/fleet/crash_client.h
@@ -130,6 +130,24 @@
             tellKeepers(identity.digest);
         }
     }
+    /**
+     * Takes back an end that was recorded as its server had stopped answering: the instance has answered another request since. The request is cleared once
+     * nothing else speaks against it. Of other ends the answer says nothing, as the instance may never have received the request.
+     */
+    void disproveEnd(const request_identity &identity, std::string_view server, std::int64_t startedAt)
+    {
+        const crash_table::row *request = m_table.find(identity);
+        if (request == nullptr) {
+            m_disprovedEnds.erase(identity.digest);
+            return;
+        }
+        std::set<std::uint64_t> &disproved = m_disprovedEnds[identity.digest];
+        disproved.insert(instanceHash(server, startedAt));
+        if (std::ranges::includes(disproved, request->ends)) {
+            m_disprovedEnds.erase(identity.digest);
+            recordSurvival(identity);
+        }
+    }
     /** Records that a server was found to have ended, under whichever request. */
     void noteEnded(std::string_view server, std::int64_t startedAt)
     {
@@ -226,6 +244,7 @@
             return m_loop.now() - each.second.at > m_options.maxDenialAge;
         });
         for (const std::uint64_t digest : m_table.expire(m_loop.now())) {
+            m_disprovedEnds.erase(digest);
             if (keepersOf(digest).front() == m_ownNode) {
                 m_actions.forget(digest);
             }
@@ -497,6 +516,7 @@
     std::set<std::uint64_t> m_news; ///< Digests of rows that all nodes are to be told.
     std::set<std::uint64_t> m_zoneNews; ///< Those that only the nodes of this zone are to be told.
     std::map<std::uint64_t, denial> m_denials; ///< By digest; those that hold for a while.
+    std::map<std::uint64_t, std::set<std::uint64_t>> m_disprovedEnds; ///< By digest; hashes of instances, as crash_table::row::ends.
     std::map<std::uint64_t, time_point> m_recentEnds; ///< Servers that this node has lately seen end, by the hash of the instance.
     bool m_isShareScheduled = false;
     bool m_hasStoppedKeeping = false;
