Suspect requests: the word of a server that it leaves counts for one that stopped answering, too

A request that ran into its time limit at a server that leaves counted as one under which the server had ended, if no state of the registrations that this node read showed the server draining. Its caller could have been refused for it.

Cause: only the registration was asked whether the server drains.

Evidence: found by reading the change again; silentServerThatSaidThatItLeavesHasNotEndedUnderRequest failed before and holds now.

--- a/fleet/broken_attempts.h
+++ b/fleet/broken_attempts.h
@@ -62,7 +62,7 @@
         std::vector<attempt> ended;
         std::erase_if(m_attempts, [&](attempt &each) {
             const server_entry *registered = servers.find(each.server);
-            const bool isLeaving = each.isSilent && registered != nullptr && registered->isDraining;
+            const bool isLeaving = each.isSilent && ((registered != nullptr && registered->isDraining) || servers.leavingSince(each.server));
             if (isLeaving || now - each.brokenAt > (each.isSilent ? silentMemory : memory)) {
                 return true;
             }
--- a/fleet/testing/broken_attempts_test.cpp
+++ b/fleet/testing/broken_attempts_test.cpp
@@ -95,6 +95,18 @@
     EXPECT_TRUE(attempts.takeEnded(brokenAt + 2s, server_directory()).empty());
 }
 
+/** The same if only the server's own word tells that it leaves, as its registration was not read while it drained. */
+TEST(broken_attempts_test, silentServerThatSaidThatItLeavesHasNotEndedUnderRequest)
+{
+    broken_attempts attempts;
+    attempts.add({ {}, "r", "i-1", { "127.0.0.1", 1 }, 100, brokenAt, true });
+    server_directory servers;
+    servers.put(makeServer("i-1", 1, 100));
+    servers.recordLeaving(brokenAt, "i-1");
+    servers.remove(brokenAt + 1s, "i-1", std::nullopt);
+    EXPECT_TRUE(attempts.takeEnded(brokenAt + 1s, servers).empty());
+}
+
 TEST(broken_attempts_test, instanceThatAnswersHasNotEnded)
 {
     broken_attempts attempts;
