Suspect requests: ends that other nodes tell of speak for a loss of many servers, too

Innocent callers were refused for 10 s while many servers stopped answering at once: after three ends a request waits before its first retry, unless three servers ended without it, of which the asking node counted only those that it had seen itself. Servers that stop answering end few attempts of each node, as it sends them nothing more.

Change: a node also counts the ends that others tell it of, if the record was last seen within the same 5 s, and a keeper decides by the larger count, its own or the asking node's. Nothing more is sent.

--- a/fleet/crash_client.h
+++ b/fleet/crash_client.h
@@ -151,13 +151,7 @@
     /** Records that a server was found to have ended, under whichever request. */
     void noteEnded(std::string_view server, std::int64_t startedAt)
     {
-        const time_point now = m_loop.now();
-        std::erase_if(m_recentEnds, [&](const auto &each) {
-            return now - each.second > m_options.endMemory;
-        });
-        if (m_recentEnds.size() < maxRecentEnds) {
-            m_recentEnds.emplace(instanceHash(server, startedAt), now);
-        }
+        noteInstance(instanceHash(server, startedAt));
     }
     /** Records that an attempt that was granted has ended, or will not be made, and that no server has ended under it. */
     void release(const request_identity &identity, const std::string &asker)
@@ -190,6 +184,7 @@
             if (!m_table.merge(now, each)) {
                 continue;
             }
+            noteEndsToldOf(each);
             onNews(each.digest);
             if (message.isForZone) {
                 m_zoneNews.insert(each.digest);
@@ -306,7 +301,18 @@
         return stableHash(std::string(server) + "@" + std::to_string(startedAt));
     }
 
-    /** Returns how many servers this node has lately seen end without the request. */
+    void noteInstance(std::uint64_t instance)
+    {
+        const time_point now = m_loop.now();
+        std::erase_if(m_recentEnds, [&](const auto &each) {
+            return now - each.second > m_options.endMemory;
+        });
+        if (m_recentEnds.size() < maxRecentEnds) {
+            m_recentEnds.emplace(instance, now);
+        }
+    }
+
+    /** Returns how many servers have lately ended without the request, as far as this node has seen or heard. */
     std::uint32_t endsElsewhere(std::uint64_t digest) const
     {
         const crash_table::row *request = m_table.find(digest);
@@ -378,7 +384,9 @@
             return std::pair(record.ends, record.retries);
         };
         const auto before = stateOf();
-        const crash_grant grant = m_keeper.serve(m_loop.now(), m_table, question);
+        crash_ask informed = question;
+        informed.endsElsewhere = std::max(question.endsElsewhere, endsElsewhere(question.digest));
+        const crash_grant grant = m_keeper.serve(m_loop.now(), m_table, informed);
         if (stateOf() != before) {
             share(question.digest);
         }
@@ -389,11 +397,23 @@
     {
         for (const crash_record &each : reply.records) {
             if (m_table.merge(m_loop.now(), each)) {
+                noteEndsToldOf(each);
                 onNews(each.digest);
             }
         }
     }
 
+    /** Notes the servers of which another node has told that they ended lately: they speak for a loss of many servers. */
+    void noteEndsToldOf(const crash_record &record)
+    {
+        if (duration(record.ageUs) > m_options.endMemory) {
+            return;
+        }
+        for (const std::uint64_t instance : record.ends) {
+            noteInstance(instance);
+        }
+    }
+
     /** Handles a row that has changed; keepers make it known. */
     void onNews(std::uint64_t digest)
     {
@@ -517,7 +537,7 @@
     std::set<std::uint64_t> m_zoneNews; ///< Those that only the nodes of this zone are to be told.
     std::map<std::uint64_t, denial> m_denials; ///< By digest; those that hold for a while.
     std::map<std::uint64_t, std::set<std::uint64_t>> m_disprovedEnds; ///< By digest; hashes of instances, as crash_table::row::ends.
-    std::map<std::uint64_t, time_point> m_recentEnds; ///< Servers that this node has lately seen end, by the hash of the instance.
+    std::map<std::uint64_t, time_point> m_recentEnds; ///< Servers that have lately ended, as this node has seen or heard, by the hash of the instance.
     bool m_isShareScheduled = false;
     bool m_hasStoppedKeeping = false;
     time_point m_lastShareAt;
--- a/fleet/testing/crash_client_test.cpp
+++ b/fleet/testing/crash_client_test.cpp
@@ -127,6 +127,54 @@
     EXPECT_EQ(refused, 0);
 }
 
+/** Guards against requests that crash servers without closing their connections, beside faults of nodes and losses of servers. */
+TEST(crash_client, allNodesTogetherSendRequestThreeTimesMoreUnderWhichServersStopAnswering)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        for (const int crashing : { 1, 2, 5 }) {
+            for (const bool hasFaults : { false, true }) {
+                crash_play what{ crash_form::Shared, crashing, hasFaults, seed % 2 == 0, {} };
+                what.isDark = true;
+                EXPECT_LE(play(seed, what).largestRetries, allowedRetries) << "seed " << seed << ", " << crashing << " crashing, faults " << hasFaults;
+            }
+        }
+    }
+}
+
+/** Guards against requests that reach servers anew after the nodes that keep them, and others, were lost for good. */
+TEST(crash_client, crashingRequestIsSentThreeTimesMoreAfterItsKeepersWereLost)
+{
+    for (const bool isDark : { false, true }) {
+        for (const int lost : { 2, 4, 6, 7 }) {
+            for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+                crash_play what{ crash_form::Shared, 1, false, false, {} };
+                what.isDark = isDark;
+                what.lostNodes = lost;
+                EXPECT_LE(play(seed, what).largestRetries, allowedRetries) << "seed " << seed << ", " << lost << " nodes lost, dark " << isDark;
+            }
+        }
+    }
+}
+
+/** Guards against innocent callers that are refused as servers stop answering in numbers, and hundreds of attempts run into their time limit. */
+TEST(crash_client, noInnocentRequestIsRefusedWhileManyServersStopAnswering)
+{
+    for (const double share : { 0.15, 0.3, 0.5, 0.7 }) {
+        crash_play what{ crash_form::Shared, 0, false, true, {} };
+        what.isDark = true;
+        what.lossShare = share;
+        int refused = 0;
+        int sent = 0;
+        for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+            const crash_counts counts = play(seed, what);
+            refused += counts.innocentRefused;
+            sent += counts.innocent;
+        }
+        EXPECT_EQ(refused, 0) << share;
+        std::printf("%.2f of the servers: %d of %d innocent requests refused\n", share, refused, sent);
+    }
+}
+
 TEST(crash_client, othersAreServedMoreWhileRequestCrashesServers)
 {
     for (const int crashing : { 1, 2, 5 }) {
--- a/fleet/testing/crash_simulation.cpp
+++ b/fleet/testing/crash_simulation.cpp
@@ -1,5 +1,7 @@
 #include "fleet/testing/crash_simulation.h"
 
+#include <algorithm>
+
 namespace reedtrail::testing {
 
 using namespace std::chrono_literals;
@@ -17,6 +19,10 @@
 constexpr duration innocentDeadline = 1500ms;
 constexpr double innocentPauseSeconds = 0.04; // Mean time between two innocent requests.
 constexpr double restartSeconds = 3.3;
+constexpr duration attemptLimit = 500ms; // A third of the deadline, as the product's first attempt.
+constexpr duration endProbeTime = 200ms; // Until it is known that a server takes no connection.
+constexpr duration avoidTime = 3s; // For which a node sends nothing to a server that did not answer.
+constexpr duration timeUntilListLacksLostNodes = 20s;
 constexpr double minLinkSeconds = 0.0005;
 constexpr double maxLinkSeconds = 0.003;
 
@@ -57,6 +63,9 @@
     });
     ++simulation.m_counts.messages;
     simulation.send(self, node, [&simulation, self, node, message, finish] {
+        if (simulation.m_nodes.at(node).isLost) {
+            return;
+        }
         if (!simulation.m_nodes.at(node).isRunning) {
             simulation.send(node, self, [finish] {
                 finish(peer_ask_end::Gone, {});
@@ -128,13 +137,7 @@
     actions.forget = [](std::uint64_t) {};
     actions.onChange = [](const crash_record &) {};
     each.crashes = std::make_shared<client>(*each.peers, *each.loop, name, actions, m_play.options);
-    std::map<std::string, store_peer> list;
-    for (const auto &[other, known] : m_nodes) {
-        if (m_play.form == crash_form::Shared || other == name) {
-            list[other].zone = known.zone;
-        }
-    }
-    each.crashes->setNodes(list);
+    setNodes(name);
     each.isReady = false;
     each.loop->after(50ms, [this, name] {
         m_nodes.at(name).isReady = true;
@@ -146,6 +149,44 @@
     });
 }
 
+void crash_simulation::setNodes(const std::string &name)
+{
+    std::map<std::string, store_peer> list;
+    for (const auto &[other, known] : m_nodes) {
+        const bool isListed = !known.isLost || !m_haveLostNodesLeftList;
+        if (other == name || (m_play.form == crash_form::Shared && isListed)) {
+            list[other].zone = known.zone;
+        }
+    }
+    m_nodes.at(name).crashes->setNodes(list);
+}
+
+/** Loses nodes for good, those that keep the request first. They leave the list of nodes later. */
+void crash_simulation::loseNodes(const content &crashing)
+{
+    std::vector<std::string> lost = m_nodes.begin()->second.crashes->keepersOf(crashing.identity.digest);
+    while (lost.size() < static_cast<std::size_t>(m_play.lostNodes)) {
+        if (const std::string name = randomNode(); std::ranges::find(lost, name) == lost.end()) {
+            lost.push_back(name);
+        }
+    }
+    for (const std::string &name : lost) {
+        node &each = m_nodes.at(name);
+        each.isLost = true;
+        each.isRunning = each.isReady = false;
+        each.disturbedUntil = m_end;
+    }
+    m_play.lostNodes = 0;
+    m_world.after(timeUntilListLacksLostNodes, [this] {
+        m_haveLostNodesLeftList = true;
+        for (const auto &[name, each] : m_nodes) {
+            if (each.isRunning) {
+                setNodes(name);
+            }
+        }
+    });
+}
+
 void crash_simulation::runOrDefer(const std::string &name, int incarnation, std::function<void()> action)
 {
     const node &each = m_nodes.at(name);
@@ -275,8 +316,17 @@
 void crash_simulation::sendToServer(const std::shared_ptr<client_attempt> &request)
 {
     const std::size_t index = m_random.below(m_servers.size());
-    if (!m_servers[index].isRunning || m_servers[index].running.size() >= slots) {
-        if (!m_servers[index].isRunning) {
+    const bool isAvoided = m_nodes.at(request->node).avoidedUntil[index] > m_world.now();
+    if (m_play.isDark && !m_servers[index].isRunning && !isAvoided) { // Sent on a connection that was there before.
+        m_world.after(attemptLimit, [this, request, index, instance = m_servers[index].instance - 1] {
+            runOrDefer(request->node, request->incarnation, [this, request, index, instance] {
+                onUnanswered(request, index, instance);
+            });
+        });
+        return;
+    }
+    if (isAvoided || !m_servers[index].isRunning || m_servers[index].running.size() >= slots) {
+        if (!m_play.isDark && !m_servers[index].isRunning) {
             m_nodes.at(request->node).crashes->noteEnded("s-" + std::to_string(index), m_servers[index].instance - 1);
         }
         if (++request->tries > maxTries) {
@@ -338,6 +388,9 @@
         content &guilty = m_contents[*cause];
         if (++guilty.ends == 3) {
             guilty.thirdEndAt = m_world.now();
+            if (m_play.lostNodes > 0) {
+                loseNodes(guilty);
+            }
         }
     }
     each.isRunning = false;
@@ -346,9 +399,10 @@
         const auto found = m_attempts.find(number);
         const std::shared_ptr<client_attempt> request = found->second.of;
         m_attempts.erase(found);
-        m_world.after(randomSpan(2 * minLinkSeconds, 2 * maxLinkSeconds), [this, request, index, instance] {
+        const duration untilKnown = m_play.isDark ? attemptLimit : randomSpan(2 * minLinkSeconds, 2 * maxLinkSeconds);
+        m_world.after(untilKnown, [this, request, index, instance] {
             runOrDefer(request->node, request->incarnation, [this, request, index, instance] {
-                onBroken(request, index, instance);
+                m_play.isDark ? onUnanswered(request, index, instance) : onBroken(request, index, instance);
             });
         });
     }
@@ -358,11 +412,40 @@
 }
 
 void crash_simulation::onBroken(const std::shared_ptr<client_attempt> &request, std::size_t serverIndex, int instance)
+{
+    recordEnd(request, serverIndex, instance);
+    request->hasGrant = false;
+    goOn(request);
+}
+
+/** Handles an attempt that ran into its time limit. A request with a grant goes on once it is known that the server has ended, others at once. */
+void crash_simulation::onUnanswered(const std::shared_ptr<client_attempt> &request, std::size_t serverIndex, int instance)
+{
+    m_nodes.at(request->node).avoidedUntil[serverIndex] = m_world.now() + avoidTime;
+    const bool hadGrant = std::exchange(request->hasGrant, false);
+    m_world.after(endProbeTime, [this, request, serverIndex, instance, hadGrant] {
+        runOrDefer(request->node, request->incarnation, [this, request, serverIndex, instance, hadGrant] {
+            recordEnd(request, serverIndex, instance);
+            if (hadGrant) {
+                goOn(request);
+            }
+        });
+    });
+    if (!hadGrant) {
+        goOn(request);
+    }
+}
+
+void crash_simulation::recordEnd(const std::shared_ptr<client_attempt> &request, std::size_t serverIndex, int instance)
 {
     if (m_play.form != crash_form::Forgotten) {
         m_nodes.at(request->node).crashes->recordEnd(m_contents[request->content].identity, "s-" + std::to_string(serverIndex), instance);
     }
-    request->hasGrant = false;
+}
+
+/** Goes on after an attempt that a server did not complete. */
+void crash_simulation::goOn(const std::shared_ptr<client_attempt> &request)
+{
     if (++request->runs >= maxAttempts) {
         request->onAnswer(false, false);
         return;
@@ -375,7 +458,7 @@
     for (const double at : { 4.0, 4.8, 12.0 }) {
         m_world.after(fromSeconds(at), [this] {
             for (std::size_t i = 0; i < m_servers.size(); ++i) {
-                if (m_random.chance(0.7)) {
+                if (m_random.chance(m_play.lossShare)) {
                     endServer(i, std::nullopt);
                 }
             }
--- a/fleet/testing/crash_simulation.h
+++ b/fleet/testing/crash_simulation.h
@@ -34,6 +34,9 @@
     bool hasFaults = false; ///< Nodes are killed, frozen and cut off.
     bool hasLosses = false; ///< Seven tenths of the servers end at once, three times.
     crash_client_options options;
+    bool isDark = false; ///< Servers that end close no connection, and new ones get no answer; requests on them run into their time limit.
+    double lossShare = 0.7; ///< Of the servers, that end at once if there are losses.
+    int lostNodes = 0; ///< Nodes that are lost for good when a crashing request has ended its third server, its two keepers first.
 };
 
 /** What was seen. */
@@ -113,6 +116,8 @@
         std::shared_ptr<client> crashes;
         time_point frozenUntil;
         time_point disturbedUntil;
+        bool isLost = false; ///< For good.
+        std::map<std::size_t, time_point> avoidedUntil; ///< Servers that did not answer, by index.
     };
     struct server
     {
@@ -162,6 +167,11 @@
     void finishAttempt(int number, std::size_t serverIndex, int instance);
     void endServer(std::size_t index, std::optional<std::size_t> cause);
     void onBroken(const std::shared_ptr<client_attempt> &request, std::size_t serverIndex, int instance);
+    void onUnanswered(const std::shared_ptr<client_attempt> &request, std::size_t serverIndex, int instance);
+    void recordEnd(const std::shared_ptr<client_attempt> &request, std::size_t serverIndex, int instance);
+    void goOn(const std::shared_ptr<client_attempt> &request);
+    void loseNodes(const content &crashing);
+    void setNodes(const std::string &name);
     void scheduleFault();
     void injectFault();
     void scheduleLosses();
@@ -182,6 +192,7 @@
     std::set<std::pair<std::string, std::string>> m_cuts;
     crash_counts m_counts;
     int m_nextNumber = 0;
+    bool m_haveLostNodesLeftList = false;
     time_point m_end;
 };
 
