--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -73,7 +74,15 @@
     int items = 0; ///< Items of jobs that servers completed.
     bool crashesAtItems = false;
     duration silentFor{}; ///< For how long a server that ends leaves its connections open and takes no new ones; zero: it closes them at once.
-    std::set<std::string> requestsAfterContact; ///< Of the bodies that crash servers, those that reached one later than contactTime after the third end.
+    bool beginsStreams = false; ///< Sends the first event of a stream before it ends.
+    /** What a body that crashes servers has done. */
+    struct crashing_body
+    {
+        int ends = 0;
+        time_point thirdEndAt;
+        std::set<std::string> requestsAfterContact; ///< Ids of those that reached a server later than contactTime after the third end.
+    };
+    std::map<std::string, crashing_body> bodies;
     bool answersUnsigned = false; ///< After two ends, such bodies get a success without a signature in place of another end.
     int unsignedAnswers = 0;
     std::function<void()> onRun = [] {}; ///< Runs when a server begins to run a request.
@@ -103,8 +112,9 @@
         onRun();
         if (exchange->request().body.starts_with("crash") || (crashesAtItems && exchange->request().path().starts_with("/j/"))) {
             runsAfterThirdEnd += ends >= 3 ? 1 : 0;
-            if (ends >= 3 && m_fixture.loop.now() > m_thirdEndAt + contactTime) {
-                requestsAfterContact.insert(std::string(platform::requestIdOf(exchange->request())));
+            crashing_body &body = bodies[exchange->request().body];
+            if (body.ends >= 3 && m_fixture.loop.now() > body.thirdEndAt + contactTime) {
+                body.requestsAfterContact.insert(std::string(platform::requestIdOf(exchange->request())));
             }
             if (answersUnsigned && ends >= 2) {
                 ++unsignedAnswers;
@@ -114,8 +124,12 @@
             if (silentFor > duration::zero()) {
                 m_unanswered.push_back(exchange);
             }
+            if (beginsStreams) {
+                exchange->startStream({ http_status::ok, testing::serverFields(exchange->request()), "" });
+                exchange->write("id: 1\ndata: a\n\n");
+            }
             m_fixture.loop.after(timeToCrash, [this, index, id, exchange] {
-                end(index, id);
+                end(index, id, exchange->request().body);
             });
             return;
         }
@@ -144,12 +158,14 @@
             exchange->respond(std::move(response));
         });
     }
-    void end(std::size_t index, const std::string &id)
+    void end(std::size_t index, const std::string &id, const std::string &causedBy)
     {
         if (m_servers[index].id != id || !m_servers[index].server) {
             return;
         }
-        m_thirdEndAt = ++ends == 3 ? m_fixture.loop.now() : m_thirdEndAt;
+        ++ends;
+        crashing_body &body = bodies[causedBy];
+        body.thirdEndAt = ++body.ends == 3 ? m_fixture.loop.now() : body.thirdEndAt;
         if (silentFor > duration::zero()) {
             fallSilent(index, id);
             return;
@@ -178,7 +194,6 @@
     node_fixture &m_fixture;
     std::vector<crashing_server> m_servers;
     std::vector<std::shared_ptr<http_exchange>> m_unanswered;
-    time_point m_thirdEndAt;
     int m_starts = 0;
 };
 
@@ -195,13 +210,15 @@
     }
 }
 
-/** Sends a request again and again for @p time, each time under a new id after @p interval, whether or not there was a response. */
-void sendEvery(node_fixture &fixture, const std::string &body, duration interval, duration time)
+/** Sends requests again and again for @p time, each time under a new id after @p interval, whether or not there was a response. */
+void sendEvery(node_fixture &fixture, const std::vector<std::string> &bodies, const std::string &path, duration interval, duration time)
 {
     std::vector<std::shared_ptr<recorded_exchange>> exchanges;
     const time_point end = fixture.loop.now() + time;
     for (int i = 1; fixture.loop.now() < end; ++i) {
-        exchanges.push_back(fixture.startRequest(body, "/p/1", { { "Request-Id", "r-" + std::to_string(i) } }));
+        for (const std::string &body : bodies) {
+            exchanges.push_back(fixture.startRequest(body, path, { { "Request-Id", "r-" + std::to_string(i) + body } }));
+        }
         fixture.run(interval);
     }
     EXPECT_TRUE(fixture.runUntil([&] {
@@ -211,6 +228,16 @@
     }));
 }
 
+/** Checks that each body that crashes servers did so, and was sent no more often than allowed once all nodes have to know. */
+void expectFewRequestsAfterContact(const crashing_servers &servers)
+{
+    EXPECT_FALSE(servers.bodies.empty());
+    for (const auto &[text, body] : servers.bodies) {
+        EXPECT_GE(body.ends, 3) << text;
+        EXPECT_LE(std::ssize(body.requestsAfterContact), allowedRetries) << text << ", " << body.ends << " ends";
+    }
+}
+
 /** Waits until the node knows a route for the path. */
 void awaitRoute(node_fixture &fixture, const char *path)
 {
@@ -240,9 +267,40 @@
         node_fixture fixture;
         crashing_servers servers(fixture, 6);
         servers.silentFor = silentFor;
-        sendEvery(fixture, "crash", 250ms, 7s);
-        EXPECT_GE(servers.ends, 3);
-        EXPECT_LE(std::ssize(servers.requestsAfterContact), allowedRetries) << servers.ends << " ends";
+        sendEvery(fixture, { "crash" }, "/p/1", 250ms, 7s);
+        expectFewRequestsAfterContact(servers);
+    }
+}
+
+/** Guards against the same on routes whose requests are sent once, in the middle of a stream, and with two such requests at a time. */
+TEST(crashing_request, requestsOfAllKindsAreSentToServerAfterSilentServer)
+{
+    const struct
+    {
+        const char *what;
+        const char *path;
+        std::vector<std::string> bodies;
+        bool beginsStreams;
+    } cases[] = {
+        { "sent once", "/n/1", { "crash" }, false },
+        { "stream", "/t/1", { "crash" }, true },
+        { "stream that may be resumed", "/u/1", { "crash" }, true },
+        { "two requests", "/p/1", { "crash 1", "crash 2" }, false },
+    };
+    for (const auto &each : cases) {
+        SCOPED_TRACE(each.what);
+        node_fixture fixture;
+        crashing_servers servers(fixture, 9);
+        fixture.putConfiguration(2,
+                                 { { "r", "/p/", route_kind::Idempotent },
+                                   { "n", "/n/", route_kind::NonIdempotent },
+                                   { "t", "/t/", route_kind::Streaming },
+                                   { "u", "/u/", route_kind::Streaming, true, 3 } });
+        awaitRoute(fixture, each.path);
+        servers.silentFor = 2500ms;
+        servers.beginsStreams = each.beginsStreams;
+        sendEvery(fixture, each.bodies, each.path, 250ms, 8s);
+        expectFewRequestsAfterContact(servers);
     }
 }
 
@@ -259,8 +317,7 @@
         exchange->leave();
         fixture.run(100ms);
     }
-    EXPECT_GE(servers.ends, 3);
-    EXPECT_LE(std::ssize(servers.requestsAfterContact), allowedRetries) << servers.ends << " ends";
+    expectFewRequestsAfterContact(servers);
 }
 
 /** Guards against innocent requests that stay suspects after their server was cut off or stood still for a while and goes on. */
