Tests: streams of 300 nodes of which 250 are lost, and a check of what is missed only

Its number of nodes is part of what is played now.

The check "known equals kept" also failed if a stream was known although the last node that kept it was lost before the answer arrived (360 known, 358 kept), which is no fault. Counted now are the streams that are missed: unknown, though a living node knew them when they were taken up and when the answer came. None may be, as before.

--- a/fleet/testing/stream_origin_client_test.cpp
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -5,7 +5,6 @@
 #include "harness/virtual_time.h"
 
 #include <algorithm>
-#include <array>
 #include <gtest/gtest.h>
 
 namespace reedtrail {
@@ -13,7 +12,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr int nodeCount = 9;
 const std::string service = "s";
 
 /** What is played. */
@@ -34,6 +32,7 @@
     duration lastFailureAt{}; ///< The only failure after that; zero: the four at their usual times.
     bool isAnnounced = false; ///< The first node is stopped then, a second after it was told, instead of nodes that are killed.
     int lost = 0; ///< Nodes that are lost for good at 6 s, and stay in the list of nodes.
+    int nodes = 9;
     duration lossInterval{}; ///< One more node is lost for good each time this has passed, from 10 s on, until one is left; zero: never.
 };
 
@@ -43,7 +42,7 @@
     int begun = 0;
     int takenUp = 0;
     int known = 0;
-    int kept = 0; ///< Those that a node knew which was there when they were taken up, and when the answer came.
+    int missed = 0; ///< Unknown, though a node knew them that was there when they were taken up, and when the answer came.
     int wrong = 0; ///< The build that a node named is not the one that began the stream.
     int messages = 0;
 };
@@ -76,11 +75,13 @@
     explicit simulation(const play &options)
         : m_options(options)
         , m_random(options.seed)
+        , m_nodes(static_cast<std::size_t>(options.nodes))
+        , m_open(m_nodes.size())
     {
-        for (int i = 0; i < nodeCount; ++i) {
+        for (int i = 0; i < m_options.nodes; ++i) {
             m_list["node-" + std::to_string(i)] = { {}, "zone-" + std::to_string(i % 3), 1.0 };
         }
-        for (int i = 0; i < nodeCount; ++i) {
+        for (int i = 0; i < m_options.nodes; ++i) {
             start(i);
         }
         scheduleStates();
@@ -141,7 +142,7 @@
     }
     int indexOf(const std::string &node) const
     {
-        return node.back() - '0';
+        return std::stoi(node.substr(node.find('-') + 1));
     }
 
 private:
@@ -202,7 +203,7 @@
     /** Each node reads the registrations about every 600 ms. */
     void scheduleStates()
     {
-        for (int i = 0; i < nodeCount; ++i) {
+        for (int i = 0; i < m_options.nodes; ++i) {
             if (m_nodes[i].isUp && m_time.now() >= m_nodes[i].frozenUntil) {
                 readState(i);
             }
@@ -215,7 +216,7 @@
     {
         int index = 0;
         do {
-            index = static_cast<int>(m_random.below(nodeCount));
+            index = static_cast<int>(m_random.below(m_nodes.size()));
         } while (!m_nodes[index].isUp || m_time.now() < m_nodes[index].frozenUntil);
         return index;
     }
@@ -256,7 +257,7 @@
     void failNodes()
     {
         const bool mayAllFail = m_options.stillShare == 0;
-        for (int i = mayAllFail ? 0 : 1; i < nodeCount; ++i) { // Somebody must be there to take streams up.
+        for (int i = mayAllFail ? 0 : 1; i < m_options.nodes; ++i) { // Somebody must be there to take streams up.
             if (m_random.chance(m_options.killedShare)) {
                 kill(i);
             } else if (m_random.chance(m_options.frozenShare)) {
@@ -268,7 +269,7 @@
     void killAllAndFailOnce()
     {
         m_time.at(time_point(m_options.allKilledAt), [this] {
-            for (std::size_t i = m_options.spared; i < nodeCount; ++i) {
+            for (std::size_t i = m_options.spared; i < m_options.nodes; ++i) {
                 m_open[i].clear();
                 kill(static_cast<int>(i));
             }
@@ -359,7 +360,6 @@
         const int index = anyNode();
         const time_point takenUpAt = m_time.now();
         m_nodes[index].client->find(id, service, m_options.streamLife, [this, index, id, build, takenUpAt, wasKept](const found_origin &found) {
-            m_counts.kept += wasKept && isKept(id) ? 1 : 0;
             bool isAccepted = found.source != origin_source::SoleBuild;
             if (!isAccepted) { // What is inferred from a sole build is read from the store once more (request_relay::judgeOrigin).
                 readState(index);
@@ -368,6 +368,8 @@
             if (found.source != origin_source::Unknown && isAccepted) {
                 ++m_counts.known;
                 m_counts.wrong += found.origin.build != build ? 1 : 0;
+            } else if (wasKept && isKept(id)) {
+                ++m_counts.missed;
             }
         });
     }
@@ -382,8 +384,8 @@
     random_source m_random;
     harness::virtual_time m_time;
     std::map<std::string, store_peer> m_list;
-    std::array<simulated_node, nodeCount> m_nodes;
-    std::array<std::vector<open_stream>, nodeCount> m_open;
+    std::vector<simulated_node> m_nodes;
+    std::vector<std::vector<open_stream>> m_open;
     counts m_counts;
 };
 
@@ -401,7 +403,7 @@
         sum.begun += one.begun;
         sum.takenUp += one.takenUp;
         sum.known += one.known;
-        sum.kept += one.kept;
+        sum.missed += one.missed;
         sum.wrong += one.wrong;
         sum.messages += one.messages;
     }
@@ -508,17 +510,32 @@
         const counts seen = playSeeds({ .lost = lost, .lossInterval = 4s }, 20);
         EXPECT_EQ(seen.wrong, 0);
         EXPECT_GT(seen.takenUp, 200);
-        EXPECT_EQ(seen.known, seen.kept) << lost << " of " << nodeCount << " nodes lost before";
+        EXPECT_EQ(seen.missed, 0) << lost << " nodes lost before";
         EXPECT_GT(shareKnown(seen), 0.5) << "new streams all begin here, and half of their share must go on";
-        std::printf("%d nodes lost: %d of %d streams known, %d kept, %.2f messages for a stream\n",
+        std::printf("%d nodes lost: %d of %d streams known, %d missed, %.2f messages for a stream\n",
                     lost,
                     seen.known,
                     seen.takenUp,
-                    seen.kept,
+                    seen.missed,
                     static_cast<double>(seen.messages) / seen.begun);
     }
 }
 
+/** The same in a large deployment, whose nodes meet each lost one for the first time. */
+TEST(stream_origin_client_test, streamsAreKnownAfterMostOfManyNodesWereLostForGood)
+{
+    const counts seen = playSeeds({ .lost = 250, .nodes = 300, .lossInterval = 1s }, 1);
+    EXPECT_EQ(seen.wrong, 0);
+    EXPECT_GT(seen.takenUp, 100);
+    EXPECT_EQ(seen.missed, 0);
+    EXPECT_GT(shareKnown(seen), 0.5) << "new streams all begin here, and half of their share must go on";
+    std::printf("250 of 300 nodes lost: %d of %d streams known, %d missed, %.2f messages for a stream\n",
+                seen.known,
+                seen.takenUp,
+                seen.missed,
+                static_cast<double>(seen.messages) / seen.begun);
+}
+
 /** Guards against streams whose keepers are lost one after the other while the stream lasts, and are not replaced. */
 TEST(stream_origin_client_test, streamsOutliveTheirKeepersOneByOne)
 {
@@ -526,13 +543,13 @@
         const counts seen = playSeeds({ .lossInterval = interval }, 20);
         EXPECT_EQ(seen.wrong, 0);
         EXPECT_GT(seen.takenUp, 1000);
-        EXPECT_EQ(seen.known, seen.kept) << toSeconds(interval) << " s between two losses";
+        EXPECT_EQ(seen.missed, 0) << toSeconds(interval) << " s between two losses";
         EXPECT_GT(shareKnown(seen), 0.5) << "new streams all begin here, and half of their share must go on";
-        std::printf("%.2f s between losses: %d of %d streams known, %d kept, %.2f messages for a stream\n",
+        std::printf("%.2f s between losses: %d of %d streams known, %d missed, %.2f messages for a stream\n",
                     toSeconds(interval),
                     seen.known,
                     seen.takenUp,
-                    seen.kept,
+                    seen.missed,
                     static_cast<double>(seen.messages) / seen.begun);
     }
 }
