Peers and attempts: one place for pauses that double, for the time of silence, and for "handed over"

Found on reading the change again: peer_presence repeated what store_router had for readers of a zone, the relay and the crash guard each named the same 250 ms, and the relay kept a flag that run_start_tracker has.

--- a/edge/crash_guard.cpp
+++ b/edge/crash_guard.cpp
@@ -13,7 +13,6 @@
 constexpr duration serverEndTimeout = std::chrono::milliseconds(50); // A machine that has just closed a connection answers within a round trip.
 constexpr duration silentProbeTimeout = std::chrono::milliseconds(100); // Covers a pause of this node's own machine.
 constexpr int silentProbes = 2; // One opening packet may be lost.
-constexpr duration minSilence = std::chrono::milliseconds(250); // A server that was busy with others until then is asked after this time only.
 constexpr duration recentAnswer = std::chrono::milliseconds(125); // A server that answered another request this shortly before is not asked.
 constexpr std::size_t maxPresumedEnds = 256; // The oldest one is forgotten first.
 constexpr duration answerMemory = std::chrono::seconds(30); // Longer than an answer tells anything of an attempt.
--- a/edge/crash_guard.h
+++ b/edge/crash_guard.h
@@ -46,6 +46,7 @@
 public:
     /** Prefix of the store keys under which such requests stand, below that of the registrations of nodes, which all nodes read. */
     static constexpr std::string_view keyPart = "crashing/";
+    static constexpr duration minSilence = std::chrono::milliseconds(250); ///< After which a server that sends nothing may have stopped answering.
 
     crash_guard(edge_context &context, store_router &router, http_client &peerClient);
 
--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -18,7 +18,6 @@
     std::chrono::milliseconds(150); // Shortest Retry-After while all servers are full; slots become free as requests finish.
 constexpr int returnTimeShare = 3; // A caller that comes back later than in this part of its time left has too little of it to be served.
 constexpr duration minRetryAfterAtLimit = std::chrono::milliseconds(50); // A caller that returns sooner finds the same places taken.
-constexpr duration minSilence = std::chrono::milliseconds(250); // A server that has just sent something is not known to have fallen silent.
 constexpr duration takeUpTime = std::chrono::seconds(2); // After a stream broke off, its caller takes it up within this time.
 constexpr duration retryAfterAtStop = std::chrono::milliseconds(50); // Retry-After of a node that ends; others serve the caller at once.
 constexpr duration retryAfterWhenNoServer = std::chrono::milliseconds(500); // Retry-After while no server is registered; registrations are read about as often.
@@ -222,7 +221,6 @@
     m_runStart.onAttempt();
     m_attemptStartedAt = m_context.loop.now();
     m_lastReceivedAt = m_attemptStartedAt;
-    m_isAttemptHandedOver = false;
     const duration timeLeft = m_deadline - m_attemptStartedAt;
     const std::shared_ptr<const http_request> original(m_exchange, &m_exchange->request());
     http_request request =
@@ -236,7 +234,6 @@
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
         const bool isAllowed = isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
         if (isAllowed) {
-            self->m_isAttemptHandedOver = true;
             self->m_runStart.onHandedOver(self->m_context.loop.now());
         }
         return isAllowed;
@@ -592,7 +589,7 @@
 {
     const duration quietFor = m_context.loop.now() - m_lastReceivedAt;
     const bool hasBegunToAnswer = m_lastReceivedAt > m_attemptStartedAt;
-    if (!m_isAttemptHandedOver || (hasBegunToAnswer && quietFor < minSilence)) {
+    if (!m_runStart.isHandedOver() || (hasBegunToAnswer && quietFor < crash_guard::minSilence)) {
         return;
     }
     logUnanswered(reason);
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -115,7 +115,6 @@
     time_point m_attemptStartedAt;
     std::shared_ptr<http_call> m_attempt;
     std::uint64_t m_attemptNumber = 0;
-    bool m_isAttemptHandedOver = false; ///< Whether the current attempt may have reached its server.
     time_point m_lastReceivedAt; ///< When the current attempt was begun or last brought something.
     http_response m_response;
     platform::server_answer m_serverAnswer;
--- a/fleet/peer_presence.h
+++ b/fleet/peer_presence.h
@@ -20,8 +20,12 @@
 class peer_presence
 {
 public:
-    static constexpr duration firstPause = std::chrono::seconds(1);
-    static constexpr duration longestPause = std::chrono::seconds(24);
+    /** @param firstPause time for which a node is passed over after its first failure; @param longestPause after many in a row */
+    explicit peer_presence(duration firstPause = std::chrono::seconds(1), duration longestPause = std::chrono::seconds(24))
+        : m_firstPause(firstPause)
+        , m_longestPause(longestPause)
+    {
+    }
 
     void recordAnswer(const std::string &node)
     {
@@ -32,7 +36,7 @@
     {
         pause &one = m_pauses[node];
         if (now >= one.until) {
-            one.length = std::clamp(one.length * 2, firstPause, longestPause);
+            one.length = std::clamp(one.length * 2, m_firstPause, m_longestPause);
             one.until = now + one.length;
         }
     }
@@ -57,6 +61,8 @@
         time_point until;
         duration length{};
     };
+    duration m_firstPause;
+    duration m_longestPause;
     std::map<std::string, pause, std::less<>> m_pauses;
 };
 
--- a/fleet/run_start_tracker.h
+++ b/fleet/run_start_tracker.h
@@ -28,6 +28,11 @@
     {
         m_handedOverAt = now;
     }
+    /** Tells whether the current attempt was handed to its connection. */
+    bool isHandedOver() const
+    {
+        return m_handedOverAt.has_value();
+    }
     /** Records that the server answered the current attempt and has run it. @return when the request began to run, if that is not counted yet */
     std::optional<time_point> onAnswered()
     {
--- a/fleet/store_router.cpp
+++ b/fleet/store_router.cpp
@@ -16,9 +16,7 @@
         return isUnknown(each.first);
     });
     std::erase_if(m_unreachable, isUnknown);
-    std::erase_if(m_readerPauses, [&](const auto &each) {
-        return isUnknown(each.first);
-    });
+    m_readers.keepOnly(m_peers);
 }
 
 std::optional<std::pair<std::string, endpoint>> store_router::choose(time_point now)
@@ -42,8 +40,7 @@
 {
     const auto *best = &m_ownName;
     for (const auto &[name, peer] : m_peers) {
-        const auto pause = m_readerPauses.find(name);
-        const bool isUsable = peer.zone == m_ownZone && (pause == m_readerPauses.end() || pause->second.until <= now);
+        const bool isUsable = peer.zone == m_ownZone && !m_readers.isMissing(now, name);
         if (isUsable && rendezvousRank(m_ownZone, name) > rendezvousRank(m_ownZone, *best)) {
             best = &name;
         }
@@ -53,17 +50,12 @@
 
 void store_router::recordReaderFailure(time_point now, const std::string &peer)
 {
-    reader_pause &pause = m_readerPauses[peer];
-    if (now < pause.until) {
-        return; // Several calls in flight to the same reader fail together.
-    }
-    pause.length = std::clamp(pause.length * 2, m_options.peerPause, m_options.maxReaderPause);
-    pause.until = now + pause.length;
+    m_readers.recordSilence(now, peer);
 }
 
 void store_router::recordReaderSuccess(const std::string &peer)
 {
-    m_readerPauses.erase(peer);
+    m_readers.recordAnswer(peer);
 }
 
 std::vector<endpoint> store_router::witnesses() const
--- a/fleet/store_router.h
+++ b/fleet/store_router.h
@@ -14,6 +14,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "fleet/peer_presence.h"
 #include "net/endpoint.h"
 
 #include <map>
@@ -54,6 +55,7 @@
         , m_ownName(std::move(ownName))
         , m_ownZone(std::move(ownZone))
         , m_random(seed)
+        , m_readers(options.peerPause, options.maxReaderPause)
     {
     }
 
@@ -135,13 +137,7 @@
     std::string m_ownZone;
     random_source m_random;
     std::map<std::string, store_peer> m_peers;
-    /** Failures of a peer as the zone's reader. */
-    struct reader_pause
-    {
-        time_point until;
-        duration length{}; ///< Of the last pause.
-    };
-    std::map<std::string, reader_pause> m_readerPauses; ///< Peers that failed as the zone's reader, by name.
+    peer_presence m_readers; ///< Peers that failed as the zone's reader.
     std::map<std::string, time_point> m_reachedAt; ///< When each peer answered last, by name.
     std::set<std::string> m_unreachable; ///< Peers that did not answer their last call or ping.
     std::string m_pingPeer; ///< The peer to ping; it stays the same while it answers, so that its connection stays open.
