Request relay: what concerns suspects is a class of its own

request_relay.cpp had grown to 837 lines with two jobs in it: attempts of a request, and what its keepers are asked and told of them. The latter is edge/suspect_request now; the relay has 751 lines.

--- a/edge/request_relay.cpp
+++ b/edge/request_relay.cpp
@@ -40,12 +40,11 @@
     , m_route(matchedRoute)
     , m_call(std::move(call))
     , m_customer(std::move(customer))
+    , m_suspect(crashes, m_exchange, m_call.id)
     , m_timer(context.loop.io())
 {
     random_source random(context.randomSeed ^ static_cast<std::uint64_t>(context.loop.now().time_since_epoch().count()));
     m_service = chooseService(m_route, random);
-    const http_request &request = m_exchange->request();
-    m_outline = outlineOf(request.method, request.fields.get("Host"), request.target, request.body);
 }
 
 void request_relay::start()
@@ -87,8 +86,8 @@
         refuse(http_status::badRequest, "the request names no stream that can be taken up", duration::zero());
         return;
     }
-    const auto claim =
-        std::make_shared<stream_claim>(m_context, m_fleet, m_origins, claimed_stream{ m_route, m_call, m_service, identity().digest, maximumStreamAge() });
+    const auto claim = std::make_shared<stream_claim>(
+        m_context, m_fleet, m_origins, claimed_stream{ m_route, m_call, m_service, m_suspect.identity().digest, maximumStreamAge() });
     claim->judge([self = shared_from_this()](const claim_verdict &verdict) {
         if (self->m_isDone) {
             return;
@@ -119,20 +118,17 @@
 /** Goes on at once, unless servers have ended under this request, here or at other nodes. Then its keeper decides. */
 void request_relay::admitSuspect()
 {
-    if (m_hasGrant || !isSuspect()) {
+    if (m_suspect.maySend()) {
         placeAttempt();
         return;
     }
-    releaseGrant();
-    m_asker = m_crashes.admit(identity(), m_call.id, [self = shared_from_this()](const crash_grant &grant) {
+    m_suspect.askForGrant([self = shared_from_this()](const crash_grant &grant) {
         if (self->m_isDone) {
             return;
         }
         if (grant.isGranted) {
-            self->m_hasGrant = true;
             self->placeAttempt();
         } else {
-            self->m_asker.clear();
             const std::uint16_t status = self->m_possibleRuns > 0 ? http_status::badGateway : http_status::unavailable;
             self->refuse(status, "servers have ended while they ran this request", duration(grant.returnAfterUs));
         }
@@ -232,7 +228,7 @@
     options.connectTimeout = std::min<duration>(options.connectTimeout, options.deadline);
     options.maySend = [self = shared_from_this(), id = server.id, startedAt = server.startedAt] {
         const bool isOfBuild = !self->m_origin || self->m_fleet.buildOf(id, startedAt) == self->m_origin->build;
-        const bool isAllowed = isOfBuild && self->m_fleet.maySend(id, startedAt) && (self->m_hasGrant || !self->isSuspect());
+        const bool isAllowed = isOfBuild && self->m_fleet.maySend(id, startedAt) && self->m_suspect.maySend();
         if (isAllowed) {
             self->m_runStart.onHandedOver(self->m_context.loop.now());
         }
@@ -355,8 +351,7 @@
         });
         releaseServer();
     }
-    m_hasGrant = false;
-    m_asker.clear(); // What becomes of the server under this attempt is not known any more, so its keeper must hear nothing.
+    m_suspect.onUncertain();
     ++m_possibleRuns;
     handleSentAttemptFailure(reason);
 }
@@ -392,7 +387,9 @@
         startNextAttempt();
         return;
     }
-    m_hasGrant = m_hasGrant && !end.isHandedOver;
+    if (end.isHandedOver) {
+        m_suspect.onHandedOver();
+    }
     if (end.isHandedOver && !end.hasHead) {
         m_runStart.onUnanswered();
     }
@@ -415,15 +412,15 @@
             const bool isStreamBroken = isStream() && (m_hasStreamStarted || m_isHeld);
             m_possibleRuns += isStreamBroken ? 0 : 1;
             const auto next = [self = shared_from_this(), number = m_attemptNumber, isStreamBroken, end] {
-                if (self->m_attemptNumber != number) {
+                if (self->m_isDone || self->m_attemptNumber != number) {
                     return;
                 }
                 isStreamBroken ? self->onStreamEnded(end) : self->handleSentAttemptFailure(end.detail.c_str());
             };
             if (end.error == error_kind::ServerFailed) {
-                handleBrokenAttempt(end.detail.c_str(), next);
+                m_suspect.onBroken(unansweredAttempt(), end.detail.c_str(), next);
             } else {
-                handleSilentAttempt(end.detail.c_str(), next);
+                m_suspect.onUnanswered(unansweredAttempt(), end.detail.c_str(), now - m_lastReceivedAt, next);
             }
         }
         return;
@@ -439,7 +436,7 @@
 /** Handles that a response to another request arrived in place of this one's, of which it says nothing: it may run, and its keeper must hear nothing. */
 void request_relay::handleForeignResponse(const http_call_end &end)
 {
-    m_asker.clear();
+    m_suspect.onUncertain();
     ++m_possibleRuns;
     m_fleet.recordForeignResponse(m_sent, m_call.id);
     handleSentAttemptFailure(end.detail.c_str());
@@ -483,7 +480,7 @@
         return;
     }
     if (m_serverAnswer.status < http_status::internalError) {
-        recordSurvival();
+        m_suspect.onSurvived(m_server);
     }
     m_fleet.returns(m_service).onAnswered(m_context.loop.now());
     http_response response;
@@ -501,43 +498,11 @@
             { { "request", m_call.id }, { "server", m_server.id }, { "status", std::to_string(m_serverAnswer.status) }, { "after-event", m_lastEventId } });
     m_context.metrics.counter("reedtrail_streams_not_continued_total", "Responses to requests for the rest of a stream that were no stream").add();
     if (m_serverAnswer.status < http_status::internalError) {
-        recordSurvival();
+        m_suspect.onSurvived(m_server);
     }
     handleSentAttemptFailure("a server did not continue the stream");
 }
 
-/** Returns the identity of the request, which takes one pass over its body the first time. */
-const request_identity &request_relay::identity()
-{
-    if (!m_identity) {
-        m_identity = identify(m_outline, m_exchange->request().body);
-    }
-    return *m_identity;
-}
-
-/** Tells whether servers have ended under this request. Reads the body only if a suspect has the same outline, and only once. */
-bool request_relay::isSuspect()
-{
-    return m_crashes.mayBeSuspect(m_outline) && m_crashes.isSuspect(identity());
-}
-
-/** Handles that a server has completed the request. */
-void request_relay::recordSurvival()
-{
-    if (isSuspect()) {
-        m_asker.clear();
-        m_crashes.onSurvived(identity(), m_call.id, m_server);
-    }
-}
-
-/** Tells the keeper that an attempt that it granted is over, if it has not heard of its end. */
-void request_relay::releaseGrant()
-{
-    if (const std::string asker = std::exchange(m_asker, {}); !asker.empty()) {
-        m_crashes.release(identity(), asker);
-    }
-}
-
 /** Tells whether an end of the server may have been caused by a request: servers that leave or are replaced end by themselves. */
 bool request_relay::mayServerEndCount() const
 {
@@ -545,68 +510,20 @@
     return entry != nullptr && !entry->isDraining && m_fleet.directory().isUsable(m_server.id, m_server.startedAt);
 }
 
-/** Handles that the connection to the server broke off. @param next runs once it is known whether the server has ended, unless the request is done by then */
-void request_relay::handleBrokenAttempt(const char *reason, std::function<void()> next)
-{
-    logUnanswered(reason);
-    m_crashes.onBroken(identity(), m_call.id, m_server, mayServerEndCount(), [self = shared_from_this(), next = std::move(next)](bool isRecorded) {
-        if (isRecorded) {
-            self->m_asker.clear();
-        }
-        if (!self->m_isDone) {
-            next();
-        }
-    });
-}
-
-/**
- * Handles that the server left the attempt unanswered until its time limit.
- * @param next runs at once; after an attempt that a keeper has granted, once it is known whether the server has ended
- */
-void request_relay::handleSilentAttempt(const char *reason, const std::function<void()> &next)
+/** Describes the current attempt, which its server has left without an answer. */
+unanswered_attempt request_relay::unansweredAttempt() const
 {
-    logUnanswered(reason);
-    const bool isGranted = !m_asker.empty();
-    const duration quietFor = m_context.loop.now() - m_lastReceivedAt;
-    m_crashes.onUnanswered(identity(), m_call.id, m_server, mayServerEndCount(), quietFor, [self = shared_from_this(), isGranted, next](bool isRecorded) {
-        if (!isGranted) {
-            return;
-        }
-        if (isRecorded) {
-            self->m_asker.clear();
-        }
-        if (!self->m_isDone) {
-            next();
-        }
-    });
-    if (!isGranted) {
-        next();
-    }
+    return { m_server, mayServerEndCount(), m_context.loop.now() - m_attemptStartedAt, m_fleet.backends().running(m_server.id) };
 }
 
-/** Handles that the request ends while its server has not answered, or has fallen silent in the middle of its answer. */
+/** Handles that the request ends while its server has not answered, or has sent nothing for a while in the middle of its answer. */
 void request_relay::reportAbandonedAttempt(const char *reason)
 {
     const duration quietFor = m_context.loop.now() - m_lastReceivedAt;
     const bool hasBegunToAnswer = m_lastReceivedAt > m_attemptStartedAt;
-    if (!m_runStart.isHandedOver() || (hasBegunToAnswer && quietFor < crash_guard::minSilence)) {
-        return;
+    if (m_runStart.isHandedOver() && (!hasBegunToAnswer || quietFor >= crash_guard::minSilence)) {
+        m_suspect.onAbandoned(unansweredAttempt(), reason, quietFor);
     }
-    logUnanswered(reason);
-    m_crashes.onUnanswered(identity(), m_call.id, m_server, mayServerEndCount(), quietFor, [](bool) {});
-}
-
-void request_relay::logUnanswered(const char *reason)
-{
-    const duration elapsed = m_context.loop.now() - m_attemptStartedAt;
-    logLine(log_level::Info,
-            "attempt-broken",
-            { { "request", m_call.id },
-              { "digest", identity().text() },
-              { "server", m_server.id },
-              { "reason", reason },
-              { "others", std::to_string(m_fleet.backends().running(m_server.id)) },
-              { "after-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()) } });
 }
 
 void request_relay::handleSentAttemptFailure(const char *reason)
@@ -657,7 +574,7 @@
         if (!m_origin) {
             const bool isProven = m_fleet.proofOf(m_contact) == contact_proof::Certain;
             const duration age = m_context.loop.now() - m_contact.connectedAt;
-            m_origin = stream_origin{ identity().digest, m_service, m_build, m_contact.server, m_contact.startedAt, isProven, age.count() };
+            m_origin = stream_origin{ m_suspect.identity().digest, m_service, m_build, m_contact.server, m_contact.startedAt, isProven, age.count() };
             m_originContact = m_contact;
         }
         m_origins.record(m_call.resumedRequest.empty() ? m_call.id : m_call.resumedRequest, *m_origin, timeToTakeUp(), maximumStreamAge());
@@ -701,7 +618,7 @@
     }
     ++m_possibleRuns;
     if (end.error == error_kind::None && m_events.isBetweenEvents()) {
-        recordSurvival();
+        m_suspect.onSurvived(m_server);
         if (!m_hasStreamStarted) {
             http_response response;
             response.status = m_serverAnswer.status;
@@ -801,7 +718,7 @@
     m_timer.cancel();
     const bool hadOpenAttempt = m_attempt != nullptr;
     if (!hadOpenAttempt) {
-        releaseGrant(); // What becomes of a server with an open attempt is not known any more, so its keeper must hear nothing.
+        m_suspect.releaseGrant(); // What becomes of a server with an open attempt is not known any more, so its keeper must hear nothing.
     }
     const time_point now = m_context.loop.now();
     if (m_attempt) {
--- a/edge/request_relay.h
+++ b/edge/request_relay.h
@@ -14,6 +14,7 @@
 #include "edge/edge_context.h"
 #include "edge/fleet_cache.h"
 #include "edge/stream_origins.h"
+#include "edge/suspect_request.h"
 #include "fleet/request_identity.h"
 #include "fleet/run_start_tracker.h"
 #include "net/event_stream.h"
@@ -74,15 +75,9 @@
     duration timeToTakeUp() const;
     duration maximumStreamAge() const;
     void handleSentAttemptFailure(const char *reason);
-    void handleBrokenAttempt(const char *reason, std::function<void()> next);
-    void handleSilentAttempt(const char *reason, const std::function<void()> &next);
+    unanswered_attempt unansweredAttempt() const;
     void reportAbandonedAttempt(const char *reason);
-    void logUnanswered(const char *reason);
     bool mayServerEndCount() const;
-    bool isSuspect();
-    void recordSurvival();
-    void releaseGrant();
-    const request_identity &identity();
     void retryOrRefuse();
     bool isRetrySafe() const;
     bool isStream() const;
@@ -100,11 +95,8 @@
     route m_route; ///< Copy of the route at the time of the request; a new configuration does not change it.
     platform::service_call m_call;
     std::optional<std::string> m_customer; ///< For whom the request is sent, as access_verdict::customer.
+    suspect_request m_suspect;
     std::string m_service;
-    request_outline m_outline;
-    std::optional<request_identity> m_identity; ///< Set once it is asked for.
-    std::string m_asker; ///< Identifies the attempt that a keeper has granted and of which it expects to hear; empty if there is none.
-    bool m_hasGrant = false; ///< Whether the keeper of this suspect request has granted an attempt that has not reached a server yet.
     time_point m_startedAt;
     time_point m_deadline;
     std::vector<std::string> m_triedServers;
