--- a/edge/testing/crashing_request_test.cpp
+++ b/edge/testing/crashing_request_test.cpp
@@ -73,7 +73,7 @@
     int runsAfterThirdEnd = 0; ///< Of the bodies that crash servers.
     int items = 0; ///< Items of jobs that servers completed.
     bool crashesAtItems = false;
-    duration silentFor{}; ///< For how long a server that ends leaves its connections open and takes no new ones; zero: it closes them at once.
+    duration unresponsiveFor{}; ///< For how long a server that ends leaves its connections open and takes no new ones; zero: it closes them at once.
     bool beginsStreams = false; ///< Sends the first event of a stream before it ends.
     /** What a body that crashes servers has done. */
     struct crashing_body
@@ -121,7 +121,7 @@
                 exchange->respond({ http_status::ok, testing::namedRequest(std::string(platform::requestIdOf(exchange->request()))), "id: 1\ndata: a\n\n" });
                 return;
             }
-            if (silentFor > duration::zero()) {
+            if (unresponsiveFor > duration::zero()) {
                 m_unanswered.push_back(exchange);
             }
             if (beginsStreams) {
@@ -166,8 +166,8 @@
         ++ends;
         crashing_body &body = bodies[causedBy];
         body.thirdEndAt = ++body.ends == 3 ? m_fixture.loop.now() : body.thirdEndAt;
-        if (silentFor > duration::zero()) {
-            fallSilent(index, id);
+        if (unresponsiveFor > duration::zero()) {
+            stopAnswering(index, id);
             return;
         }
         m_servers[index].server->stop();
@@ -178,12 +178,12 @@
         });
     }
     /** Leaves the connections of a server open without an answer, and lets new ones hang, as a machine without power does. */
-    void fallSilent(std::size_t index, const std::string &id)
+    void stopAnswering(std::size_t index, const std::string &id)
     {
         const std::shared_ptr<http_server> server = std::move(m_servers[index].server);
         server->stopAccepting();
         const auto full = std::make_shared<full_listener>(m_fixture.io, m_servers[index].address);
-        m_fixture.loop.after(silentFor, [this, index, id, server, full] {
+        m_fixture.loop.after(unresponsiveFor, [this, index, id, server, full] {
             full->close();
             server->stop();
             m_fixture.removeServer(id);
@@ -259,21 +259,21 @@
     EXPECT_LE(servers.runsAfterThirdEnd, allowedRetries);
 }
 
-/** Guards against requests under which servers fall silent instead of closing connections: they were no suspects and reached servers without end. */
-TEST(crashing_request, requestIsSentToServerAfterServerThatFallsSilentUnderIt)
+/** Guards against requests under which servers stop answering instead of closing connections: they were no suspects and were sent again and again. */
+TEST(crashing_request, requestIsSentToServerAfterServerThatStopsAnswering)
 {
-    for (const duration silentFor : { 150ms, 900ms, 2500ms }) { // Back before the attempt's time limit, soon after it, and later.
-        SCOPED_TRACE(toSeconds(silentFor));
+    for (const duration unresponsiveFor : { 150ms, 900ms, 2500ms }) { // Back before the attempt's time limit, soon after it, and later.
+        SCOPED_TRACE(toSeconds(unresponsiveFor));
         node_fixture fixture;
         crashing_servers servers(fixture, 6);
-        servers.silentFor = silentFor;
+        servers.unresponsiveFor = unresponsiveFor;
         sendEvery(fixture, { "crash" }, "/p/1", 250ms, 7s);
         expectFewRequestsAfterContact(servers);
     }
 }
 
 /** Guards against the same on routes whose requests are sent once, in the middle of a stream, and with two such requests at a time. */
-TEST(crashing_request, requestsOfAllKindsAreSentToServerAfterSilentServer)
+TEST(crashing_request, requestsOfAllKindsAreSentToServerAfterUnresponsiveServer)
 {
     const struct
     {
@@ -297,7 +297,7 @@
                                    { "t", "/t/", route_kind::Streaming },
                                    { "u", "/u/", route_kind::Streaming, true, 3 } });
         awaitRoute(fixture, each.path);
-        servers.silentFor = 2500ms;
+        servers.unresponsiveFor = 2500ms;
         servers.beginsStreams = each.beginsStreams;
         sendEvery(fixture, each.bodies, each.path, 250ms, 8s);
         expectFewRequestsAfterContact(servers);
@@ -305,11 +305,11 @@
 }
 
 /** Guards against requests whose callers always leave before the time limit, so that no node sees their attempts end. */
-TEST(crashing_request, requestOfCallersThatLeaveIsSentToServerAfterSilentServer)
+TEST(crashing_request, requestOfCallersThatLeaveIsSentToServerAfterUnresponsiveServer)
 {
     node_fixture fixture;
     crashing_servers servers(fixture, 6);
-    servers.silentFor = 900ms;
+    servers.unresponsiveFor = 900ms;
     const time_point end = fixture.loop.now() + 7s;
     for (int i = 1; fixture.loop.now() < end; ++i) {
         const auto exchange = fixture.startRequest("crash", "/p/1", { { "Request-Id", "r-" + std::to_string(i) } });
@@ -321,7 +321,7 @@
 }
 
 /** Guards against innocent requests that stay suspects after their server was cut off or stood still for a while and goes on. */
-TEST(crashing_request, answerOfSilentServerClearsRequest)
+TEST(crashing_request, answerOfUnresponsiveServerClearsRequest)
 {
     node_fixture fixture;
     backend_choice server;
--- a/fleet/broken_attempts.h
+++ b/fleet/broken_attempts.h
@@ -3,8 +3,8 @@
  * Attempts that ended without an answer and after which the server's address still accepted connections. Makes no I/O calls.
  *
  * A server that ends under a request and restarts within milliseconds, or whose socket another process holds, still accepts connections at its address. Its
- * registration tells later: it shows another instance, under the same id or at the same address. If the server fell silent, its registration may also lapse
- * without a successor; nothing but an answer shows then that it goes on.
+ * registration tells later: it shows another instance, under the same id or at the same address. If the server stopped answering, its registration may also
+ * lapse without a successor; nothing but an answer shows then that it goes on.
  */
 #pragma once
 
--- a/fleet/lost_node_watch.h
+++ b/fleet/lost_node_watch.h
@@ -60,23 +60,23 @@
     /** Begins a round. @return the node to ping first; nothing if there is no other one */
     std::optional<std::string> beginRound()
     {
-        m_silentInRound.clear();
+        m_unansweredInRound.clear();
         m_pinged = m_ownNode;
         return advance();
     }
     /** Handles that the node pinged last did not answer. @return the node to ping next; nothing if all were pinged, and this node may be cut off itself */
     std::optional<std::string> nextAfterSilence()
     {
-        m_silentInRound.push_back(m_pinged);
-        return m_silentInRound.size() < m_nodes.size() ? advance() : std::nullopt;
+        m_unansweredInRound.push_back(m_pinged);
+        return m_unansweredInRound.size() < m_nodes.size() ? advance() : std::nullopt;
     }
     /** Handles that the node pinged last has answered, which ends the round. */
     void endRound()
     {
         std::erase_if(m_missedRounds, [this](const auto &each) {
-            return std::ranges::find(m_silentInRound, each.first) == m_silentInRound.end();
+            return std::ranges::find(m_unansweredInRound, each.first) == m_unansweredInRound.end();
         });
-        for (const std::string &node : m_silentInRound) {
+        for (const std::string &node : m_unansweredInRound) {
             if (m_nodes.contains(placeOf(node))) {
                 ++m_missedRounds[node];
             }
@@ -128,7 +128,7 @@
     std::string m_ownNode;
     std::set<place> m_nodes; ///< All others.
     std::string m_pinged; ///< The node pinged last.
-    std::vector<std::string> m_silentInRound;
+    std::vector<std::string> m_unansweredInRound;
     std::map<std::string, int> m_missedRounds; ///< In a row, by node.
     std::map<std::string, int> m_neededRounds; ///< Of nodes whose registrations this node has removed before.
 };
--- a/fleet/testing/broken_attempts_test.cpp
+++ b/fleet/testing/broken_attempts_test.cpp
@@ -51,7 +51,7 @@
 }
 
 /** An attempt at i-1 on port 1, started at 100, was left without an answer. What do the registrations say afterwards? */
-TEST(broken_attempts_test, lapseShowsEndOfSilentServer)
+TEST(broken_attempts_test, lapseShowsEndOfUnresponsiveServer)
 {
     server_entry draining = makeServer("i-1", 1, 100);
     draining.isDraining = true;
@@ -83,7 +83,7 @@
 }
 
 /** Guards against innocent requests that count as crashing as a server that drains takes too long for them and then leaves. */
-TEST(broken_attempts_test, silentServerThatDrainsAndLeavesHasNotEndedUnderRequest)
+TEST(broken_attempts_test, serverThatDrainsAndLeavesHasNotEndedUnderRequest)
 {
     broken_attempts attempts;
     attempts.add({ {}, "r", "i-1", { "127.0.0.1", 1 }, 100, brokenAt, true });
@@ -96,7 +96,7 @@
 }
 
 /** The same if only the server's own word tells that it leaves, as its registration was not read while it drained. */
-TEST(broken_attempts_test, silentServerThatSaidThatItLeavesHasNotEndedUnderRequest)
+TEST(broken_attempts_test, serverThatSaidThatItLeavesHasNotEndedUnderRequest)
 {
     broken_attempts attempts;
     attempts.add({ {}, "r", "i-1", { "127.0.0.1", 1 }, 100, brokenAt, true });
--- a/fleet/testing/lost_node_watch_test.cpp
+++ b/fleet/testing/lost_node_watch_test.cpp
@@ -131,7 +131,7 @@
 }
 
 /** A node that no other one reaches takes itself for the lost one. */
-TEST(lost_node_watch_test, nodeThatIsCutOffRemovesNobody)
+TEST(lost_node_watch_test, nodeThatIsCutOffRemovesNoRegistration)
 {
     watching_fleet fleet(9);
     for (std::size_t i = 1; i < 9; ++i) {
--- a/fleet/testing/stream_origin_client_test.cpp
+++ b/fleet/testing/stream_origin_client_test.cpp
@@ -503,7 +503,7 @@
     EXPECT_EQ(seen.known, seen.takenUp);
 }
 
-/** Guards against streams whose keepers are lost nodes that stay in the list: when the node that began such a stream was lost, too, nobody knew its build. */
+/** Guards against streams whose keepers are lost nodes that stay in the list: once the node that began such a stream was lost, too, its build was unknown. */
 TEST(stream_origin_client_test, streamsAreKnownAfterMostNodesWereLostForGood)
 {
     for (const int lost : { 1, 3, 5, 7 }) {
